Serve a request end to end through separate processes

Cause: nothing ran yet. A caller's request has to pass an entry instance to a target, with routing from the platform's documents and targets from its instance list. Ruled out: http.Transport's connection pool for targets, because it sends a request again when a reused connection breaks (also a POST with an Idempotency-Key). net/http's ClientConn binds a request to one connection and never repeats it. Before: no program. Conclusion: the thin path stands; decisions, checks and recovery follow behind the interfaces in docs/design.md.

--- /dev/null
+++ b/internal/e2e/path_test.go
@@ -0,0 +1,122 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "e2e")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	binaries = dir
+	return m.Run()
+}
+
+const testDocument = `service = "registry"
+epoch = 1
+revision = 1
+[rules]
+lookup = { path = "/records/*", methods = ["GET"], class = "lookup", deadline = "5s" } # asked by the test
+booking = { path = "/bookings/*", methods = ["POST"], class = "once", deadline = "5s" } # asked by the test
+`
+
+// deployment is a running system: platform, targets and entry instances.
+type deployment struct {
+	*Cluster
+	platform string
+	targets  []string
+	callers  []string // caller addresses of the entry instances
+	admins   []string
+	entries  []*Process
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	addr, err := FreeAddress()
+	require.NoError(t, err)
+	return addr
+}
+
+// start runs a platform stand-in, targets in three zones and entry instances, and waits until they are ready.
+func start(ctx context.Context, t *testing.T, targets, entries int) *deployment {
+	t.Helper()
+	d := &deployment{Cluster: NewCluster(binaries, t.TempDir()), platform: freeAddress(t)}
+	t.Cleanup(d.Stop)
+	_, err := d.Start("standin", "platform", "--listen", d.platform)
+	require.NoError(t, err)
+	var list []platform.Instance
+	for i := range targets {
+		addr := freeAddress(t)
+		_, err := d.Start("standin", "target", "--listen", addr, "--service-time", "2ms")
+		require.NoError(t, err)
+		d.targets = append(d.targets, addr)
+		zone := string(rune('a' + i%3))
+		list = append(list, platform.Instance{Service: "registry", Address: addr, Zone: zone, Start: "1", State: platform.StateLive})
+	}
+	require.NoError(t, WaitStatus(ctx, "http://"+d.platform+platform.PathIndex, http.StatusOK))
+	require.NoError(t, PublishInstances(d.platform, list))
+	require.NoError(t, PublishDocument(d.platform, testDocument))
+	for range entries {
+		d.startEntry(t)
+	}
+	for _, admin := range d.admins {
+		require.NoError(t, WaitStatus(ctx, "http://"+admin+"/v1/ready", http.StatusOK))
+	}
+	return d
+}
+
+func (d *deployment) startEntry(t *testing.T) {
+	t.Helper()
+	caller, admin := freeAddress(t), freeAddress(t)
+	text := fmt.Sprintf("zone = \"a\"\nlisten = %q\nadmin_listen = %q\nplatform = %q\nlame_duck = \"100ms\"\n",
+		caller, admin, "http://"+d.platform)
+	p, err := d.StartEntry(fmt.Sprint("entry", len(d.entries)), text)
+	require.NoError(t, err)
+	d.callers = append(d.callers, caller)
+	d.admins = append(d.admins, admin)
+	d.entries = append(d.entries, p)
+}
+
+// Guards against a break anywhere on the path caller, entry instance, target and back.
+func TestRequestIsServedThroughSeparateProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	d := start(ctx, t, 3, 2)
+	for _, caller := range d.callers {
+		resp, err := http.Get("http://" + caller + "/records/1")
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, string(wire.OutcomeAnswered), resp.Header.Get(wire.HeaderOutcome))
+
+		resp, err = http.Post("http://"+caller+"/bookings/1", "text/plain", strings.NewReader("horse 7"))
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/pkg/core/policy.go
@@ -0,0 +1,45 @@
+package core
+
+import "time"
+
+// Policy holds the tunable values of one service. The zero value is not usable; start from DefaultPolicy.
+type Policy struct {
+	// Zone is the availability zone of this entry instance; targets there are preferred.
+	Zone Zone
+	// SlotsPerTarget is the expected number of slots, used until a target reports its own.
+	SlotsPerTarget int
+	// Instances is the number of entry instances that share the targets.
+	Instances int
+	// QueueLimit bounds the waiting requests of each class.
+	QueueLimit int
+	// MaxAttempts bounds the attempts of one request, hedges included.
+	MaxAttempts int
+	// RetryRatio is the share of requests that may be retried over BudgetWindow.
+	RetryRatio float64
+	// RetryFloor is the number of retries always allowed per BudgetWindow.
+	RetryFloor int
+	// HedgeRatio is the share of requests that may be hedged over BudgetWindow.
+	HedgeRatio float64
+	// HedgeFloor is the number of hedges always allowed per BudgetWindow.
+	HedgeFloor int
+	// HedgeQuantile is the quantile of recent latency after which an idempotent attempt is hedged.
+	HedgeQuantile float64
+}
+
+// BudgetWindow is the span over which retry and hedge budgets are counted.
+const BudgetWindow = 10 * time.Second
+
+// DefaultPolicy returns the policy that applies without settings.
+func DefaultPolicy() Policy {
+	return Policy{
+		SlotsPerTarget: 4,
+		Instances:      14,
+		QueueLimit:     256,
+		MaxAttempts:    4,
+		RetryRatio:     0.10,
+		RetryFloor:     10,
+		HedgeRatio:     0.05,
+		HedgeFloor:     5,
+		HedgeQuantile:  0.95,
+	}
+}
--- /dev/null
+++ b/pkg/findings/findings.go
@@ -0,0 +1,52 @@
+// Package findings collects problems in settings and rules with their place, so that all are reported together.
+package findings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one problem at one place.
+type Finding struct {
+	// File is the name of the checked text.
+	File string `json:"file"`
+	// Line and Column are 1-based; 0 means that the problem concerns the whole file.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Message says what is wrong.
+	Message string `json:"message"`
+	// Want says what would be right; empty when the message says it.
+	Want string `json:"want,omitempty"`
+}
+
+// String returns "file:line:column: message (want ...)".
+func (f Finding) String() string {
+	text := fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+	if f.Want != "" {
+		text += " (want " + f.Want + ")"
+	}
+	return text
+}
+
+// Error returns the same text as String.
+func (f Finding) Error() string { return f.String() }
+
+// List is a collection of findings; a non-empty list is an error.
+type List []Finding
+
+// Error returns all findings, one per line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error, or nil when it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/pkg/gateway/engine.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// engine runs the reducer of one service: it feeds events in under one lock and performs the effects.
+//
+// Effects are performed while the lock is held, in their order. Each of them only starts a goroutine, cancels a
+// context, sends on a buffered channel or sets a timer, so none blocks.
+type engine struct {
+	name    string
+	clock   clock
+	clients *clients
+	metrics *Metrics
+	log     logr.Logger
+
+	mu       sync.Mutex
+	service  *core.Service
+	pending  map[core.RequestID]*exchange
+	lastID   core.RequestID
+	timer    *time.Timer
+	effects  []core.Effect
+	starting sync.WaitGroup // attempts in flight
+}
+
+// exchange is one request of a caller with its attempts.
+type exchange struct {
+	id       core.RequestID
+	class    core.Class
+	attempt  target.Attempt // template of each attempt
+	decided  chan decision  // buffered by one; receives the only decision
+	attempts map[core.AttemptID]*flight
+}
+
+// flight is one attempt that is being sent.
+type flight struct {
+	target core.TargetID
+	cancel context.CancelFunc
+	answer *bufferedAnswer
+	// taken is set when the answer was handed to the caller's goroutine, which then ends the attempt.
+	taken bool
+}
+
+// decision is the end of a request: an answer to deliver or a refusal.
+type decision struct {
+	answer  *bufferedAnswer
+	attempt core.AttemptID
+	target  core.TargetID
+	refusal core.Effect
+}
+
+func newEngine(name string, policy core.Policy, ck clock, cl *clients, m *Metrics, log logr.Logger) *engine {
+	e := &engine{
+		name: name, clock: ck, clients: cl, metrics: m, log: log.WithValues("service", name),
+		service: core.NewService(policy), pending: make(map[core.RequestID]*exchange),
+	}
+	e.timer = time.AfterFunc(time.Hour, func() { e.dispatch(core.TimerFired{}) })
+	return e
+}
+
+// dispatch applies one event and performs its effects.
+func (e *engine) dispatch(ev core.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.apply(ev)
+}
+
+func (e *engine) apply(ev core.Event) {
+	in := core.Input{Now: e.clock.now(), Rand: rand.Uint64(), Event: ev}
+	e.effects = e.service.Reduce(in, e.effects[:0])
+	for _, effect := range e.effects {
+		e.perform(effect)
+	}
+}
+
+// submit starts a request and returns its exchange.
+func (e *engine) submit(class core.Class, hops int, a target.Attempt) *exchange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastID++
+	x := &exchange{
+		id: e.lastID, class: class, attempt: a,
+		decided: make(chan decision, 1), attempts: make(map[core.AttemptID]*flight),
+	}
+	e.pending[x.id] = x
+	e.apply(core.RequestArrived{Request: x.id, Class: class, Deadline: e.clock.instant(a.Deadline), Hops: hops})
+	return x
+}
+
+func (e *engine) perform(effect core.Effect) {
+	switch effect.Kind {
+	case core.SendAttempt:
+		e.send(effect)
+	case core.CancelAttempt:
+		e.cancel(effect)
+	case core.Deliver:
+		e.deliver(effect)
+	case core.Refuse:
+		e.refuse(effect)
+	case core.SetTimer:
+		e.timer.Reset(max(effect.At-e.clock.now(), 0))
+	default:
+		e.metrics.count(e.name, effect)
+	}
+}
+
+func (e *engine) send(effect core.Effect) {
+	x := e.pending[effect.Request]
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &flight{target: effect.Target, cancel: cancel}
+	x.attempts[effect.Attempt] = f
+	a := x.attempt
+	a.Fresh = effect.Fresh
+	if at := e.clock.time(effect.At); at.Before(a.Deadline) {
+		a.Deadline = at
+	}
+	client := e.clients.get(effect.Target)
+	e.starting.Add(1)
+	go func() {
+		defer e.starting.Done()
+		e.runAttempt(ctx, client, x, effect.Attempt, f, a)
+	}()
+}
+
+func (e *engine) cancel(effect core.Effect) {
+	x := e.pending[effect.Request]
+	if x == nil {
+		return
+	}
+	if f := x.attempts[effect.Attempt]; f != nil && !f.taken {
+		f.cancel()
+	}
+}
+
+func (e *engine) deliver(effect core.Effect) {
+	x := e.pending[effect.Request]
+	f := x.attempts[effect.Attempt]
+	f.taken = true
+	x.decided <- decision{answer: f.answer, attempt: effect.Attempt, target: f.target}
+}
+
+func (e *engine) refuse(effect core.Effect) {
+	x := e.pending[effect.Request]
+	x.decided <- decision{refusal: effect}
+	e.forget(x)
+}
+
+func (e *engine) forget(x *exchange) {
+	if len(x.attempts) == 0 {
+		delete(e.pending, x.id)
+	}
+}
+
+// runAttempt sends one attempt and reports its end. When the answer is delivered, the caller's goroutine reports it.
+func (e *engine) runAttempt(ctx context.Context, c *target.Client, x *exchange, id core.AttemptID, f *flight, a target.Attempt) {
+	answer, err := c.Send(ctx, a)
+	if err == nil {
+		buffered := bufferAnswer(answer)
+		err = buffered.err
+		if err == nil {
+			e.commit(x, id, f, buffered)
+			return
+		}
+		buffered.close()
+	}
+	e.end(x, id, attemptFailed(x.id, id, err))
+}
+
+// commit offers an answer to the reducer. An answer that is not taken is dropped and its attempt ended.
+func (e *engine) commit(x *exchange, id core.AttemptID, f *flight, answer *bufferedAnswer) {
+	e.mu.Lock()
+	f.answer = answer
+	e.apply(core.AttemptCommitted{Request: x.id, Attempt: id})
+	taken := f.taken
+	e.mu.Unlock()
+	if taken {
+		return
+	}
+	answer.close()
+	e.end(x, id, attemptAnswered(x.id, id, answer, answer.complete))
+}
+
+// end reports the end of an attempt and frees its resources.
+func (e *engine) end(x *exchange, id core.AttemptID, ev core.AttemptEnded) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := x.attempts[id]
+	f.cancel()
+	delete(x.attempts, id)
+	e.metrics.attempts.WithLabelValues(e.name, ev.Outcome.String(), string(ev.Reason)).Inc()
+	e.apply(ev)
+	e.forget(x)
+}
+
+func attemptFailed(request core.RequestID, id core.AttemptID, err error) core.AttemptEnded {
+	ev := core.AttemptEnded{Request: request, Attempt: id, Outcome: core.OutcomeUnknown, Reason: core.ReasonFailed, Failed: true}
+	if failure, ok := err.(*target.Error); ok {
+		ev.Outcome = failure.Outcome
+		ev.Reason = failure.Reason
+		ev.Failed = failure.Outcome == core.OutcomeUnknown
+		readReports(&ev, failure.Header)
+	}
+	return ev
+}
+
+func attemptAnswered(request core.RequestID, id core.AttemptID, answer *bufferedAnswer, whole bool) core.AttemptEnded {
+	ev := core.AttemptEnded{Request: request, Attempt: id, Outcome: core.OutcomeAnswered}
+	if !whole {
+		ev.Outcome = core.OutcomeUnknown
+		ev.Reason = core.ReasonFailed
+	}
+	ev.Failed = answer.Status >= http.StatusInternalServerError
+	readReports(&ev, answer.Header)
+	return ev
+}
+
+func readReports(ev *core.AttemptEnded, h http.Header) {
+	if h == nil {
+		return
+	}
+	if load, ok := wire.ParseLoad(h); ok {
+		ev.Load = core.LoadReport{InUse: load.InUse, Slots: load.Slots}
+	}
+	ev.Start = h.Get(wire.HeaderStart)
+	ev.Leaving = h.Get(wire.HeaderLeaving) != "" || h.Get(wire.HeaderDeclare) == string(wire.DeclareDraining)
+}
--- /dev/null
+++ b/pkg/gateway/header.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+func removeHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/pkg/platform/protocol.go
@@ -0,0 +1,55 @@
+// Package platform reads the configuration service and the instance list.
+//
+// Both can only be read and watched. The package writes nothing outside the process.
+package platform
+
+// Paths of the platform's HTTP protocol. Query parameters "after" and "wait" turn a read into a long poll that is
+// answered when the sequence number exceeds "after" or the wait ends.
+const (
+	PathIndex     = "/v1/index"
+	PathDocuments = "/v1/documents/" // followed by the service name
+	PathInstances = "/v1/instances"
+)
+
+// IndexEntry names the newest document of one service.
+type IndexEntry struct {
+	Service  string `json:"service"`
+	Epoch    uint64 `json:"epoch"`
+	Revision uint64 `json:"revision"`
+	// Hash is the xxhash64 of the document in hexadecimal.
+	Hash string `json:"hash"`
+}
+
+// Index lists the newest documents. Sequence grows with each change.
+type Index struct {
+	Sequence uint64       `json:"sequence"`
+	Entries  []IndexEntry `json:"entries"`
+}
+
+// InstanceState tells whether an instance takes new work.
+type InstanceState string
+
+// The states on the instance list.
+const (
+	StateLive    InstanceState = "live"
+	StateLeaving InstanceState = "leaving"
+)
+
+// ServiceEntry is the service name under which the list gives entry instances; Address is their peer address.
+const ServiceEntry = "burdockpitch"
+
+// Instance is one process on the instance list.
+type Instance struct {
+	Service string `json:"service"`
+	// Address is "ip:port".
+	Address string        `json:"address"`
+	Zone    string        `json:"zone"`
+	Start   string        `json:"start,omitempty"`
+	State   InstanceState `json:"state"`
+}
+
+// InstanceList is a snapshot of live and leaving instances; it lags.
+type InstanceList struct {
+	Sequence  uint64     `json:"sequence"`
+	Instances []Instance `json:"instances"`
+}
--- /dev/null
+++ b/pkg/wire/wire.go
@@ -0,0 +1,135 @@
+// Package wire names the HTTP headers exchanged between callers, entry instances and targets.
+//
+// It holds names and encodings only. The two directions use different header names, so that a target that relays the
+// headers of a nested call cannot make its own call look as if it had not run.
+package wire
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers that a target sets on its answers.
+const (
+	// HeaderDeclare carries a Declaration: the target states that it did not run the request.
+	HeaderDeclare = "Burdockpitch-Declare"
+	// HeaderLoad carries the target's load as "in-use/slots".
+	HeaderLoad = "Burdockpitch-Load"
+	// HeaderStart identifies one start of the target process.
+	HeaderStart = "Burdockpitch-Start"
+	// HeaderLeaving announces on a normal answer that the target drains ("1"). The answer itself stands.
+	HeaderLeaving = "Burdockpitch-Leaving"
+)
+
+// Headers that an entry instance sets on its answers to callers.
+const (
+	// HeaderOutcome tells what is known about the execution of the request: an Outcome.
+	HeaderOutcome = "Burdockpitch-Outcome"
+	// HeaderReason names the reason for a refusal.
+	HeaderReason = "Burdockpitch-Reason"
+)
+
+// Headers that an entry instance sets on requests to targets.
+const (
+	// HeaderDeadline is the remaining time of the request in milliseconds.
+	HeaderDeadline = "Burdockpitch-Deadline-Ms"
+	// HeaderHops counts the entry instances that the call chain has passed.
+	HeaderHops = "Burdockpitch-Hops"
+	// HeaderRequestID identifies the request in logs.
+	HeaderRequestID = "Burdockpitch-Request-Id"
+)
+
+// Declaration is a target's statement that it did not run a request.
+type Declaration string
+
+// The declarations that a target can make.
+const (
+	DeclareShed     Declaration = "shed"
+	DeclareDraining Declaration = "draining"
+	DeclareExpired  Declaration = "expired"
+)
+
+// ParseDeclaration returns the declaration in h and whether a known one is present.
+func ParseDeclaration(h http.Header) (Declaration, bool) {
+	d := Declaration(h.Get(HeaderDeclare))
+	switch d {
+	case DeclareShed, DeclareDraining, DeclareExpired:
+		return d, true
+	}
+	return "", false
+}
+
+// Outcome is what a caller is told about the execution of its request.
+type Outcome string
+
+// The outcomes told to callers.
+const (
+	OutcomeAnswered Outcome = "answered"
+	OutcomeNotRun   Outcome = "not-run"
+	OutcomeUnknown  Outcome = "unknown"
+)
+
+// Load is a target's own report of its slots.
+type Load struct {
+	// InUse is the number of requests in slots or in the target's queue.
+	InUse int
+	// Slots is the number of requests that the target works on at once.
+	Slots int
+}
+
+// String returns the header form "in-use/slots".
+func (l Load) String() string { return fmt.Sprintf("%d/%d", l.InUse, l.Slots) }
+
+// ParseLoad reads a load report; ok is false when it is absent or malformed.
+func ParseLoad(h http.Header) (l Load, ok bool) {
+	used, slots, found := strings.Cut(h.Get(HeaderLoad), "/")
+	if !found {
+		return Load{}, false
+	}
+	n, err1 := strconv.Atoi(used)
+	m, err2 := strconv.Atoi(slots)
+	if err1 != nil || err2 != nil || n < 0 || m <= 0 {
+		return Load{}, false
+	}
+	return Load{InUse: n, Slots: m}, true
+}
+
+// FormatDeadline encodes a remaining time in whole milliseconds, rounded down, so that a target never believes it has
+// longer than the caller.
+func FormatDeadline(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// ParseDeadline reads a remaining time; ok is false when it is absent or malformed.
+func ParseDeadline(h http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(HeaderDeadline), 10, 64)
+	if err != nil || ms < 0 || ms > int64(24*time.Hour/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// ParseHops reads the hop count; an absent or malformed count is 0.
+func ParseHops(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(HeaderHops))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// StripFromCaller removes the headers that only entry instances and targets may set.
+func StripFromCaller(h http.Header) {
+	for _, name := range []string{HeaderDeclare, HeaderLoad, HeaderStart, HeaderLeaving, HeaderOutcome, HeaderReason} {
+		h.Del(name)
+	}
+}
+
+// StripFromTarget removes the headers that are meant for entry instances, and those that only entry instances may set.
+func StripFromTarget(h http.Header) {
+	StripFromCaller(h)
+	for _, name := range []string{HeaderDeadline, HeaderHops} {
+		h.Del(name)
+	}
+}
