--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -57,6 +57,9 @@
 func newGatewayConfig(s settings.Settings) gateway.Config {
 	policy := core.DefaultPolicy()
 	policy.Zone = core.Zone(s.Zone)
+	if s.Selection != "" {
+		policy.Selection = core.Selection(s.Selection)
+	}
 	return gateway.Config{Policy: policy, Target: target.DefaultConfig()}
 }
 
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -2,8 +2,27 @@
 
 import "time"
 
+// Selection names a method of choosing a target. Baselines are kept for measurements.
+type Selection string
+
+// The selection methods.
+const (
+	// SelectRandom takes any available target.
+	SelectRandom Selection = "random"
+	// SelectRoundRobin takes the available targets in turn.
+	SelectRoundRobin Selection = "round-robin"
+	// SelectTwoChoices takes the better of two by requests in flight.
+	SelectTwoChoices Selection = "two-choices"
+	// SelectLoad compares requests in flight and reported load discounted by its age.
+	SelectLoad Selection = "load"
+	// SelectLoadLatency multiplies the load by the latency estimate.
+	SelectLoadLatency Selection = "load-latency"
+)
+
 // Policy holds the tunable values of one service. The zero value is not usable; start from DefaultPolicy.
 type Policy struct {
+	// Selection is the method of choosing a target.
+	Selection Selection
 	// Zone is the availability zone of this entry instance; targets there are preferred.
 	Zone Zone
 	// SlotsPerTarget is the expected number of slots, used until a target reports its own.
@@ -32,6 +51,7 @@
 // DefaultPolicy returns the policy that applies without settings.
 func DefaultPolicy() Policy {
 	return Policy{
+		Selection:      SelectLoad,
 		SlotsPerTarget: 4,
 		Instances:      14,
 		QueueLimit:     256,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -38,6 +38,8 @@
 	Peers []string `toml:"peers"`
 	// Platform is the base URL of the configuration service and instance list.
 	Platform string `toml:"platform"`
+	// Selection is the method of choosing a target; empty for the default. Other methods serve measurements.
+	Selection string `toml:"selection"`
 	// LameDuck is how long idle caller connections stay open after the stop signal.
 	LameDuck Duration `toml:"lame_duck"`
 	// StopLimit is the last-resort limit of a graceful stop.
