core: decide on outcomes, retries, limits, ejection and selection

Cause: the reducer sent each request to the better of two targets and retried without budget, queue, timers or evidence. Ruled out: one timer per request (36 services at 92,000 calls/s would reset thousands of runtime timers); a heap inside the state with one SetTimer per service does the same. Whole-number limits per target: 14 instances with one request each hold 14 on a target of 4 slots, so limits are fractions whose sum bounds the attempts of an instance. No test of the single mechanisms yet. Conclusion: other packages can build against the events; AttemptCommitted has Failed and GaveUp.

--- /dev/null
+++ b/pkg/core/ejection.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ejectRatio is the latency ratio against the service at which a target is ejected.
+	ejectRatio = 4
+	// suspectRatio is the ratio at which an outstanding attempt makes a target a last choice.
+	suspectRatio = 4
+	// doubtRatio is the ratio of the latency estimate at which a target becomes a last choice.
+	doubtRatio = 2
+	// maxEjectedShare is one over the share of a service that may be ejected: when more targets look unhealthy, the
+	// network is the likelier cause.
+	maxEjectedShare = 3
+	// ejectFirst and ejectMax bound the time without trial traffic; it doubles with each ejection in a row.
+	ejectFirst = time.Second
+	ejectMax   = 30 * time.Second
+	// ejectMemory is the time in service after which the next ejection is the first again.
+	ejectMemory = time.Minute
+	// trialEvery bounds trial traffic to one in this many requests.
+	trialEvery = 20
+	// trialRatio is the latency ratio up to which a trial succeeds.
+	trialRatio = 3
+	// trialPatience is how long an ejected target waits for a trial. Without idempotent traffic there is none, and the
+	// target returns through slow start.
+	trialPatience = 10 * time.Second
+)
+
+// ejection is the state of the ejections of one target.
+type ejection struct {
+	active bool
+	reason Reason
+	step   int // ejections in a row
+	// wakeAt is the end of the time without trials, and after that the end of the wait for a trial.
+	wakeAt     Instant
+	ready      bool // waits for a trial
+	trying     bool // a trial is in flight
+	returnedAt Instant
+}
+
+// maxEjected returns the number of targets that may be ejected.
+func (s *Service) maxEjected() int { return s.usable / maxEjectedShare }
+
+// judge ejects t when its latency estimate is too high.
+func (s *Service) judge(now Instant, t *targetState, why Reason, out []Effect) []Effect {
+	if !t.usable() || t.ejection.active || s.slowness(t, now) < ejectRatio || s.ejected >= s.maxEjected() {
+		return out
+	}
+	if now-t.ejection.returnedAt > ejectMemory {
+		t.ejection.step = 0
+	}
+	t.ejection.active = true
+	s.ejected++
+	s.extendEjection(now, t, why)
+	return append(out, Effect{Kind: CountEjection, Target: t.id, Reason: why})
+}
+
+// extendEjection starts the next, longer time without trials.
+func (s *Service) extendEjection(now Instant, t *targetState, why Reason) {
+	e := &t.ejection
+	e.reason = why
+	e.step++
+	e.ready, e.trying = false, false
+	e.wakeAt = now + s.jitter(doubled(ejectFirst, e.step, ejectMax))
+	s.scheduleTarget(now, t)
+}
+
+// release ends the ejection of t.
+func (s *Service) release(t *targetState) {
+	if !t.ejection.active {
+		return
+	}
+	t.ejection.active, t.ejection.ready, t.ejection.trying = false, false, false
+	s.ejected--
+	s.dropTrial(t)
+}
+
+// restore returns t to service through slow start.
+func (s *Service) restore(now Instant, t *targetState) {
+	s.release(t)
+	t.ejection.returnedAt = now
+	t.startRamp(now)
+	s.scheduleTarget(now, t)
+}
+
+// trimEjections releases targets when the service has become too small for the number of ejected ones.
+func (s *Service) trimEjections(now Instant) {
+	for _, t := range s.all {
+		if s.ejected <= s.maxEjected() {
+			return
+		}
+		s.release(t)
+		s.scheduleTarget(now, t)
+	}
+}
+
+// ejectionDue begins the wait for a trial or ends it without one.
+func (s *Service) ejectionDue(now Instant, t *targetState) {
+	e := &t.ejection
+	e.wakeAt = now + trialPatience
+	switch {
+	case e.trying, e.ready && t.inFlight > 0:
+		// The attempt in flight will tell.
+	case e.ready:
+		t.hasLatency = false
+		s.restore(now, t)
+	default:
+		e.ready = true
+		s.trials = append(s.trials, t)
+	}
+}
+
+// chooseTrial returns an ejected target that r may try, or nil. Trials are hedged early, so r must be idempotent.
+func (s *Service) chooseTrial(now Instant, r *request) *targetState {
+	if len(s.trials) == 0 || r.class == ClassOnce || r.started > 0 || s.sinceTrial < trialEvery {
+		return nil
+	}
+	for i, t := range s.trials {
+		if t.inFlight > 0 || now < t.backoffUntil {
+			continue
+		}
+		s.trials = slices.Delete(s.trials, i, i+1)
+		t.ejection.ready, t.ejection.trying = false, true
+		s.sinceTrial = 0
+		return t
+	}
+	return nil
+}
+
+// dropTrial removes t from the targets that wait for a trial.
+func (s *Service) dropTrial(t *targetState) {
+	if i := slices.Index(s.trials, t); i >= 0 {
+		s.trials = slices.Delete(s.trials, i, i+1)
+	}
+}
+
+// endTrial restores a target after a good trial and extends its ejection after a bad one.
+func (s *Service) endTrial(now Instant, a *attempt, good bool) {
+	t := a.target
+	if !t.ejection.active || !t.ejection.trying {
+		return
+	}
+	if !good {
+		s.extendEjection(now, t, t.ejection.reason)
+		return
+	}
+	t.hasLatency = false // the former estimate would eject it again
+	s.observe(now, t, a.elapsed(now))
+	s.restore(now, t)
+}
--- /dev/null
+++ b/pkg/core/estimate.go
@@ -0,0 +1,97 @@
+package core
+
+import "time"
+
+const (
+	// quantileStep is the relative step of a quantile estimate once it has settled.
+	quantileStep = 0.05
+	// latencyGain is the weight of one sample. An instance sends each target only a few requests per second, so that
+	// one answer 20 times slower than usual has to show.
+	latencyGain = 0.3
+	// latencyMemory is the age at which half of a target's deviation from the service is forgotten. A target that looks
+	// slow gets few requests, so the estimate has to recover without them.
+	latencyMemory = 500 * time.Millisecond
+	// usualFloor keeps scheduling noise on very fast services from looking like slowness.
+	usualFloor = 500 * time.Microsecond
+	// usualDefault stands in for the usual latency before the first answer.
+	usualDefault = 10 * time.Millisecond
+	// maxSampleRatio bounds a sample in multiples of the usual latency.
+	maxSampleRatio = 20
+	// failureRatio is the weight of a failure as a latency, in multiples of the usual one: two in a row lead to
+	// ejection, a single one does not.
+	failureRatio = 10
+	// lostHedgeRatio scales the time after which a hedge overtook an attempt. The remaining time is unknown, and two
+	// lost hedges in a row are rare on a healthy target.
+	lostHedgeRatio = 3
+)
+
+// quantile tracks one quantile of a stream in constant space: the value moves up by step*p on a larger sample and down
+// by step*(1-p) on a smaller one, which balances at the quantile.
+type quantile struct {
+	p       float64
+	value   time.Duration
+	samples int
+}
+
+func (q *quantile) observe(d time.Duration) {
+	q.samples++
+	if q.samples == 1 {
+		q.value = max(d, time.Microsecond)
+		return
+	}
+	step := max(quantileStep, 1/float64(q.samples))
+	if d > q.value {
+		q.value += time.Duration(step * q.p * float64(q.value))
+	} else {
+		q.value -= time.Duration(step * (1 - q.p) * float64(q.value))
+	}
+	q.value = max(q.value, time.Microsecond)
+}
+
+// usual returns the median latency of the service.
+func (s *Service) usual() time.Duration {
+	if s.median.samples == 0 {
+		return usualDefault
+	}
+	return max(s.median.value, usualFloor)
+}
+
+// expected returns the latency estimate of t, drawn towards that of the service as its evidence ages.
+func (s *Service) expected(t *targetState, now Instant) time.Duration {
+	usual := s.usual()
+	if !t.hasLatency {
+		return usual
+	}
+	weight := float64(latencyMemory) / float64(latencyMemory+now-t.latencyAt)
+	return usual + time.Duration(weight*float64(t.latency-usual))
+}
+
+// slowness returns the latency estimate of t in multiples of the usual latency.
+func (s *Service) slowness(t *targetState, now Instant) float64 {
+	return float64(s.expected(t, now)) / float64(s.usual())
+}
+
+// outstanding returns how long the oldest attempt on t has been in flight. Time during which this process was paused
+// does not count.
+func (s *Service) outstanding(t *targetState, now Instant) time.Duration {
+	if t.oldest == nil {
+		return 0
+	}
+	return now - max(t.oldest.sentAt, s.resumedAt)
+}
+
+// observe adds a latency sample of t.
+func (s *Service) observe(now Instant, t *targetState, sample time.Duration) {
+	sample = min(sample, maxSampleRatio*s.usual())
+	before := s.expected(t, now)
+	t.latency = before + time.Duration(latencyGain*float64(sample-before))
+	t.latencyAt = now
+	t.hasLatency = true
+}
+
+// observeAtLeast adds a sample of which only a lower bound is known; one below the estimate says nothing.
+func (s *Service) observeAtLeast(now Instant, t *targetState, bound time.Duration) {
+	if bound > s.expected(t, now) {
+		s.observe(now, t, bound)
+	}
+}
--- /dev/null
+++ b/pkg/core/limits.go
@@ -0,0 +1,92 @@
+package core
+
+import "time"
+
+const (
+	// limitGain is the additive increase per success, small because all entry instances increase at once.
+	limitGain = 0.02
+	// limitCut is the multiplicative decrease on a shed.
+	limitCut = 0.7
+	// limitSpan bounds the limit in multiples of the slots.
+	limitSpan = 4
+	// backoffFirst and backoffMax bound the time without new attempts after sheds in a row.
+	backoffFirst = 10 * time.Millisecond
+	backoffMax   = time.Second
+	// rampTime is the duration of the slow start, and rampFloor the share of traffic at its beginning.
+	rampTime  = 5 * time.Second
+	rampFloor = 0.1
+)
+
+// minLimit is the fair share of this instance in the slots of a target, so that the limits of all instances together
+// never fall below the slots.
+func (s *Service) minLimit(t *targetState) float64 {
+	return min(1, float64(s.slots(t))/float64(max(s.policy.Instances, 1)))
+}
+
+// slots returns the reported number of slots of t, or the configured one before a report.
+func (s *Service) slots(t *targetState) int {
+	if t.slots > 0 {
+		return t.slots
+	}
+	return max(s.policy.SlotsPerTarget, 1)
+}
+
+// setLimit sets the limit of t and keeps the sum over all usable targets.
+func (s *Service) setLimit(t *targetState, limit float64) {
+	limit = min(max(limit, s.minLimit(t)), limitSpan*float64(s.slots(t)))
+	if t.usable() {
+		s.limitSum += limit - t.limit
+	}
+	t.limit = limit
+}
+
+// serviceLimit returns the number of attempts that may be in flight on all targets. The limits of targets may be
+// fractions: 14 instances that each send one request fill a target of four slots more than three times over.
+func (s *Service) serviceLimit() int { return max(1, int(s.limitSum)) }
+
+// capacity returns the number of attempts that may be in flight on t.
+func (s *Service) capacity(t *targetState, now Instant) int {
+	return max(1, int(t.limit*t.ramp(now)))
+}
+
+// raiseLimit applies a success. A limit that is not used, or a target that reports a queue, gives no reason to raise it.
+func (s *Service) raiseLimit(t *targetState) {
+	used := s.queue.length() > 0 || float64(t.inFlight) >= t.limit/2
+	if used && t.reportedInUse <= s.slots(t) {
+		s.setLimit(t, t.limit+limitGain)
+	}
+}
+
+// shed applies a shed of an attempt. Several attempts that were in flight together count once.
+func (s *Service) shed(now Instant, a *attempt) {
+	t := a.target
+	if t.sheds > 0 && a.sentAt < t.shedAt {
+		return
+	}
+	s.setLimit(t, t.limit*limitCut)
+	t.shedAt = now
+	t.sheds++
+	t.backoffUntil = now + s.jitter(doubled(backoffFirst, t.sheds, backoffMax))
+	s.scheduleTarget(now, t)
+}
+
+// doubled returns first, doubled with each step after the first, and at most limit.
+func doubled(first time.Duration, step int, limit time.Duration) time.Duration {
+	for range step - 1 {
+		if first >= limit {
+			break
+		}
+		first *= 2
+	}
+	return min(first, limit)
+}
+
+// ramp returns the share of traffic that the slow start admits.
+func (t *targetState) ramp(now Instant) float64 {
+	if now >= t.rampUntil {
+		return 1
+	}
+	return 1 - (1-rampFloor)*float64(t.rampUntil-now)/float64(rampTime)
+}
+
+func (t *targetState) startRamp(now Instant) { t.rampUntil = now + rampTime }
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -7,6 +7,7 @@
 package core
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"time"
 )
@@ -14,167 +15,120 @@
 // Service is the state of one service as one entry instance sees it.
 type Service struct {
 	policy   Policy
-	targets  map[TargetID]*targetState
-	order    []*targetState // stable order for choosing
+	rng      rand.PCG
+	stopping bool
+	// resumedAt is the end of the last pause of this process.
+	resumedAt Instant
+
+	timers dueHeap
+	armed  Instant // due time of the timer that is set; never without one
+
 	requests map[RequestID]*request
+	idle     []*request // requests to be used again
+	spare    []*attempt // attempts to be used again
 	lastID   AttemptID
-	rng      *rand.PCG
-}
+	queue    queue
+	budget   budget
+	drained  drainRate
 
-type targetState struct {
-	Target
+	targets  map[TargetID]*targetState
+	lineages map[TargetID]*lineage
+	order    []*targetState // in the order of the instance list
+	all      []*targetState // usable targets, in changing order
+	local    []*targetState // usable targets in the own zone, in changing order
+	usable   int
 	inFlight int
-}
+	limitSum float64 // sum of the limits of the usable targets
+	turn     int     // next position for round robin
 
-type request struct {
-	id       RequestID
-	class    Class
-	deadline Instant
-	attempts map[AttemptID]*targetState
-	started  int
-	// mayHaveRun is set when an attempt ended without proof that it did not run.
-	mayHaveRun bool
-	delivered  bool
+	ejected    int
+	trials     []*targetState // ejected targets that wait for a trial
+	sinceTrial int            // requests since the last trial
+
+	meanOthers float64 // mean of the reported load without our own requests
+	median     quantile
+	hedgeDelay [numClasses]quantile
 }
 
 // NewService returns an empty service.
 func NewService(p Policy) *Service {
-	return &Service{
-		policy:   p,
-		targets:  make(map[TargetID]*targetState),
+	s := &Service{
+		armed:    never,
 		requests: make(map[RequestID]*request),
-		rng:      rand.NewPCG(0, 0),
+		targets:  make(map[TargetID]*targetState),
+		lineages: make(map[TargetID]*lineage),
+		median:   quantile{p: 0.5},
 	}
+	s.setPolicy(0, p)
+	return s
 }
 
 // Reduce applies one event and appends its effects to out, so that a step need not allocate.
 func (s *Service) Reduce(in Input, out []Effect) []Effect {
 	s.rng.Seed(in.Rand, uint64(in.Now))
-	switch ev := in.Event.(type) {
-	case TargetsChanged:
-		s.setTargets(ev.Targets)
-	case PolicyChanged:
-		s.policy = ev.Policy
+	out = s.apply(in.Now, in.Event, out)
+	out = s.expire(in.Now, out)
+	return s.arm(out)
+}
+
+func (s *Service) apply(now Instant, event Event, out []Effect) []Effect {
+	switch ev := event.(type) {
 	case RequestArrived:
-		return s.arrive(in.Now, ev, out)
+		return s.arrive(now, ev, out)
 	case AttemptCommitted:
-		return s.commit(ev, out)
+		return s.commit(now, ev, out)
 	case AttemptEnded:
-		return s.endAttempt(in.Now, ev, out)
+		return s.endAttempt(now, ev, out)
 	case CallerLeft:
-		return s.leave(ev, out)
-	}
-	return out
-}
-
-func (s *Service) setTargets(list []Target) {
-	s.order = s.order[:0]
-	next := make(map[TargetID]*targetState, len(list))
-	for _, t := range list {
-		state := s.targets[t.ID]
-		if state == nil {
-			state = &targetState{}
-		}
-		state.Target = t
-		next[t.ID] = state
-		s.order = append(s.order, state)
-	}
-	s.targets = next
-}
-
-func (s *Service) arrive(now Instant, ev RequestArrived, out []Effect) []Effect {
-	r := &request{id: ev.Request, class: ev.Class, deadline: ev.Deadline, attempts: make(map[AttemptID]*targetState)}
-	s.requests[r.id] = r
-	return s.start(now, r, out)
-}
-
-func (s *Service) start(now Instant, r *request, out []Effect) []Effect {
-	if now >= r.deadline {
-		return s.refuse(r, ReasonDeadline, out)
-	}
-	t := s.choose()
-	if t == nil {
-		return s.refuse(r, ReasonNoTarget, out)
-	}
-	s.lastID++
-	r.attempts[s.lastID] = t
-	r.started++
-	t.inFlight++
-	return append(out, Effect{
-		Kind: SendAttempt, Request: r.id, Attempt: s.lastID, Target: t.ID, At: r.deadline, Fresh: r.class == ClassOnce,
-	})
-}
-
-// choose compares two random targets by requests in flight.
-func (s *Service) choose() *targetState {
-	var best *targetState
-	for range 2 {
-		if len(s.order) == 0 {
-			return nil
-		}
-		t := s.order[s.rng.Uint64()%uint64(len(s.order))]
-		if t.Leaving {
-			continue
-		}
-		if best == nil || t.inFlight < best.inFlight {
-			best = t
+		return s.callerLeft(now, ev, out)
+	case TimerFired:
+		s.armed = never
+	case TargetsChanged:
+		s.setTargets(now, ev.Targets)
+		return s.dispatch(now, out)
+	case PolicyChanged:
+		s.setPolicy(now, ev.Policy)
+		return s.dispatch(now, out)
+	case TargetLeaving:
+		s.targetLeaving(now, ev)
+		return s.dispatch(now, out)
+	case LoadReported:
+		if t := s.targets[ev.Target]; t != nil {
+			s.noteLoad(now, t, ev.Load, ev.Age)
 		}
+	case ProbeEnded:
+		return s.probeEnded(now, ev, out)
+	case Resumed:
+		s.resume(now)
+	case StopRequested:
+		s.stopping = true
 	}
-	return best
+	return out
 }
 
-func (s *Service) commit(ev AttemptCommitted, out []Effect) []Effect {
-	r := s.requests[ev.Request]
-	if r == nil || r.delivered {
-		return out
+func (s *Service) setPolicy(now Instant, p Policy) {
+	s.policy = p
+	for i := range s.hedgeDelay {
+		s.hedgeDelay[i].p = p.HedgeQuantile
 	}
-	r.delivered = true
-	return append(out, Effect{Kind: Deliver, Request: r.id, Attempt: ev.Attempt})
+	s.refreshTargets(now)
 }
 
-func (s *Service) endAttempt(now Instant, ev AttemptEnded, out []Effect) []Effect {
-	r := s.requests[ev.Request]
-	if r == nil {
-		return out
-	}
-	if t := r.attempts[ev.Attempt]; t != nil {
-		t.inFlight--
-		delete(r.attempts, ev.Attempt)
-	}
-	if !ev.Outcome.ProvesNotRun() {
-		r.mayHaveRun = true
-	}
-	if r.delivered {
-		if len(r.attempts) == 0 {
-			delete(s.requests, r.id)
-		}
-		return out
+// resume discards the load reports: they are older than they look.
+func (s *Service) resume(now Instant) {
+	s.resumedAt = now
+	for _, t := range s.order {
+		t.hasReport = false
 	}
-	if r.started >= s.policy.MaxAttempts {
-		return s.refuse(r, ReasonAttempts, out)
-	}
-	if r.class == ClassOnce && r.mayHaveRun {
-		return s.refuse(r, ReasonMayHaveRun, out)
-	}
-	out = append(out, Effect{Kind: CountRetry, Reason: ev.Reason})
-	return s.start(now, r, out)
 }
 
-func (s *Service) leave(ev CallerLeft, out []Effect) []Effect {
-	r := s.requests[ev.Request]
-	if r == nil || r.delivered || r.class == ClassOnce {
-		return out
-	}
-	for id := range r.attempts {
-		out = append(out, Effect{Kind: CancelAttempt, Request: r.id, Attempt: id})
-	}
-	return s.refuse(r, ReasonCallerLeft, out)
+// random returns a random number below n.
+func (s *Service) random(n int) int {
+	high, _ := bits.Mul64(s.rng.Uint64(), uint64(n))
+	return int(high)
 }
 
-func (s *Service) refuse(r *request, why Reason, out []Effect) []Effect {
-	r.delivered = true
-	if len(r.attempts) == 0 {
-		delete(s.requests, r.id)
-	}
-	return append(out, Effect{Kind: Refuse, Request: r.id, Reason: why, NotRun: !r.mayHaveRun, RetryAfter: time.Second})
+// jitter returns a random duration between half of d and d, so that the instances do not act in step.
+func (s *Service) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.random(int(d/2)+1))
 }
--- /dev/null
+++ b/pkg/core/target.go
@@ -0,0 +1,184 @@
+package core
+
+import "time"
+
+// targetState is the view that this instance has of one target.
+type targetState struct {
+	id      TargetID
+	zone    Zone
+	starts  *lineage
+	leaving bool // copy of starts.leaving
+	listed  bool
+	due     due
+
+	inFlight int
+	oldest   *attempt // attempts in flight in order of sending
+	newest   *attempt
+
+	slots         int // reported; 0 when unknown
+	reportedInUse int
+	othersInUse   int // reported load without the requests of this instance
+	reportedAt    Instant
+	hasReport     bool
+
+	latency    time.Duration
+	latencyAt  Instant
+	hasLatency bool
+
+	limit        float64
+	sheds        int // sheds in a row
+	shedAt       Instant
+	backoffUntil Instant
+	rampUntil    Instant
+
+	ejection ejection
+}
+
+// usable reports whether t may get new attempts at all.
+func (t *targetState) usable() bool { return t.listed && !t.leaving }
+
+// setTargets replaces the list of targets.
+func (s *Service) setTargets(now Instant, list []Target) {
+	first := len(s.order) == 0
+	for _, t := range s.order {
+		t.listed = false
+	}
+	s.order = s.order[:0]
+	for _, entry := range list {
+		s.listTarget(now, entry, first)
+	}
+	s.forgetTargets()
+	s.forgetLineages(now)
+	s.refreshTargets(now)
+}
+
+// listTarget adds one entry of the list. There is no slow start for the first list: no other target could take the load.
+func (s *Service) listTarget(now Instant, entry Target, first bool) {
+	t := s.targets[entry.ID]
+	if t != nil && t.listed {
+		return // duplicate entry
+	}
+	if t == nil {
+		t = s.newTarget(now, entry.ID)
+		if !first {
+			t.startRamp(now)
+		}
+	}
+	t.listed = true
+	t.zone = entry.Zone
+	starts := s.lineage(now, entry.ID)
+	if starts.learn(entry.Start) {
+		s.resetTarget(now, t)
+	}
+	if entry.Leaving {
+		starts.leave(entry.Start)
+	}
+	t.leaving = starts.leaving()
+	s.order = append(s.order, t)
+}
+
+func (s *Service) newTarget(now Instant, id TargetID) *targetState {
+	t := &targetState{id: id, starts: s.lineage(now, id)}
+	t.due.target = t
+	t.limit = float64(s.slots(t))
+	s.targets[id] = t
+	return t
+}
+
+// resetTarget forgets the evidence about the former process behind t.
+func (s *Service) resetTarget(now Instant, t *targetState) {
+	s.release(t)
+	t.slots, t.reportedInUse, t.hasReport = 0, 0, false
+	t.hasLatency = false
+	t.sheds, t.backoffUntil = 0, 0
+	t.ejection = ejection{}
+	s.setLimit(t, float64(s.slots(t)))
+	t.startRamp(now)
+	s.scheduleTarget(now, t)
+}
+
+// forgetTargets drops the targets that are no longer listed; attempts in flight still hold theirs.
+func (s *Service) forgetTargets() {
+	for id, t := range s.targets {
+		if t.listed {
+			continue
+		}
+		s.release(t)
+		s.unschedule(&t.due)
+		delete(s.targets, id)
+	}
+}
+
+// refreshTargets recomputes what depends on the set of usable targets.
+func (s *Service) refreshTargets(now Instant) {
+	s.usable, s.limitSum = 0, 0
+	s.all, s.local = s.all[:0], s.local[:0]
+	for _, t := range s.order {
+		if !t.usable() {
+			s.release(t)
+			continue
+		}
+		s.usable++
+		s.limitSum += t.limit
+		s.all = append(s.all, t)
+		if t.zone == s.policy.Zone && t.zone != "" {
+			s.local = append(s.local, t)
+		}
+	}
+	s.trimEjections(now)
+}
+
+// scheduleTarget sets the next time at which t may become available.
+func (s *Service) scheduleTarget(now Instant, t *targetState) {
+	at := never
+	if t.backoffUntil > now {
+		at = t.backoffUntil
+	}
+	if t.ejection.active && t.ejection.wakeAt < at {
+		at = t.ejection.wakeAt
+	}
+	s.schedule(&t.due, at)
+}
+
+// targetDue handles the end of a backoff or of an ejection.
+func (s *Service) targetDue(now Instant, t *targetState, out []Effect) []Effect {
+	if t.ejection.active && t.ejection.wakeAt <= now {
+		s.ejectionDue(now, t)
+	}
+	s.scheduleTarget(now, t)
+	return s.dispatch(now, out)
+}
+
+// noteLoad takes note of a load report that is age old.
+func (s *Service) noteLoad(now Instant, t *targetState, load LoadReport, age time.Duration) {
+	at := now - age
+	if load.Slots <= 0 || t.hasReport && at < t.reportedAt {
+		return
+	}
+	if t.slots != load.Slots {
+		t.slots = load.Slots
+		s.setLimit(t, t.limit) // the bounds depend on the slots
+	}
+	t.hasReport = true
+	t.reportedAt = at
+	t.reportedInUse = load.InUse
+	t.othersInUse = max(load.InUse-t.inFlight, 0)
+	s.meanOthers += (float64(t.othersInUse) - s.meanOthers) * meanGain
+}
+
+// probeEnded takes note of a probe. Its latency is not that of a request, so it gives no latency sample.
+func (s *Service) probeEnded(now Instant, ev ProbeEnded, out []Effect) []Effect {
+	t := s.targets[ev.Target]
+	if t == nil {
+		if ev.Leaving {
+			s.lineage(now, ev.Target).leave(ev.Start)
+		}
+		return out
+	}
+	s.learnStart(now, t, ev.Start, ev.Leaving)
+	if !ev.OK {
+		return s.failed(now, t, failureRatio*s.usual(), out)
+	}
+	s.noteLoad(now, t, ev.Load, 0)
+	return out
+}
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -162,6 +162,10 @@
 type AttemptCommitted struct {
 	Request RequestID
 	Attempt AttemptID
+	// Failed marks a whole 5xx answer without a declaration. It is retried when the class and the budget allow that.
+	Failed bool
+	// GaveUp marks an answer on which an inner entry instance already gave up. It is always delivered.
+	GaveUp bool
 }
 
 // AttemptEnded reports the final outcome of an attempt and frees its slot.
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -43,14 +43,45 @@
 }
 
 // View returns a copy of the state as of now.
-func (s *Service) View(_ Instant) View {
-	v := View{Queued: make(map[string]int)}
+func (s *Service) View(now Instant) View {
+	s.budget.advance(now)
+	v := View{
+		Targets: make([]TargetView, 0, len(s.order)),
+		Budgets: BudgetView{
+			Requests: s.budget.total.requests, Retries: s.budget.total.retries, Hedges: s.budget.total.hedges,
+		},
+		Queued: make(map[string]int, numClasses),
+	}
+	for c := range numClasses {
+		v.Queued[c.String()] = s.queue.classes[c].length
+	}
 	for _, t := range s.order {
-		view := TargetView{ID: t.ID, Zone: t.Zone, Start: t.Start, State: TargetActive, InFlight: t.inFlight}
-		if t.Leaving {
-			view.State = TargetLeft
-		}
-		v.Targets = append(v.Targets, view)
+		v.Targets = append(v.Targets, s.viewTarget(t, now))
 	}
 	return v
 }
+
+func (s *Service) viewTarget(t *targetState, now Instant) TargetView {
+	state, why := s.targetState(t, now)
+	return TargetView{
+		ID: t.id, Zone: t.zone, Start: t.starts.current, State: state, Reason: why,
+		InFlight: t.inFlight, Limit: s.capacity(t, now), Latency: s.expected(t, now),
+	}
+}
+
+// targetState names the state of t and its reason. An active target with ReasonSlow is a last choice.
+func (s *Service) targetState(t *targetState, now Instant) (TargetState, Reason) {
+	switch {
+	case t.leaving:
+		return TargetLeft, ReasonDraining
+	case t.ejection.active:
+		return TargetEjected, t.ejection.reason
+	case now < t.backoffUntil:
+		return TargetBackoff, ReasonShed
+	case now < t.rampUntil:
+		return TargetRamping, ""
+	case s.doubtful(t, now):
+		return TargetActive, ReasonSlow
+	}
+	return TargetActive, ""
+}
