--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -2,7 +2,9 @@
 package findings
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -50,3 +52,10 @@
 	}
 	return l
 }
+
+// Sort orders the list by line and column. Findings of one place keep their order.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -5,14 +5,9 @@
 package rules
 
 import (
-	"strings"
 	"time"
 
-	"github.com/docker/go-units"
-	"github.com/pelletier/go-toml/v2"
-
 	"github.com/burdockpitch/burdockpitch/pkg/core"
-	"github.com/burdockpitch/burdockpitch/pkg/findings"
 )
 
 // Version orders the documents of one service: the higher epoch wins, then the higher revision.
@@ -35,13 +30,13 @@
 	Name string
 	// Service is the service that serves matching requests.
 	Service string
-	// Path is an exact path, or a prefix that ends in "/*".
+	// Path is an exact path, or a prefix that ends in "/*". The prefix "/a/*" matches "/a" and everything below it.
 	Path string
 	// Methods are the HTTP methods that match; empty means all.
 	Methods []string
 	// Class is the treatment of matching requests.
 	Class core.Class
-	// Deadline is the time within which the caller gets its answer.
+	// Deadline is the time within which the caller gets its response.
 	Deadline time.Duration
 	// BodyLimit bounds the request body in bytes.
 	BodyLimit int64
@@ -55,112 +50,42 @@
 type Document struct {
 	Service string
 	Version
+	// BasedOn is the version that the editor of the document started from; nil when the document does not say.
+	BasedOn *Version
+	// Rules are in the order of the text.
 	Rules []Rule
 }
 
-type rawDocument struct {
-	Service  string             `toml:"service"`
-	Epoch    uint64             `toml:"epoch"`
-	Revision uint64             `toml:"revision"`
-	Rules    map[string]rawRule `toml:"rules"`
-}
-
-type rawRule struct {
-	Path     string   `toml:"path"`
-	Methods  []string `toml:"methods"`
-	Class    string   `toml:"class"`
-	Deadline string   `toml:"deadline"`
-	Body     string   `toml:"body"`
-}
-
-const defaultBodyLimit = 1 << 20 // bytes
-
-// Parse checks text and returns its document. The error is a findings.List.
-func Parse(file string, text []byte) (*Document, error) {
-	var raw rawDocument
-	if err := toml.Unmarshal(text, &raw); err != nil {
-		return nil, findings.List{{File: file, Message: err.Error()}}
-	}
-	doc := &Document{Service: raw.Service, Version: Version{raw.Epoch, raw.Revision}}
-	var problems findings.List
-	for name, r := range raw.Rules {
-		rule, err := r.check(name, raw.Service)
-		if err != nil {
-			problems = append(problems, findings.Finding{File: file, Message: err.Error()})
-			continue
-		}
-		doc.Rules = append(doc.Rules, rule)
-	}
-	return doc, problems.Err()
-}
-
-func (r rawRule) check(name, service string) (Rule, error) {
-	class, ok := core.ParseClass(r.Class)
-	if !ok {
-		return Rule{}, findings.Finding{Message: "unknown class " + r.Class}
-	}
-	deadline, err := time.ParseDuration(r.Deadline)
-	if err != nil {
-		return Rule{}, err
-	}
-	limit := int64(defaultBodyLimit)
-	if r.Body != "" {
-		if limit, err = units.RAMInBytes(r.Body); err != nil {
-			return Rule{}, err
-		}
-	}
-	return Rule{Name: name, Service: service, Path: r.Path, Methods: r.Methods, Class: class, Deadline: deadline, BodyLimit: limit}, nil
-}
-
-// Table matches requests to rules. It is immutable and safe for concurrent use.
-type Table struct {
-	exact  map[string][]*Rule
-	prefix map[string][]*Rule
-}
-
-// NewTable merges the rules of documents.
-func NewTable(docs []*Document) *Table {
-	t := &Table{exact: make(map[string][]*Rule), prefix: make(map[string][]*Rule)}
-	for _, d := range docs {
-		for i := range d.Rules {
-			r := &d.Rules[i]
-			if stem, ok := strings.CutSuffix(r.Path, "/*"); ok {
-				t.prefix[stem] = append(t.prefix[stem], r)
-				continue
-			}
-			t.exact[r.Path] = append(t.exact[r.Path], r)
-		}
-	}
-	return t
-}
-
-// Match returns the most specific rule for method and path, or nil.
-func (t *Table) Match(method, path string) *Rule {
-	if r := matchMethod(t.exact[path], method); r != nil {
-		return r
-	}
-	for stem := path; ; {
-		if r := matchMethod(t.prefix[stem], method); r != nil {
-			return r
-		}
-		i := strings.LastIndexByte(stem, '/')
-		if i < 0 {
-			return nil
-		}
-		stem = stem[:i]
-	}
-}
+// Limits of a document. They are constants rather than settings because validity depends on the bytes alone.
+const (
+	// MaxDocument is the size of a document in bytes: the platform stores values of up to 1 MB.
+	MaxDocument = 1 << 20
+	// MinDeadline is the shortest deadline; the remaining time is propagated in whole milliseconds.
+	MinDeadline = time.Millisecond
+	// MaxDeadline is the longest deadline. A request that arrives at the end of the default lame-duck period (5 s)
+	// can still end within the default stop limit (60 s).
+	MaxDeadline = 50 * time.Second
+	// MaxBody is the largest body limit in bytes. A request body is held in memory until its last attempt has ended.
+	MaxBody = 64 << 20
+	// DefaultBody is the body limit in bytes of a rule that states none.
+	DefaultBody = 1 << 20
+	// maxPath bounds a path pattern in bytes.
+	maxPath = 1024
+)
 
-func matchMethod(candidates []*Rule, method string) *Rule {
-	for _, r := range candidates {
-		if len(r.Methods) == 0 {
-			return r
-		}
-		for _, m := range r.Methods {
-			if m == method {
-				return r
-			}
+// Capped returns copies of documents in which no deadline and no body limit exceeds the given ones. Settings of an
+// instance can thus be stricter than the rules without a bearing on their validity.
+func Capped(docs []*Document, deadline time.Duration, body int64) []*Document {
+	capped := make([]*Document, len(docs))
+	for i, d := range docs {
+		c := *d
+		c.Rules = make([]Rule, len(d.Rules))
+		for n, r := range d.Rules {
+			r.Deadline = min(r.Deadline, deadline)
+			r.BodyLimit = min(r.BodyLimit, body)
+			c.Rules[n] = r
 		}
+		capped[i] = &c
 	}
-	return nil
+	return capped
 }
--- /dev/null
+++ b/pkg/tomldoc/tomldoc.go
@@ -0,0 +1,252 @@
+// Package tomldoc reads TOML into entries with their positions and comments.
+//
+// Unlike a decoder it does not stop at the first syntax error, so that callers can report all findings of a text at
+// once. It does not check keys for duplicates; that is left to the caller, which knows what a key means.
+package tomldoc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
+)
+
+// maxSyntaxErrors bounds the syntax errors reported for one text. Each of them can cost one pass over the rest of the
+// text, so without a bound a hostile text of 1 MiB would take minutes.
+const maxSyntaxErrors = 50
+
+// Pos is a place in a text: line and byte column, both starting at 1.
+type Pos struct{ Line, Column int }
+
+// Document is the content of a TOML text in the order of the text.
+type Document struct {
+	Tables  []Table
+	Entries []Entry
+}
+
+// Table is a table header.
+type Table struct {
+	Pos
+	// Name is the dotted name of the table.
+	Name string
+	// Array is set for the "[[name]]" form.
+	Array bool
+}
+
+// Entry is one key with its value.
+type Entry struct {
+	Pos
+	// Table is the dotted name of the table header above the entry; empty at the top of the text.
+	Table string
+	// Key is the key as decoded, its dotted parts joined by dots.
+	Key string
+	// Parts is the number of dotted parts of the key.
+	Parts int
+	Value Value
+	// Comment is the trailing comment without "#" and surrounding space.
+	Comment string
+	// Lines is the number of lines that the entry spans.
+	Lines int
+}
+
+// Value is a TOML value.
+type Value struct {
+	Pos
+	Kind unstable.Kind
+	// Text is a decoded string, or a scalar as written.
+	Text string
+	// Items are the elements of an array.
+	Items []Value
+	// Fields are the entries of an inline table.
+	Fields []Entry
+}
+
+// Read returns what can be read of text, and a finding for each syntax error. It never panics.
+func Read(file string, text []byte) (*Document, findings.List) {
+	r := &reader{file: file, text: text, lines: newLineIndex(text), doc: &Document{}}
+	r.parser.KeepComments = true
+	for start := 0; start >= 0; {
+		start = r.readFrom(start)
+	}
+	return r.doc, r.problems
+}
+
+type reader struct {
+	file     string
+	text     []byte
+	lines    lineIndex
+	parser   unstable.Parser
+	base     int // offset of the parser's input in text
+	end      int // offset behind the last expression that was read
+	doc      *Document
+	problems findings.List
+
+	table   string
+	skipped bool // the last table header is broken, so its entries belong to no known table
+}
+
+// readFrom reads expressions until the end of the text, where it returns -1, or until a syntax error, where it returns
+// the offset at which reading can resume.
+func (r *reader) readFrom(start int) int {
+	r.base, r.end = start, start
+	r.parser.Reset(r.text[start:])
+	for r.parser.NextExpression() {
+		r.add(r.parser.Expression())
+	}
+	err := r.parser.Error()
+	if err == nil {
+		return -1
+	}
+	r.report(err)
+	if len(r.problems) >= maxSyntaxErrors {
+		return -1
+	}
+	return r.resume()
+}
+
+// report adds a finding for a syntax error. One that shows only on a later line, such as a missing bracket, is reported
+// where the expression begins.
+func (r *reader) report(err error) {
+	offset := r.end
+	var syntax *unstable.ParserError
+	if errors.As(err, &syntax) {
+		offset = r.offset(syntax.Highlight)
+	}
+	at := r.lines.pos(offset)
+	message := "not TOML: " + err.Error()
+	if begin := r.lines.pos(r.brokenStart()); begin.Line < at.Line {
+		message = fmt.Sprintf("not TOML, as seen on line %d: %s", at.Line, err)
+		at = begin
+	}
+	r.problems = append(r.problems, findings.Finding{File: r.file, Line: at.Line, Column: at.Column, Message: message})
+}
+
+// brokenStart returns the offset at which the expression behind the last good one begins.
+func (r *reader) brokenStart() int {
+	rest := r.text[r.end:]
+	return r.end + len(rest) - len(bytes.TrimLeft(rest, space))
+}
+
+// offset returns where a part of the parser's input begins in the text.
+func (r *reader) offset(part []byte) int {
+	offset := r.base + cap(r.parser.Data()) - cap(part)
+	if offset < r.end || offset > len(r.text) {
+		return r.end
+	}
+	return offset
+}
+
+const space = " \t\r\n"
+
+// expression matches a line on which an expression begins.
+var expression = regexp.MustCompile(`^(#|\[|[A-Za-z0-9_."'-]+[ \t]*=)`)
+
+// resume returns the offset of the first line behind a broken expression on which another one begins, or -1. A value
+// without its closing quote or bracket thus hides no findings on later lines.
+func (r *reader) resume() int {
+	broken := r.brokenStart()
+	if broken == len(r.text) {
+		return -1
+	}
+	r.skipped = r.skipped || r.text[broken] == '['
+	for at := r.lineEnd(broken); at < len(r.text); at = r.lineEnd(at) {
+		if expression.Match(bytes.Trim(r.text[at:r.lineEnd(at)], space)) {
+			return at
+		}
+	}
+	return -1
+}
+
+func (r *reader) add(n *unstable.Node) {
+	switch n.Kind {
+	case unstable.Table, unstable.ArrayTable:
+		r.addTable(n)
+	case unstable.KeyValue:
+		r.addEntry(n)
+	case unstable.Comment:
+		r.end = r.lineEnd(r.rangeEnd(n.Raw))
+	}
+}
+
+func (r *reader) addTable(n *unstable.Node) {
+	name, _, first, last := r.key(n.Key())
+	r.end = r.rangeEnd(last)
+	if comment := n.Next(); comment != nil && comment.Kind == unstable.Comment {
+		r.end = r.rangeEnd(comment.Raw)
+	}
+	r.end = r.lineEnd(r.end)
+	r.table, r.skipped = name, false
+	r.doc.Tables = append(r.doc.Tables, Table{Pos: r.pos(first), Name: name, Array: n.Kind == unstable.ArrayTable})
+}
+
+func (r *reader) addEntry(n *unstable.Node) {
+	e := r.entry(n)
+	r.end = r.rangeEnd(n.Raw)
+	if comment := n.Next(); comment != nil && comment.Kind == unstable.Comment {
+		e.Comment = strings.TrimSpace(strings.TrimPrefix(string(comment.Data), "#"))
+		r.end = r.rangeEnd(comment.Raw)
+	}
+	r.end = r.lineEnd(r.end)
+	if !r.skipped {
+		r.doc.Entries = append(r.doc.Entries, e)
+	}
+}
+
+func (r *reader) entry(n *unstable.Node) Entry {
+	name, parts, first, _ := r.key(n.Key())
+	e := Entry{Pos: r.pos(first), Table: r.table, Key: name, Parts: parts}
+	e.Lines = r.lines.pos(r.rangeEnd(n.Raw)).Line - e.Line + 1
+	e.Value = r.value(n.Value(), e.Pos)
+	return e
+}
+
+func (r *reader) value(n *unstable.Node, at Pos) Value {
+	v := Value{Pos: at, Kind: n.Kind, Text: string(n.Data)}
+	if n.Raw.Length > 0 {
+		v.Pos = r.pos(n.Raw)
+	}
+	children := n.Children()
+	for children.Next() {
+		switch c := children.Node(); {
+		case c.Kind == unstable.Comment:
+		case n.Kind == unstable.InlineTable:
+			v.Fields = append(v.Fields, r.entry(c))
+		case n.Kind == unstable.Array:
+			v.Items = append(v.Items, r.value(c, v.Pos))
+		}
+	}
+	return v
+}
+
+// key returns the joined parts of a dotted key, their number and the ranges of the first and last part.
+func (r *reader) key(parts unstable.Iterator) (name string, n int, first, last unstable.Range) {
+	for parts.Next() {
+		part := parts.Node()
+		if n == 0 {
+			first = part.Raw
+			name = string(part.Data)
+		} else {
+			name += "." + string(part.Data)
+		}
+		last = part.Raw
+		n++
+	}
+	return name, n, first, last
+}
+
+func (r *reader) pos(at unstable.Range) Pos { return r.lines.pos(r.base + int(at.Offset)) }
+
+func (r *reader) rangeEnd(at unstable.Range) int { return r.base + int(at.Offset) + int(at.Length) }
+
+// lineEnd returns the offset behind the line that contains offset.
+func (r *reader) lineEnd(offset int) int {
+	if i := bytes.IndexByte(r.text[offset:], '\n'); i >= 0 {
+		return offset + i + 1
+	}
+	return len(r.text)
+}
