settings: document every key, check combinations, map in one place

Ruled out: the strict mode of the go-toml decoder, because it stops at the first value of a wrong type; reading numbers without a unit as seconds or bytes. The decoder still runs last, for what only it checks (a section given twice). Before: a misspelt key started the instance with the default. Conclusion: stop_limit has to exceed lame_duck plus deadline.max, so that a stop never aborts a request; deadline.max (50 s) is the largest rule deadline and can be lowered together with stop_limit. The caps on deadline and body apply when documents are put in force. probe.share and probe.cost have no counterpart in core.Policy yet.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,15 +16,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
-	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
-	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Run serves until ctx ends, then stops gracefully.
 func Run(ctx context.Context, s settings.Settings) error {
 	c := dig.New()
@@ -45,8 +41,9 @@
 	return runErr
 }
 
-func newLogger() logr.Logger {
-	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+func newLogger(s settings.Settings) logr.Logger {
+	options := &slog.HandlerOptions{Level: slog.Level(-s.Log.Verbosity)} // logr's V(n) is slog's level -n
+	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, options))
 }
 
 func newRegistry() (*prometheus.Registry, prometheus.Registerer) {
@@ -55,16 +52,13 @@
 }
 
 func newGatewayConfig(s settings.Settings) gateway.Config {
-	policy := core.DefaultPolicy()
-	policy.Zone = core.Zone(s.Zone)
-	if s.Selection != "" {
-		policy.Selection = core.Selection(s.Selection)
-	}
-	return gateway.Config{Policy: policy, Target: target.DefaultConfig()}
+	return gateway.Config{Policy: s.Policy(), Target: s.Target()}
 }
 
-func newStore(g *gateway.Gateway, log logr.Logger) *platform.Store {
-	return platform.NewStore(log, g.SetDocuments)
+func newStore(s settings.Settings, g *gateway.Gateway, log logr.Logger) *platform.Store {
+	return platform.NewStore(log, func(docs []*rules.Document) {
+		g.SetDocuments(rules.Capped(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
+	})
 }
 
 func newReader(s settings.Settings, store *platform.Store, g *gateway.Gateway, log logr.Logger) *platform.Reader {
@@ -127,8 +121,8 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
-	callerServer := &http.Server{Handler: i.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry), ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := i.newServer(i.gateway.Handler())
+	adminServer := i.newServer(admin.NewHandler(i, i.registry))
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 
@@ -145,6 +139,11 @@
 	return group.Wait()
 }
 
+func (i *instance) newServer(h http.Handler) *http.Server {
+	limits := i.settings.Limits
+	return &http.Server{Handler: h, ReadHeaderTimeout: limits.HeaderTimeout.Std(), MaxHeaderBytes: int(limits.Header)}
+}
+
 // stop lets the platform's balancer see the failing readiness before connections close.
 func (i *instance) stop(callers *http.Server) {
 	i.stopping.Store(true)
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,202 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/tomldoc"
+)
+
+// bounds of the numbers, both inclusive. Durations are in nanoseconds, sizes in bytes. The upper bounds only exclude
+// values that cannot be meant, such as a ratio given in percent.
+var bounds = []struct {
+	key      string
+	min, max float64
+	want     string
+}{
+	{"lame_duck", 0, float64(10 * time.Minute), "from 0s to 10m"},
+	{"stop_limit", float64(time.Second), float64(time.Hour), "from 1s to 1h"},
+	{"instances", 1, 1000, "from 1 to 1000"},
+	{"log.verbosity", 0, 2, "from 0 to 2"},
+	{"targets.slots", 1, 10_000, "from 1 to 10000"},
+	{"connections.per_target", 1, 100_000, "from 1 to 100000"},
+	{"connections.dial_timeout", float64(time.Millisecond), float64(10 * time.Second), "from 1ms to 10s"},
+	{"connections.idle_timeout", float64(time.Second), float64(10 * time.Minute), "from 1s to 10m"},
+	{"connections.fresh_within", 0, float64(10 * time.Minute), "from 0s to 10m"},
+	{"retry.ratio", 0, 1, "a share from 0 to 1"},
+	{"retry.floor", 0, 10_000, "from 0 to 10000"},
+	{"retry.max_attempts", 1, 10, "from 1 to 10"},
+	{"hedge.ratio", 0, 1, "a share from 0 to 1"},
+	{"hedge.floor", 0, 10_000, "from 0 to 10000"},
+	{"hedge.quantile", 0.5, 0.999, "from 0.5 to 0.999"},
+	{"probe.share", 0, 0.1, "a share from 0 to 0.1"},
+	{"probe.cost", float64(10 * time.Microsecond), float64(time.Second), "from 10us to 1s"},
+	{"queue.limit", 1, 100_000, "from 1 to 100000"},
+	{"limits.body", 1, rules.MaxBody, "from 1B to 64MiB"},
+	{"limits.header", 1 << 10, 1 << 20, "from 1KiB to 1MiB"},
+	{"limits.header_timeout", float64(100 * time.Millisecond), float64(time.Minute), "from 100ms to 1m"},
+	{"deadline.max", float64(rules.MinDeadline), float64(rules.MaxDeadline), "from 1ms to 50s"},
+}
+
+func (c *checker) ranges() {
+	for _, b := range bounds {
+		v := c.keys[b.key]
+		var n float64
+		if v.CanInt() {
+			n = float64(v.Int())
+		} else {
+			n = v.Float()
+		}
+		if inside := n >= b.min && n <= b.max; !inside && !c.bad[b.key] { // false for NaN
+			c.bad[b.key] = true
+			c.report(c.seen[b.key], b.want, "%s is out of range", b.key)
+		}
+	}
+}
+
+// combinations checks keys against each other. A key that is already reported takes no part.
+func (c *checker) combinations() {
+	c.names()
+	listeners := c.addresses()
+	c.separate(listeners)
+	s := c.s
+	c.require(s.LameDuck < s.StopLimit, "a lame_duck shorter than stop_limit",
+		fmt.Sprintf("lame_duck %s is not shorter than stop_limit %s", s.LameDuck.Std(), s.StopLimit.Std()), "lame_duck", "stop_limit")
+	c.require(s.LameDuck >= s.StopLimit || s.LameDuck+s.Deadline.Max < s.StopLimit, "a stop_limit longer than lame_duck plus deadline.max",
+		fmt.Sprintf("stop_limit %s can abort a request that arrives in the lame-duck period (%s) and may take %s",
+			s.StopLimit.Std(), s.LameDuck.Std(), s.Deadline.Max.Std()), "stop_limit", "deadline.max", "lame_duck")
+	c.require(s.Connections.PerTarget >= s.Instances, "at least one connection for each instance",
+		"connections.per_target is lower than instances", "connections.per_target", "instances")
+	c.require(s.Connections.FreshWithin <= s.Connections.IdleTimeout, "a fresh_within of at most idle_timeout",
+		"connections.fresh_within is longer than connections.idle_timeout", "connections.fresh_within", "connections.idle_timeout")
+	c.require(s.Connections.DialTimeout <= s.Deadline.Max, "a dial_timeout of at most deadline.max",
+		"connections.dial_timeout is longer than every deadline", "connections.dial_timeout", "deadline.max")
+	c.require(s.Retry.MaxAttempts > 1 || s.Hedge.Ratio == 0 && s.Hedge.Floor == 0 && s.Retry.Ratio == 0 && s.Retry.Floor == 0,
+		"ratios and floors of 0 with one attempt, or more attempts",
+		"retries or hedges are allowed, but retry.max_attempts allows one attempt", "retry.max_attempts", "hedge.ratio", "hedge.floor", "retry.ratio", "retry.floor")
+}
+
+// require reports a broken combination at the first of its keys that the text gives.
+func (c *checker) require(ok bool, want, message string, keys ...string) {
+	if ok || slices.ContainsFunc(keys, func(k string) bool { return c.bad[k] }) {
+		return
+	}
+	var at tomldoc.Pos
+	for _, k := range keys {
+		if place, given := c.seen[k]; given {
+			at = place
+			break
+		}
+	}
+	c.report(at, want, "%s", message)
+}
+
+func (c *checker) names() {
+	c.require(c.s.Zone != "", "the availability zone of the instance", "zone is missing", "zone")
+	c.require(c.s.Platform != "", "the base URL of the platform", "platform is missing", "platform")
+	if c.s.Platform != "" {
+		u, err := url.Parse(c.s.Platform)
+		ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == ""
+		c.require(ok, `a URL such as "http://10.0.0.5:9801"`, "platform is not a base URL", "platform")
+	}
+	methods := []core.Selection{
+		"", core.SelectRandom, core.SelectRoundRobin, core.SelectTwoChoices, core.SelectLoad, core.SelectLoadLatency,
+	}
+	c.require(slices.Contains(methods, core.Selection(c.s.Selection)), `"random", "round-robin", "two-choices", "load" or "load-latency"`,
+		fmt.Sprintf("unknown selection %q", c.s.Selection), "selection")
+}
+
+// listener is an address on which the instance listens, with the key that gives it.
+type listener struct {
+	key  string
+	addr netip.AddrPort
+}
+
+// addresses checks each address by itself and returns the good ones on which the instance listens.
+func (c *checker) addresses() []listener {
+	c.require(c.s.Listen != "", "the address for callers", "listen is missing", "listen")
+	var good []listener
+	for _, l := range []struct{ key, text string }{
+		{"listen", c.s.Listen}, {"admin_listen", c.s.AdminListen}, {"peer_listen", c.s.PeerListen},
+	} {
+		if l.text == "" && l.key != "admin_listen" {
+			continue
+		}
+		addr, err := parseAddress(l.text)
+		c.require(err == nil, `an address "ip:port"`, fmt.Sprintf("bad address %q for %s", l.text, l.key), l.key)
+		if err == nil {
+			good = append(good, listener{l.key, addr})
+		}
+	}
+	for _, l := range good {
+		c.require(l.key != "admin_listen" || c.s.AdminRemote || l.addr.Addr().IsLoopback(), "a loopback address, or admin_remote = true",
+			"admin_listen is not on loopback", "admin_listen")
+	}
+	c.peerAddresses()
+	return good
+}
+
+func (c *checker) peerAddresses() {
+	if c.bad["peers"] {
+		return
+	}
+	seen := make(map[string]bool)
+	for _, p := range c.peers {
+		addr, err := parseAddress(p.Text)
+		switch {
+		case err != nil || addr.Addr().IsUnspecified():
+			c.report(p.Pos, `an address "ip:port"`, "bad address %q in peers", p.Text)
+		case seen[p.Text]:
+			c.report(p.Pos, "each peer once", "peer %s is repeated", p.Text)
+		}
+		seen[p.Text] = true
+	}
+}
+
+// parseAddress reads "ip:port"; ":port" stands for all interfaces.
+func parseAddress(text string) (netip.AddrPort, error) {
+	if strings.HasPrefix(text, ":") {
+		text = "[::]" + text
+	}
+	addr, err := netip.ParseAddrPort(text)
+	if err == nil && addr.Port() == 0 {
+		err = fmt.Errorf("port 0 in %q", text)
+	}
+	return addr, err
+}
+
+// separate reports listeners that take the same port.
+func (c *checker) separate(list []listener) {
+	for i, later := range list {
+		for _, earlier := range list[:i] {
+			a, b := earlier.addr, later.addr
+			same := a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified())
+			c.require(!same, "a port for each listener", fmt.Sprintf("%s and %s take the same port", earlier.key, later.key), later.key, earlier.key)
+		}
+	}
+}
+
+// CheckRules reports the rules of a document that the settings restrict further: valid, but not as the rule says.
+func (s Settings) CheckRules(file string, doc *rules.Document) findings.List {
+	var list findings.List
+	for _, r := range doc.Rules {
+		if r.Deadline > s.Deadline.Max.Std() {
+			list = append(list, findings.Finding{File: file, Line: r.Line, Column: 1,
+				Message: fmt.Sprintf("rule %q: the settings lower its deadline %s to %s", r.Name, r.Deadline, s.Deadline.Max.Std()),
+				Want:    "a deadline of at most deadline.max of the settings"})
+		}
+		if r.BodyLimit > int64(s.Limits.Body) {
+			list = append(list, findings.Finding{File: file, Line: r.Line, Column: 1,
+				Message: fmt.Sprintf("rule %q: the settings lower its body limit of %d bytes to %d", r.Name, r.BodyLimit, s.Limits.Body),
+				Want:    "a body limit of at most limits.body of the settings"})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/settings/parse.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
+	"github.com/burdockpitch/burdockpitch/pkg/tomldoc"
+)
+
+// Parse checks a settings text. The error is a findings.List with all findings in the order of the text.
+func Parse(file string, text []byte) (Settings, error) {
+	s := Default()
+	content, problems := tomldoc.Read(file, text)
+	c := &checker{
+		file: file, problems: problems, s: &s, keys: make(map[string]reflect.Value), seen: make(map[string]tomldoc.Pos),
+		sections: make(map[string]bool), bad: make(map[string]bool),
+	}
+	c.collect("", reflect.ValueOf(&s).Elem())
+	c.tables(content.Tables)
+	for _, e := range content.Entries {
+		c.entry(e.Table, e)
+	}
+	if len(c.problems) == 0 {
+		c.decode(text)
+	}
+	c.ranges()
+	c.combinations()
+	c.problems.Sort()
+	if err := c.problems.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// checker collects the findings of one settings text.
+type checker struct {
+	file     string
+	problems findings.List
+	s        *Settings
+	keys     map[string]reflect.Value // fields by dotted key
+	seen     map[string]tomldoc.Pos   // places of the values by dotted key
+	sections map[string]bool
+	peers    []tomldoc.Value
+	bad      map[string]bool // keys whose value could not be read
+}
+
+func (c *checker) report(at tomldoc.Pos, want, format string, args ...any) {
+	c.problems = append(c.problems, findings.Finding{
+		File: c.file, Line: at.Line, Column: at.Column, Message: fmt.Sprintf(format, args...), Want: want,
+	})
+}
+
+// collect registers the fields of a section by their keys.
+func (c *checker) collect(prefix string, section reflect.Value) {
+	for i := range section.NumField() {
+		key := prefix + section.Type().Field(i).Tag.Get("toml")
+		field := section.Field(i)
+		if field.Kind() == reflect.Struct {
+			c.sections[key] = true
+			c.collect(key+".", field)
+			continue
+		}
+		c.keys[key] = field
+	}
+}
+
+func (c *checker) tables(list []tomldoc.Table) {
+	for _, t := range list {
+		if !c.sections[t.Name] || t.Array {
+			c.report(t.Pos, "a section of the settings reference", "unknown section %q", t.Name)
+		}
+	}
+}
+
+func (c *checker) entry(table string, e tomldoc.Entry) {
+	if table != "" && !c.sections[table] {
+		return // its section is reported
+	}
+	key := e.Key
+	if table != "" {
+		key = table + "." + key
+	}
+	if c.sections[key] && e.Value.Kind == unstable.InlineTable {
+		for _, f := range e.Value.Fields {
+			c.entry(key, f)
+		}
+		return
+	}
+	field, ok := c.keys[key]
+	if !ok {
+		c.report(e.Pos, "a key of the settings reference", "unknown key %q", key)
+		return
+	}
+	if first, ok := c.seen[key]; ok {
+		c.report(e.Pos, "each key once", "%s is already given on line %d", key, first.Line)
+		return
+	}
+	c.seen[key] = e.Value.Pos
+	if key == "peers" {
+		c.peers = e.Value.Items
+	}
+	if want := assign(field.Addr().Interface(), e.Value); want != "" {
+		c.bad[key] = true
+		c.report(e.Value.Pos, want, "bad value for %s", key)
+	}
+}
+
+// assign stores a value in a field. It returns what would be right if the value does not fit.
+func assign(field any, v tomldoc.Value) string {
+	var err error
+	kind := v.Kind
+	switch f := field.(type) {
+	case *string:
+		*f = v.Text
+		return wantIf(kind != unstable.String, "a string")
+	case *bool:
+		*f = v.Text == "true"
+		return wantIf(kind != unstable.Bool, "true or false")
+	case *int:
+		*f, err = strconv.Atoi(v.Text)
+		return wantIf(kind != unstable.Integer || err != nil, "a whole number")
+	case *float64:
+		*f, err = strconv.ParseFloat(v.Text, 64)
+		return wantIf(kind != unstable.Float && kind != unstable.Integer || err != nil, "a number")
+	case *[]string:
+		for _, item := range v.Items {
+			if item.Kind != unstable.String {
+				return "a list of strings"
+			}
+			*f = append(*f, item.Text)
+		}
+		return wantIf(kind != unstable.Array, "a list of strings")
+	case *Size:
+		return wantIf(kind != unstable.String || f.UnmarshalText([]byte(v.Text)) != nil, tomldoc.WantSize)
+	case encoding.TextUnmarshaler:
+		return wantIf(kind != unstable.String || f.UnmarshalText([]byte(v.Text)) != nil, tomldoc.WantDuration)
+	}
+	return "a key of a known type"
+}
+
+func wantIf(wrong bool, want string) string {
+	if wrong {
+		return want
+	}
+	return ""
+}
+
+// decode reports what only the decoder checks, such as a section that is defined twice.
+func (c *checker) decode(text []byte) {
+	var content map[string]any
+	err := toml.Unmarshal(text, &content)
+	if err == nil {
+		return
+	}
+	var at tomldoc.Pos
+	var place *toml.DecodeError
+	if errors.As(err, &place) {
+		at.Line, at.Column = place.Position()
+	}
+	c.report(at, "", "not TOML: %s", err)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -1,14 +1,18 @@
 // Package settings reads the TOML settings of an entry instance and checks them.
+//
+// All findings of a text are reported together, each with its key and place.
 package settings
 
 import (
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/findings"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/tomldoc"
 )
 
 // Duration is a time.Duration written with its unit, such as "150ms".
@@ -16,7 +20,7 @@
 
 // UnmarshalText parses a duration with a unit.
 func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
+	v, err := tomldoc.ParseDuration(string(text))
 	*d = Duration(v)
 	return err
 }
@@ -24,34 +28,158 @@
 // Std returns the value as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
-// Settings configures one entry instance.
+// Size is a number of bytes written with its binary unit, such as "64KiB".
+type Size int64
+
+// UnmarshalText parses a size with a unit.
+func (s *Size) UnmarshalText(text []byte) error {
+	v, err := tomldoc.ParseSize(string(text))
+	*s = Size(v)
+	return err
+}
+
+// Settings configures one entry instance. Addresses are "ip:port".
 type Settings struct {
-	// Zone is the availability zone of the instance.
+	// Zone is the availability zone of the instance. Required.
 	Zone string `toml:"zone"`
-	// Listen is the address for callers.
+	// Listen is the address for callers. Required.
 	Listen string `toml:"listen"`
-	// AdminListen is the address of the administration API; loopback by default.
+	// AdminListen is the address of the administration API. Default "127.0.0.1:9900".
 	AdminListen string `toml:"admin_listen"`
-	// PeerListen is the address for other entry instances.
+	// AdminRemote allows an AdminListen that is not on loopback. The API has no authentication. Default false.
+	AdminRemote bool `toml:"admin_remote"`
+	// PeerListen is the address for other entry instances. Default none: the instance exchanges nothing with peers.
 	PeerListen string `toml:"peer_listen"`
-	// Peers are addresses of other entry instances.
+	// Peers are addresses of other entry instances, in addition to the instance list. Default none.
 	Peers []string `toml:"peers"`
-	// Platform is the base URL of the configuration service and instance list.
+	// Platform is the base URL of the configuration service and instance list. Required.
 	Platform string `toml:"platform"`
-	// Selection is the method of choosing a target; empty for the default. Other methods serve measurements.
+	// Selection is the method of choosing a target. Default "", which is the method of core.DefaultPolicy. Other
+	// methods serve measurements.
 	Selection string `toml:"selection"`
-	// LameDuck is how long idle caller connections stay open after the stop signal.
+	// LameDuck is how long idle caller connections stay open after the stop signal. Default 5s.
 	LameDuck Duration `toml:"lame_duck"`
-	// StopLimit is the last-resort limit of a graceful stop.
+	// StopLimit ends a graceful stop that is stuck. It exceeds LameDuck plus Deadline.Max. Default 60s.
 	StopLimit Duration `toml:"stop_limit"`
+	// Instances is the number of entry instances assumed until others were seen. Default 14.
+	Instances int `toml:"instances"`
+	// Log configures the log.
+	Log Log `toml:"log"`
+	// Targets describes the targets.
+	Targets Targets `toml:"targets"`
+	// Connections configures the connections to targets.
+	Connections Connections `toml:"connections"`
+	// Retry configures attempts after the first.
+	Retry Retry `toml:"retry"`
+	// Hedge configures second attempts beside a slow one.
+	Hedge Hedge `toml:"hedge"`
+	// Probe bounds the cost of measuring targets.
+	Probe Probe `toml:"probe"`
+	// Queue configures waiting requests.
+	Queue Queue `toml:"queue"`
+	// Limits bounds what a caller can send.
+	Limits Limits `toml:"limits"`
+	// Deadline bounds the deadlines of rules.
+	Deadline Deadline `toml:"deadline"`
+}
+
+// Log configures the log.
+type Log struct {
+	// Verbosity is the highest level that is written: 0 for changes of state, 1 for repeated events, 2 for single
+	// requests. Default 0.
+	Verbosity int `toml:"verbosity"`
+}
+
+// Targets describes the targets.
+type Targets struct {
+	// Slots is the number of requests that a target works on at once, used until the target reports it. Default 4.
+	Slots int `toml:"slots"`
+}
+
+// Connections configures the connections to targets.
+type Connections struct {
+	// PerTarget is the number of connections that all entry instances together open to a target. Default 200.
+	PerTarget int `toml:"per_target"`
+	// DialTimeout bounds the time for a new connection. Default 1s.
+	DialTimeout Duration `toml:"dial_timeout"`
+	// IdleTimeout closes a connection that was unused for this long. Default 30s.
+	IdleTimeout Duration `toml:"idle_timeout"`
+	// FreshWithin is how recently a reused connection received a byte to carry a "once" attempt. Default 1s.
+	FreshWithin Duration `toml:"fresh_within"`
+}
+
+// Retry configures attempts after the first.
+type Retry struct {
+	// Ratio is the share of requests that may be retried over 10 s. Default 0.1.
+	Ratio float64 `toml:"ratio"`
+	// Floor is the number of retries always allowed per 10 s and service. Default 10.
+	Floor int `toml:"floor"`
+	// MaxAttempts bounds the attempts of one request, hedges included. Default 4.
+	MaxAttempts int `toml:"max_attempts"`
+}
+
+// Hedge configures second attempts beside a slow one. Only idempotent requests are hedged.
+type Hedge struct {
+	// Ratio is the share of requests that may be hedged over 10 s; 0 together with Floor 0 turns hedging off.
+	// Default 0.05.
+	Ratio float64 `toml:"ratio"`
+	// Floor is the number of hedges always allowed per 10 s and service. Default 5.
+	Floor int `toml:"floor"`
+	// Quantile is the quantile of recent latency after which an attempt is hedged. Default 0.95.
+	Quantile float64 `toml:"quantile"`
+}
+
+// Probe bounds the cost of measuring targets.
+type Probe struct {
+	// Share is the share of slot time that all entry instances together spend on probes. Default 0.005.
+	Share float64 `toml:"share"`
+	// Cost is the slot time that one probe takes. Default 5ms.
+	Cost Duration `toml:"cost"`
+}
+
+// Queue configures waiting requests.
+type Queue struct {
+	// Limit is the number of requests of each class that may wait per service. Default 256.
+	Limit int `toml:"limit"`
+}
+
+// Limits bounds what a caller can send.
+type Limits struct {
+	// Body lowers a rule's body limit that is larger. Default 64MiB.
+	Body Size `toml:"body"`
+	// Header is the size of a request head. Default 64KiB.
+	Header Size `toml:"header"`
+	// HeaderTimeout is the time for a caller to send a request head. Default 10s.
+	HeaderTimeout Duration `toml:"header_timeout"`
+}
+
+// Deadline bounds the deadlines of rules.
+type Deadline struct {
+	// Max lowers a rule's deadline that is longer. Default 50s.
+	Max Duration `toml:"max"`
 }
 
 // Default returns the documented defaults.
 func Default() Settings {
+	p, t := core.DefaultPolicy(), target.DefaultConfig()
 	return Settings{
 		AdminListen: "127.0.0.1:9900",
 		LameDuck:    Duration(5 * time.Second),
 		StopLimit:   Duration(60 * time.Second),
+		Instances:   p.Instances,
+		Targets:     Targets{Slots: p.SlotsPerTarget},
+		Connections: Connections{
+			PerTarget:   200,
+			DialTimeout: Duration(t.DialTimeout),
+			IdleTimeout: Duration(t.IdleTimeout),
+			FreshWithin: Duration(t.FreshWithin),
+		},
+		Retry:    Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
+		Hedge:    Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
+		Probe:    Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond)},
+		Queue:    Queue{Limit: p.QueueLimit},
+		Limits:   Limits{Body: rules.MaxBody, Header: 64 << 10, HeaderTimeout: Duration(10 * time.Second)},
+		Deadline: Deadline{Max: Duration(rules.MaxDeadline)},
 	}
 }
 
@@ -64,11 +192,29 @@
 	return Parse(path, text)
 }
 
-// Parse checks a settings text. The error is a findings.List.
-func Parse(file string, text []byte) (Settings, error) {
-	s := Default()
-	if err := toml.Unmarshal(text, &s); err != nil {
-		return Settings{}, findings.List{{File: file, Message: err.Error()}}
+// Policy returns the policy of each service.
+func (s Settings) Policy() core.Policy {
+	p := core.DefaultPolicy()
+	p.Zone = core.Zone(s.Zone)
+	if s.Selection != "" {
+		p.Selection = core.Selection(s.Selection)
+	}
+	p.SlotsPerTarget = s.Targets.Slots
+	p.Instances = s.Instances
+	p.QueueLimit = s.Queue.Limit
+	p.MaxAttempts = s.Retry.MaxAttempts
+	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
+	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
+	return p
+}
+
+// Target returns the configuration of the connections to one target. This instance opens its share of the connections
+// of the fleet, at least one.
+func (s Settings) Target() target.Config {
+	return target.Config{
+		DialTimeout:    s.Connections.DialTimeout.Std(),
+		MaxConnections: max(s.Connections.PerTarget/s.Instances, 1),
+		FreshWithin:    s.Connections.FreshWithin.Std(),
+		IdleTimeout:    s.Connections.IdleTimeout.Std(),
 	}
-	return s, nil
 }
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+)
+
+const required = "zone = \"a\"\nlisten = \"10.0.0.1:8080\"\nplatform = \"http://10.0.0.5:9801\"\n"
+
+// Guards against settings that are wrong or cannot work together and yet start an instance.
+func TestFindings(t *testing.T) {
+	tests := []struct{ text, want string }{ // the text follows the three required lines
+		{`retries = 1`, `4:1: unknown key "retries"`},
+		{"[retry]\nrate = 1", `5:1: unknown key "retry.rate"`},
+		{"[retries]\nratio = 0.1", `4:2: unknown section "retries"`},
+		{"[[retry]]", `4:3: unknown section "retry"`},
+		{`zone = "b"`, `4:1: zone is already given on line 1`},
+		{"[retry]\n[retry]", `5:2: not TOML: toml: table retry already exists`},
+		{`lame_duck = 5`, `4:13: bad value for lame_duck`},
+		{`lame_duck = "5"`, `4:13: bad value for lame_duck`},
+		{`limits.body = "64KB"`, `4:15: bad value for limits.body`},
+		{`limits = { header = 64 }`, `4:21: bad value for limits.header`},
+		{`instances = "14"`, `4:13: bad value for instances`},
+		{`instances = 99999999999999999999`, `4:13: bad value for instances`},
+		{`retry.ratio = "10%"`, `4:15: bad value for retry.ratio`},
+		{`peers = "10.0.0.2:9000"`, `4:9: bad value for peers`},
+		{`peers = [1]`, `4:1: bad value for peers`},
+		{`admin_remote = "yes"`, `4:16: bad value for admin_remote`},
+		{`selection = 1`, `4:13: bad value for selection`},
+		{`selection = "best"`, `4:13: unknown selection "best"`},
+		{`hedge.ratio = 1.5`, `4:15: hedge.ratio is out of range`},
+		{`hedge.ratio = nan`, `4:15: hedge.ratio is out of range`},
+		{`retry.ratio = -0.1`, `4:15: retry.ratio is out of range`},
+		{`probe.share = 0.5`, `4:15: probe.share is out of range`},
+		{`queue.limit = 0`, `4:15: queue.limit is out of range`},
+		{`deadline.max = "51s"`, `4:16: deadline.max is out of range`},
+		{`stop_limit = "0s"`, `4:14: stop_limit is out of range`},
+		{`stop_limit = "54s"`, `4:14: stop_limit 54s can abort a request that arrives in the lame-duck period (5s) and may take 50s`},
+		{`lame_duck = "12s"`, `4:13: stop_limit 1m0s can abort a request that arrives in the lame-duck period (12s) and may take 50s`},
+		{`lame_duck = "60s"`, `4:13: lame_duck 1m0s is not shorter than stop_limit 1m0s`},
+		{`connections.per_target = 13`, `4:26: connections.per_target is lower than instances`},
+		{`connections.fresh_within = "31s"`, `4:28: connections.fresh_within is longer than connections.idle_timeout`},
+		{`deadline.max = "500ms"`, `4:16: connections.dial_timeout is longer than every deadline`},
+		{`retry.max_attempts = 1`, `4:22: retries or hedges are allowed, but retry.max_attempts allows one attempt`},
+		{`admin_listen = "0.0.0.0:9900"`, `4:16: admin_listen is not on loopback`},
+		{`admin_listen = ""`, `4:16: bad address "" for admin_listen`},
+		{`peer_listen = "localhost:9000"`, `4:15: bad address "localhost:9000" for peer_listen`},
+		{`peer_listen = "10.0.0.1:0"`, `4:15: bad address "10.0.0.1:0" for peer_listen`},
+		{`peer_listen = "10.0.0.1:8080"`, `4:15: listen and peer_listen take the same port`},
+		{`peer_listen = ":9900"`, `4:15: admin_listen and peer_listen take the same port`},
+		{`peers = ["10.0.0.2"]`, `4:10: bad address "10.0.0.2" in peers`},
+		{`peers = ["10.0.0.2:1", "10.0.0.2:1"]`, `4:24: peer 10.0.0.2:1 is repeated`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) { require.Equal(t, []string{tt.want}, check(required+tt.text)) })
+	}
+	require.Equal(t, []string{"0:0: zone is missing", "0:0: platform is missing", "0:0: listen is missing"}, check(""))
+	require.Equal(t, []string{"2:10: platform is not a base URL", "3:13: bad value for lame_duck", "4:7: not TOML: expected '=' after key"},
+		check("zone = \"a\"\nplatform=\"10.0.0.5\"\nlame_duck = 1\nlisten\nlisten = \":1\""))
+}
+
+func check(text string) []string {
+	_, err := Parse("f", []byte(text))
+	list, _ := err.(findings.List)
+	var lines []string
+	for _, f := range list {
+		lines = append(lines, fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Message))
+	}
+	return lines
+}
+
+// Guards against a key that is read but has no effect, or that changes another field.
+func TestMapping(t *testing.T) {
+	s, err := Parse("f", []byte(required+`selection = "random"
+peers = ["10.0.0.2:9000"]
+admin_listen = "10.0.0.1:9900"
+admin_remote = true
+instances = 7
+hedge = { ratio = 0, floor = 1, quantile = 0.9 }
+[targets]
+slots = 3
+[connections]
+per_target = 100
+dial_timeout = "2s"
+idle_timeout = "9s"
+fresh_within = "3s"
+[retry]
+ratio = 0.2
+floor = 2
+max_attempts = 3
+[queue]
+limit = 9
+[limits]
+body = "1MiB"
+`))
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.0.0.2:9000"}, s.Peers)
+	require.EqualValues(t, 1<<20, s.Limits.Body)
+	want := core.DefaultPolicy()
+	want.Selection, want.Zone, want.SlotsPerTarget, want.Instances, want.QueueLimit = core.SelectRandom, "a", 3, 7, 9
+	want.MaxAttempts, want.RetryRatio, want.RetryFloor = 3, 0.2, 2
+	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
+	require.Equal(t, want, s.Policy())
+	require.Equal(t, target.Config{
+		DialTimeout: 2 * time.Second, MaxConnections: 14, FreshWithin: 3 * time.Second, IdleTimeout: 9 * time.Second,
+	}, s.Target())
+}
+
+// Guards against defaults that differ from those of the packages they configure.
+func TestDefaults(t *testing.T) {
+	s := Default()
+	require.Equal(t, core.DefaultPolicy(), s.Policy())
+	require.Equal(t, target.DefaultConfig(), s.Target())
+}
+
+// Guards against a rule that the settings restrict without anyone being told.
+func TestCheckRules(t *testing.T) {
+	s := Default()
+	s.Deadline.Max, s.Limits.Body = Duration(time.Second), 1<<10
+	doc := &rules.Document{Rules: []rules.Rule{
+		{Name: "fits", Deadline: time.Second, BodyLimit: 1 << 10, Line: 5}, {Name: "long", Deadline: 2 * time.Second, BodyLimit: 1, Line: 6},
+		{Name: "large", Deadline: time.Second, BodyLimit: 1<<10 + 1, Line: 7},
+	}}
+	list := s.CheckRules("r", doc)
+	require.Len(t, list, 2)
+	require.Equal(t, `r:6:1: rule "long": the settings lower its deadline 2s to 1s (want a deadline of at most deadline.max of the settings)`, list[0].String())
+	require.Equal(t, 7, list[1].Line)
+}
+
+// Guards against input that makes the parser panic or gives different findings each time.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(required))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("f", text)
+		again, err2 := Parse("f", text)
+		require.Equal(t, err, err2)
+		require.Equal(t, s, again)
+		if err == nil {
+			require.Positive(t, s.Target().MaxConnections)
+		}
+	})
+}
+
+// Guards against a corpus that was lost, so that the fuzz target runs on almost nothing.
+func TestFuzzCorpusIsPresent(t *testing.T) {
+	files, err := filepath.Glob("testdata/fuzz/FuzzParse/*")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 10)
+}
--- a/pkg/tomldoc/tomldoc.go
+++ b/pkg/tomldoc/tomldoc.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -227,11 +228,15 @@
 func (r *reader) key(parts unstable.Iterator) (name string, n int, first, last unstable.Range) {
 	for parts.Next() {
 		part := parts.Node()
+		text := string(part.Data)
+		if strings.Contains(text, ".") {
+			text = strconv.Quote(text) // a dot within a part does not separate parts
+		}
 		if n == 0 {
 			first = part.Raw
-			name = string(part.Data)
+			name = text
 		} else {
-			name += "." + string(part.Data)
+			name += "." + text
 		}
 		last = part.Raw
 		n++
