admin: serve configuration, targets, instances, budgets and check

Cause: the administration API had health, ready and a plain list of documents, so an operator could not see refusals, ejected targets or budgets, nor check a document against what is in force. Ruled out: answering an invalid document in check with an error status, because the check itself succeeded; any endpoint that writes, because an instance has no memory across a restart. Empty lists are [] and never null. Conclusion: /v1/configuration is now an object (in_force, refused, conflicts). Refused and instances are empty until pkg/app gets them from the store and the membership.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -1,17 +1,24 @@
 // Package admin serves the administration API, readiness and metrics of an entry instance.
 //
-// It only reads. A change made here would be forgotten when the instance is replaced, so operators publish changes
-// through the platform.
+// It only reads. A change made here would be lost when the instance is replaced, so operators publish changes through
+// the platform.
 package admin
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -21,36 +28,124 @@
 	Ready() error
 	// Configuration lists the documents in force.
 	Configuration() []ConfigurationEntry
-}
-
-// ConfigurationEntry is one document in force.
-type ConfigurationEntry struct {
-	Service string `json:"service"`
-	rules.Version
-	// Rules is the number of rules in the document.
-	Rules int `json:"rules"`
+	// Refused lists the last refused document of each service and source.
+	Refused() []Refusal
+	// Conflicts lists where documents in force compete.
+	Conflicts() []rules.Conflict
+	// Services returns a view of each service by name.
+	Services() map[string]core.View
+	// Instances lists the entry instances that this one knows of.
+	Instances() []Instance
 }
 
 // NewHandler returns the handler of the administration API.
 func NewHandler(src Source, gatherer prometheus.Gatherer) http.Handler {
+	h := handler{src}
 	r := chi.NewRouter()
-	r.Get("/v1/health", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, state{"ok"}) })
-	r.Get("/v1/ready", func(w http.ResponseWriter, _ *http.Request) { ready(w, src) })
-	r.Get("/v1/configuration", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, src.Configuration()) })
-	r.Handle("/metrics", promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
+	r.Get(PathHealth, answer(func() any { return State{"ok"} }))
+	r.Get(PathReady, h.ready)
+	r.Get(PathConfiguration, answer(h.configuration))
+	r.Get(PathTargets, answer(h.targets))
+	r.Get(PathInstances, answer(func() any { return Instances{notNil(src.Instances())} }))
+	r.Get(PathBudgets, answer(h.budgets))
+	r.Post(PathCheck, h.check)
+	r.Get(PathMetrics, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}).ServeHTTP)
 	return r
 }
 
-type state struct {
-	State string `json:"state"`
+type handler struct{ src Source }
+
+func answer(content func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, content()) }
 }
 
-func ready(w http.ResponseWriter, src Source) {
-	if err := src.Ready(); err != nil {
-		writeJSON(w, http.StatusServiceUnavailable, state{err.Error()})
+func (h handler) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := h.src.Ready(); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, State{err.Error()})
 		return
 	}
-	writeJSON(w, http.StatusOK, state{"ready"})
+	writeJSON(w, http.StatusOK, State{"ready"})
+}
+
+func (h handler) configuration() any {
+	return Configuration{
+		InForce: notNil(h.src.Configuration()), Refused: notNil(h.src.Refused()), Conflicts: notNil(h.src.Conflicts()),
+	}
+}
+
+func (h handler) targets() any {
+	views := h.src.Services()
+	list := Targets{Services: []ServiceTargets{}}
+	for _, name := range slices.Sorted(maps.Keys(views)) {
+		list.Services = append(list.Services, ServiceTargets{Service: name, Targets: notNil(views[name].Targets)})
+	}
+	return list
+}
+
+func (h handler) budgets() any {
+	views := h.src.Services()
+	list := Budgets{Services: []ServiceBudgets{}}
+	for _, name := range slices.Sorted(maps.Keys(views)) {
+		v := views[name]
+		b := ServiceBudgets{Service: name, BudgetView: v.Budgets, Queued: v.Queued}
+		if b.Queued == nil {
+			b.Queued = map[string]int{}
+		}
+		list.Services = append(list.Services, b)
+	}
+	return list
+}
+
+// check checks a rules text without putting it in force.
+func (h handler) check(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rules.MaxDocument))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeJSON(w, http.StatusRequestEntityTooLarge, State{fmt.Sprintf("a document has at most %d bytes", rules.MaxDocument)})
+		return
+	case err != nil:
+		writeJSON(w, http.StatusBadRequest, State{"the request body is not whole"})
+		return
+	}
+	writeJSON(w, http.StatusOK, checkText(text, h.src.Configuration()))
+}
+
+func checkText(text []byte, inForce []ConfigurationEntry) CheckResult {
+	doc, err := rules.Parse("rules", text)
+	result := CheckResult{
+		Valid: err == nil, Service: doc.Service, Version: doc.Version, Rules: len(doc.Rules), Findings: findings.List{}, Notes: []string{},
+	}
+	if err != nil {
+		result.Findings = err.(findings.List)
+		return result
+	}
+	for _, e := range inForce {
+		if e.Service == doc.Service {
+			result.Notes = append(result.Notes, compare(doc, e.Version)...)
+		}
+	}
+	return result
+}
+
+// compare tells what an operator should know about a document before it replaces the one in force.
+func compare(doc *rules.Document, inForce rules.Version) []string {
+	var notes []string
+	if !inForce.Less(doc.Version) {
+		notes = append(notes, fmt.Sprintf("version %s is not higher than %s in force and would be ignored", doc.Version, inForce))
+	}
+	if doc.BasedOn != nil && *doc.BasedOn != inForce {
+		notes = append(notes, fmt.Sprintf("the document is based on %s, but %s is in force", doc.BasedOn, inForce))
+	}
+	return notes
+}
+
+// notNil makes an empty list appear as [] in JSON and not as null.
+func notNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- /dev/null
+++ b/pkg/admin/client.go
@@ -0,0 +1,80 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	clientTimeout = 5 * time.Second
+	maxResponse   = 16 << 20 // bytes; 1,100 targets take less than 1 MiB
+)
+
+// Client reads the administration API of an instance.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the instance whose administration API is at addr ("ip:port").
+func NewClient(addr string) *Client {
+	return &Client{base: "http://" + strings.TrimPrefix(addr, "http://"), http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status is what an instance tells about itself.
+type Status struct {
+	// Ready is "ready", else the reason why the instance is not ready.
+	Ready         string           `json:"ready"`
+	Configuration Configuration    `json:"configuration"`
+	Targets       []ServiceTargets `json:"targets"`
+	Instances     []Instance       `json:"instances"`
+	Budgets       []ServiceBudgets `json:"budgets"`
+}
+
+// Status reads all parts of the status. The parts are read one after another, so they are not one snapshot.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var (
+		s         Status
+		ready     State
+		targets   Targets
+		instances Instances
+		budgets   Budgets
+	)
+	for _, part := range []struct {
+		path string
+		into any
+	}{
+		{PathReady, &ready}, {PathConfiguration, &s.Configuration}, {PathTargets, &targets},
+		{PathInstances, &instances}, {PathBudgets, &budgets},
+	} {
+		if err := c.get(ctx, part.path, part.into); err != nil {
+			return Status{}, err
+		}
+	}
+	s.Ready, s.Targets, s.Instances, s.Budgets = ready.State, targets.Services, instances.Instances, budgets.Services
+	return s, nil
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "read administration API")
+	}
+	defer resp.Body.Close()
+	// An instance that is not ready answers 503 with the reason.
+	if resp.StatusCode != http.StatusOK && (path != PathReady || resp.StatusCode != http.StatusServiceUnavailable) {
+		return eris.Errorf("read %s: status %d", path, resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponse)).Decode(into)
+	return eris.Wrapf(err, "decode %s", path)
+}
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
@@ -107,11 +108,29 @@
 	docs := i.store.Documents()
 	list := make([]admin.ConfigurationEntry, len(docs))
 	for n, d := range docs {
-		list[n] = admin.ConfigurationEntry{Service: d.Service, Version: d.Version, Rules: len(d.Rules)}
+		list[n] = admin.ConfigurationEntry{Service: d.Service, Version: d.Version, BasedOn: d.BasedOn, Rules: len(d.Rules)}
 	}
 	return list
 }
 
+// Refused lists the last refused documents; the store does not record them yet.
+func (i *instance) Refused() []admin.Refusal { return nil }
+
+// Conflicts lists where documents in force compete.
+func (i *instance) Conflicts() []rules.Conflict {
+	var docs []*rules.Document
+	for _, d := range i.store.Documents() {
+		docs = append(docs, d.Document)
+	}
+	return rules.NewTable(docs).Conflicts()
+}
+
+// Services returns a view of each service.
+func (i *instance) Services() map[string]core.View { return i.gateway.Status() }
+
+// Instances lists the known entry instances; there is no membership yet.
+func (i *instance) Instances() []admin.Instance { return nil }
+
 func (i *instance) run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", i.settings.Listen)
 	if err != nil {
