--- a/cmd/burdockpitch/main.go
+++ b/cmd/burdockpitch/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,45 +13,164 @@
 	"github.com/spf13/cobra"
 
 	"github.com/burdockpitch/burdockpitch/pkg/app"
+	"github.com/burdockpitch/burdockpitch/pkg/cli"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
 
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1 // findings or a failure
+	exitUsage   = 2
+)
+
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	if err := newRoot().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "burdockpitch:", err)
-		os.Exit(1)
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// failure marks an error of a command that was called correctly. All other errors are errors of usage.
+type failure struct{ error }
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	var failed failure
+	switch {
+	case err == nil:
+		return exitOK
+	case !errors.As(err, &failed):
+		fmt.Fprintf(stderr, "burdockpitch: %s\nSee \"burdockpitch help\".\n", err)
+		return exitUsage
+	case !errors.Is(failed.error, cli.ErrFindings):
+		fmt.Fprintln(stderr, "burdockpitch:", err)
 	}
+	return exitFailure
 }
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "burdockpitch",
-		Short:         "Load balancer for servers whose load shifts in milliseconds",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:   "burdockpitch",
+		Short: "Load balancer for servers whose load changes within milliseconds",
+		Long: `Load balancer for servers whose load changes within milliseconds.
+
+Exit codes: 0 success, 1 findings or a failure, 2 wrong usage.`,
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(newServe())
+	root.AddCommand(newServe(), newCheck(), newExplain(), newStatus(), newVersion())
 	return root
 }
 
+// action returns a RunE that marks the errors of f as failures.
+func action(f func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := f(cmd, args); err != nil {
+			return failure{err}
+		}
+		return nil
+	}
+}
+
 func newServe() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
-		Use:     "serve",
-		Short:   "Run an entry instance",
+		Use:   "serve --settings FILE",
+		Short: "Run an entry instance until SIGTERM",
+		Long: `Run an entry instance. SIGTERM or SIGINT starts a graceful stop: readiness fails, requests in flight are
+finished, and the process exits with 0. The log goes to standard error as JSON lines.`,
 		Example: "  burdockpitch serve --settings instance.toml",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: action(func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.Load(file)
 			if err != nil {
 				return err
 			}
 			return app.Run(cmd.Context(), s)
-		},
+		}),
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (TOML)")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
+
+func newCheck() *cobra.Command {
+	var o cli.CheckOptions
+	cmd := &cobra.Command{
+		Use:   "check [--settings FILE] [--rules FILE...]",
+		Short: "Check settings and rules and print all findings",
+		Long: `Check settings and rules, each by itself and together. Every finding is printed with file, line, column and what
+would be right. The exit code is 1 if there are findings.`,
+		Example: "  burdockpitch check --settings instance.toml --rules registry.toml --rules archive.toml",
+		Args:    cobra.ArbitraryArgs,
+		PreRunE: func(_ *cobra.Command, args []string) error {
+			o.Rules = append(o.Rules, args...)
+			if o.Settings == "" && len(o.Rules) == 0 {
+				return errors.New("check needs --settings or --rules")
+			}
+			return nil
+		},
+		RunE: action(func(cmd *cobra.Command, _ []string) error { return cli.Check(cmd.OutOrStdout(), o) }),
+	}
+	cmd.Flags().StringVar(&o.Settings, "settings", "", "settings file (TOML)")
+	cmd.Flags().StringArrayVar(&o.Rules, "rules", nil, "rules file; repeat for several, or list further files as arguments")
+	cmd.Flags().BoolVar(&o.JSON, "json", false, "print JSON")
+	return cmd
+}
+
+func newExplain() *cobra.Command {
+	var files []string
+	cmd := &cobra.Command{
+		Use:   "explain --rules FILE... METHOD URL",
+		Short: "Tell which rule decides for a request, and why the others do not",
+		Long: `Tell which rule decides for a request: its class, its deadline and who asked for it, and why the other rules on
+that path do not decide. The exit code is 1 if no rule decides.`,
+		Example: "  burdockpitch explain --rules registry.toml --rules archive.toml POST http://registre.example/bookings/7",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: action(func(cmd *cobra.Command, args []string) error {
+			request := args[len(args)-2:]
+			all := append(files, args[:len(args)-2]...)
+			return cli.Explain(cmd.OutOrStdout(), all, request[0], request[1])
+		}),
+	}
+	cmd.Flags().StringArrayVar(&files, "rules", nil, "rules file; repeat for several, or list further files before METHOD")
+	_ = cmd.MarkFlagRequired("rules")
+	return cmd
+}
+
+func newStatus() *cobra.Command {
+	var addr string
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "status [--admin ADDR]",
+		Short: "Print configuration, targets, instances and budgets of a running instance",
+		Long: `Print what a running instance tells about itself: the configuration in force, the last refused documents with
+their findings, each target with its state and the reason for it, the entry instances seen, and the use of the budgets.`,
+		Example: "  burdockpitch status --admin 127.0.0.1:9900",
+		Args:    cobra.NoArgs,
+		RunE: action(func(cmd *cobra.Command, _ []string) error {
+			return cli.Status(cmd.Context(), cmd.OutOrStdout(), addr, asJSON)
+		}),
+	}
+	cmd.Flags().StringVar(&addr, "admin", settings.Default().AdminListen, "address of the administration API")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  burdockpitch version",
+		Args:    cobra.NoArgs,
+		RunE: action(func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), cli.Version())
+			return err
+		}),
+	}
+}
--- /dev/null
+++ b/pkg/cli/status.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/burdockpitch/burdockpitch/pkg/admin"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+// Status prints what the instance with the administration API at addr tells about itself.
+func Status(ctx context.Context, out io.Writer, addr string, asJSON bool) error {
+	s, err := admin.NewClient(addr).Status(ctx)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return writeJSON(out, s)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "state: %s\n", s.Ready)
+	writeConfiguration(w, s.Configuration)
+	writeTargets(w, s.Targets)
+	writeInstances(w, s.Instances)
+	writeBudgets(w, s.Budgets)
+	return w.Flush()
+}
+
+func writeConfiguration(w io.Writer, c admin.Configuration) {
+	fmt.Fprintf(w, "\nIN FORCE\tVERSION\tRULES\n")
+	for _, e := range c.InForce {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", e.Service, e.Version, e.Rules)
+	}
+	for _, r := range c.Refused {
+		fmt.Fprintf(w, "\nrefused: %s %s from %s at %s: %s\n", r.Service, r.Version, r.Source, r.Time.Format(time.RFC3339), r.Reason)
+		for _, f := range r.Findings {
+			fmt.Fprintf(w, "  %s\n", f)
+		}
+	}
+	for _, conflict := range c.Conflicts {
+		fmt.Fprintf(w, "conflict: %s\n", conflict)
+	}
+}
+
+func writeTargets(w io.Writer, list []admin.ServiceTargets) {
+	fmt.Fprintf(w, "\nSERVICE\tTARGET\tZONE\tSTATE\tREASON\tIN FLIGHT\tLIMIT\tLATENCY\n")
+	for _, s := range list {
+		for _, t := range s.Targets {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n",
+				s.Service, t.ID, t.Zone, t.State, orDash(string(t.Reason)), t.InFlight, t.Limit, t.Latency.Round(10*time.Microsecond))
+		}
+	}
+}
+
+func writeInstances(w io.Writer, list []admin.Instance) {
+	fmt.Fprintf(w, "\nINSTANCE\tZONE\tSTATE\tLAST SEEN\n")
+	for _, i := range list {
+		seen := "-"
+		if !i.LastSeen.IsZero() {
+			seen = i.LastSeen.Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", i.Address, i.Zone, i.State, seen)
+	}
+}
+
+func writeBudgets(w io.Writer, list []admin.ServiceBudgets) {
+	fmt.Fprintf(w, "\nOVER %s\tREQUESTS\tRETRIES\tHEDGES\tQUEUED\n", core.BudgetWindow)
+	for _, b := range list {
+		queued := 0
+		for _, n := range b.Queued {
+			queued += n
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", b.Service, b.Requests, b.Retries, b.Hedges, queued)
+	}
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
