--- a/pkg/tomldoc/tomldoc.go
+++ b/pkg/tomldoc/tomldoc.go
@@ -18,7 +18,7 @@
 )
 
 // maxSyntaxErrors bounds the syntax errors reported for one text. Each of them can cost one pass over the rest of the
-// text, so without a bound a hostile text of 1 MiB would take minutes.
+// text, so the bound keeps the time linear in the size of the text.
 const maxSyntaxErrors = 50
 
 // Pos is a place in a text: line and byte column, both starting at 1.
