--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,12 +19,10 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
-	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Run serves until ctx ends, then stops gracefully.
 func Run(ctx context.Context, s settings.Settings) error {
 	c := dig.New()
@@ -45,8 +42,9 @@
 	return runErr
 }
 
-func newLogger() logr.Logger {
-	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+func newLogger(s settings.Settings) logr.Logger {
+	options := &slog.HandlerOptions{Level: slog.Level(-s.Log.Verbosity)} // logr's V(n) is slog's level -n
+	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, options))
 }
 
 func newRegistry() (*prometheus.Registry, prometheus.Registerer) {
@@ -55,16 +53,13 @@
 }
 
 func newGatewayConfig(s settings.Settings) gateway.Config {
-	policy := core.DefaultPolicy()
-	policy.Zone = core.Zone(s.Zone)
-	if s.Selection != "" {
-		policy.Selection = core.Selection(s.Selection)
-	}
-	return gateway.Config{Policy: policy, Target: target.DefaultConfig()}
+	return gateway.Config{Policy: s.Policy(), Target: s.Target()}
 }
 
-func newStore(g *gateway.Gateway, log logr.Logger) *platform.Store {
-	return platform.NewStore(log, g.SetDocuments)
+func newStore(s settings.Settings, g *gateway.Gateway, log logr.Logger) *platform.Store {
+	return platform.NewStore(log, func(docs []*rules.Document) {
+		g.SetDocuments(rules.Capped(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
+	})
 }
 
 func newReader(s settings.Settings, store *platform.Store, g *gateway.Gateway, log logr.Logger) *platform.Reader {
@@ -113,11 +108,29 @@
 	docs := i.store.Documents()
 	list := make([]admin.ConfigurationEntry, len(docs))
 	for n, d := range docs {
-		list[n] = admin.ConfigurationEntry{Service: d.Service, Version: d.Version, Rules: len(d.Rules)}
+		list[n] = admin.ConfigurationEntry{Service: d.Service, Version: d.Version, BasedOn: d.BasedOn, Rules: len(d.Rules)}
 	}
 	return list
 }
 
+// Refused lists the last refused documents; the store does not record them yet.
+func (i *instance) Refused() []admin.Refusal { return nil }
+
+// Conflicts lists where documents in force compete.
+func (i *instance) Conflicts() []rules.Conflict {
+	var docs []*rules.Document
+	for _, d := range i.store.Documents() {
+		docs = append(docs, d.Document)
+	}
+	return rules.NewTable(docs).Conflicts()
+}
+
+// Services returns a view of each service.
+func (i *instance) Services() map[string]core.View { return i.gateway.Status() }
+
+// Instances lists the known entry instances; there is no membership yet.
+func (i *instance) Instances() []admin.Instance { return nil }
+
 func (i *instance) run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", i.settings.Listen)
 	if err != nil {
@@ -127,8 +140,8 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
-	callerServer := &http.Server{Handler: i.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry), ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := i.newServer(i.gateway.Handler())
+	adminServer := i.newServer(admin.NewHandler(i, i.registry))
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 
@@ -145,6 +158,11 @@
 	return group.Wait()
 }
 
+func (i *instance) newServer(h http.Handler) *http.Server {
+	limits := i.settings.Limits
+	return &http.Server{Handler: h, ReadHeaderTimeout: limits.HeaderTimeout.Std(), MaxHeaderBytes: int(limits.Header)}
+}
+
 // stop lets the platform's balancer see the failing readiness before connections close.
 func (i *instance) stop(callers *http.Server) {
 	i.stopping.Store(true)
