target: bind each attempt to one write and read the evidence from the connection

Cause: the thin client had no proof for several faults. The HTTP client of a reused connection could hold surplus bytes of the last answer, which the next attempt took for its own; a connection closed by the target was only noticed after the write; the wait for a connection could use up the deadline; a declaration blocked the attempt until its body was read.

Mechanisms: the deadline (both clocks) and the receive queue are checked under one lock with the first write; bytes that arrive before a write break the connection; a connection becomes idle only when its reader waits for bytes; at most half of the remaining time goes into getting a connection; after a timeout idle connections that received nothing since the attempt began are closed; TCP user timeout and keepalive on dialed connections. A declaration counts only on status 400 and above and only once.

Ruled out: http.Transport.

--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,70 @@
+// Package sockets sets the TCP options that dialed and accepted connections share.
+package sockets
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// UserTimeout is how long sent data may stay unacknowledged before the kernel breaks the connection. Without it, Linux
+// retransmits for about 15 minutes.
+const UserTimeout = 10 * time.Second
+
+// keepAlive finds peers that vanished while a connection is idle, within about 20 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 2}
+
+// Dialer returns a dialer that sets the options.
+func Dialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout} }
+
+// ListenConfig returns a listen configuration that sets the options. Accepted sockets inherit them from the listener.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// State is what Peek found on a connection.
+type State uint8
+
+// The states of a connection on which no data is expected.
+const (
+	// Quiet: open, and nothing to read.
+	Quiet State = iota
+	// Closed: the peer closed or reset the connection.
+	Closed
+	// Readable: bytes arrived that nobody asked for.
+	Readable
+)
+
+// Peek looks at the receive queue of a connection without blocking or consuming bytes. It may run beside a Read.
+func Peek(c syscall.RawConn) State {
+	state := Closed
+	if err := c.Control(func(fd uintptr) { state = peek(int(fd)) }); err != nil {
+		return Closed
+	}
+	return state
+}
+
+func peek(fd int) State {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return Quiet
+	case err != nil || n == 0:
+		return Closed
+	}
+	return Readable
+}
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -5,48 +5,49 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
+)
+
+// Errors of the pool. Each of them ends an attempt before it was sent.
+var (
+	errClosed       = eris.New("target client is closed")
+	errNoConnection = eris.New("no connection became free in time")
 )
 
-// errClosed is returned for attempts on a closed pool.
-var errClosed = eris.New("target client is closed")
+// maxHeaderBytes bounds the head of an answer, 1xx answers included.
+const maxHeaderBytes = 1 << 20
 
-// pool holds the connections to one target.
+// pool holds the connections to one target. A connection is leased to one attempt, idle or closed.
 type pool struct {
 	addr  string
 	cfg   Config
-	slots chan struct{} // one token per open connection
+	slots chan struct{} // one token per leased connection
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
+	open   int     // leased, idle and being dialed
 	closed bool
 }
 
-// conn is one HTTP/1.1 connection with counters on the underlying net.Conn.
-type conn struct {
-	http *http.ClientConn
-	*countedConn
-	idleSince time.Time
-}
-
-func (c *conn) close() { _ = c.http.Close() }
-
 func newPool(addr string, cfg Config) *pool {
 	return &pool{addr: addr, cfg: cfg, slots: make(chan struct{}, cfg.MaxConnections)}
 }
 
-// get returns an idle connection or dials a new one. With fresh set, idle connections that did not receive a byte
-// within Config.FreshWithin are passed over.
+// get leases an idle connection or dials a new one. With fresh set, only an idle connection that received a byte
+// within Config.FreshWithin is reused.
 func (p *pool) get(ctx context.Context, fresh bool) (*conn, error) {
-	select {
-	case p.slots <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := p.acquire(ctx); err != nil {
+		return nil, err
+	}
+	c, evicted, err := p.take(fresh)
+	if evicted != nil {
+		_ = evicted.http.Close()
 	}
-	c, err := p.takeIdle(fresh)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -54,122 +55,207 @@
 	if c != nil {
 		return c, nil
 	}
-	c, err = p.dial(ctx)
-	if err != nil {
-		p.release()
+	return p.dial(ctx)
+}
+
+func (p *pool) acquire(ctx context.Context) error {
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, p.cfg.WaitLimit, errNoConnection)
+	defer cancel()
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
 	}
-	return c, err
 }
 
-func (p *pool) takeIdle(fresh bool) (*conn, error) {
+func (p *pool) release() { <-p.slots }
+
+// take leases an idle connection. Without a suitable one it reserves a new connection and returns nil; the oldest idle
+// connection then makes room if the limit is reached.
+func (p *pool) take(fresh bool) (leased, evicted *conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, errClosed
+		return nil, nil, errClosed
 	}
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
+	if last := len(p.idle) - 1; last >= 0 {
 		c := p.idle[last]
-		p.idle = p.idle[:last]
-		age := time.Since(c.lastRead())
-		stale := time.Since(c.idleSince) > p.cfg.IdleTimeout || (fresh && age > p.cfg.FreshWithin)
-		if !stale && c.http.Err() == nil {
-			return c, nil
+		if !fresh || time.Since(c.lastRead()) <= p.cfg.FreshWithin {
+			p.idle = p.idle[:last]
+			c.timer.Stop()
+			c.leased, c.ended, c.reused = true, false, true
+			return c, nil, nil
+		}
+		if p.open >= p.cfg.MaxConnections {
+			evicted = p.idle[0]
+			p.idle = p.idle[1:]
 		}
-		c.close()
 	}
-	return nil, nil
+	p.open++
+	return nil, evicted, nil
 }
 
+// dial makes a reserved connection.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
-	var counted *countedConn
+	var c *conn
 	transport := &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			raw, err := new(net.Dialer).DialContext(ctx, network, addr)
+			raw, err := sockets.Dialer().DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			counted = newCountedConn(raw)
-			return counted, nil
+			c, err = p.newConn(raw)
+			return c, err
 		},
 	}
 	cc, err := transport.NewClientConn(ctx, "http", p.addr)
+	if err == nil {
+		c.http = cc
+		return c, nil
+	}
+	if c != nil {
+		_ = c.Close()
+	} else {
+		p.cancelReservation()
+	}
+	return nil, eris.Wrapf(err, "connect to %s", p.addr)
+}
+
+func (p *pool) newConn(nc net.Conn) (*conn, error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return nil, eris.Wrapf(err, "connect to %s", p.addr)
+		_ = nc.Close()
+		return nil, err
 	}
-	return &conn{http: cc, countedConn: counted}, nil
+	c := &conn{Conn: nc, pool: p, raw: raw, leased: true}
+	c.receive = c.tryReceive
+	c.lastByte.Store(time.Now().UnixNano())
+	return c, nil
+}
+
+func (p *pool) cancelReservation() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+	p.release()
 }
 
-// put returns a connection after a whole answer.
+// put ends the lease of a connection after a whole answer. The connection becomes idle once its reader waits for bytes:
+// until then the HTTP client may hold surplus bytes of the last answer, which the next attempt would take for its own.
 func (p *pool) put(c *conn) {
-	defer p.release()
+	c.finish()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || c.http.Err() != nil {
-		c.close()
-		return
+	c.ended = true
+	surplus := p.park(c)
+	p.mu.Unlock()
+	if surplus {
+		_ = c.http.Close()
 	}
-	c.idleSince = time.Now()
+}
+
+// setReading records whether a Read waits on the connection.
+func (p *pool) setReading(c *conn, reading bool) {
+	p.mu.Lock()
+	c.reading = reading
+	surplus := reading && p.park(c)
+	p.mu.Unlock()
+	if surplus {
+		_ = c.Conn.Close() // the waiting Read fails and the HTTP client closes the connection
+	}
+}
+
+// park makes a leased connection idle if it is ready for another attempt. It reports whether it must be closed instead.
+func (p *pool) park(c *conn) (surplus bool) {
+	if !c.leased || !c.ended || !c.reading || c.closed {
+		return false
+	}
+	if p.closed {
+		return true
+	}
+	c.leased = false
+	p.release()
 	p.idle = append(p.idle, c)
+	if c.timer == nil {
+		c.timer = time.AfterFunc(p.cfg.IdleTimeout, func() { p.expire(c) })
+	} else {
+		c.timer.Reset(p.cfg.IdleTimeout)
+	}
+	return false
 }
 
-// release frees the slot of a connection that is closed or back in the pool.
-func (p *pool) release() { <-p.slots }
+// expire closes a connection that is still idle when its timer fires.
+func (p *pool) expire(c *conn) {
+	p.mu.Lock()
+	idle := p.forget(c)
+	p.mu.Unlock()
+	if idle {
+		_ = c.http.Close()
+	}
+}
+
+// forget removes the connection from the idle list and reports whether it was there.
+func (p *pool) forget(c *conn) bool {
+	for i, other := range p.idle {
+		if other == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// remove frees the place of a closed connection. Only the first call has an effect.
+func (p *pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	p.open--
+	p.forget(c)
+	if c.leased {
+		c.leased = false
+		p.release()
+	}
+}
 
 // distrust closes the idle connections that received nothing since the given time.
 func (p *pool) distrust(since time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.idle[:0]
+	kept := p.idle[:0:0]
+	var silent []*conn
 	for _, c := range p.idle {
 		if c.lastRead().After(since) {
 			kept = append(kept, c)
-			continue
+		} else {
+			silent = append(silent, c)
 		}
-		c.close()
 	}
 	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range silent {
+		_ = c.http.Close()
+	}
 }
 
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.idle {
-		c.close()
-	}
+	idle := p.idle
 	p.idle = nil
-}
-
-// countedConn counts written bytes and records when a byte was last received.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
-	read    atomic.Int64 // time of the last byte received, Unix nanoseconds
-}
-
-func newCountedConn(raw net.Conn) *countedConn {
-	c := &countedConn{Conn: raw}
-	c.read.Store(time.Now().UnixNano())
-	return c
-}
-
-// Write counts before the write, so that bytes which may be on the wire are never missed.
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
-}
-
-// Read records the time of the last byte received.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.read.Store(time.Now().UnixNano())
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.http.Close()
 	}
-	return n, err
 }
-
-func (c *countedConn) lastRead() time.Time { return time.Unix(0, c.read.Load()) }
--- /dev/null
+++ b/pkg/target/target_test.go
@@ -0,0 +1,538 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+const (
+	okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	waitEnd  = 10 * time.Second // bounds waits for events that should happen at once
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard) // net/http logs each unsolicited answer
+	os.Exit(m.Run())
+}
+
+// rawTarget is a TCP server that runs a script on each connection. number counts connections from 1.
+type rawTarget struct {
+	addr     string
+	accepted atomic.Int64
+}
+
+func newRawTarget(t *testing.T, script func(number int64, c *net.TCPConn, r *bufio.Reader)) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &rawTarget{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func(number int64) {
+				defer c.Close()
+				script(number, c.(*net.TCPConn), bufio.NewReader(c))
+			}(s.accepted.Add(1))
+		}
+	}()
+	return s
+}
+
+// readRequest reads one whole request.
+func readRequest(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req, err
+}
+
+// answerAll answers every request on a connection.
+func answerAll(c net.Conn, r *bufio.Reader) {
+	for {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okAnswer)
+	}
+}
+
+func newTestClient(t *testing.T, addr string, change func(*Config)) *Client {
+	cfg := DefaultConfig()
+	if change != nil {
+		change(&cfg)
+	}
+	c := NewClient(addr, cfg)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func attempt(method, body string) Attempt {
+	return Attempt{
+		Method: method, URL: &url.URL{Path: "/x"}, Host: "service", Header: http.Header{}, Body: []byte(body),
+		Deadline: time.Now().Add(waitEnd),
+	}
+}
+
+// result is an attempt that was read to its end.
+type result struct {
+	*Answer
+	body    string
+	outcome core.AttemptOutcome
+	reason  core.Reason
+	failed  bool
+}
+
+func run(ctx context.Context, c *Client, a Attempt) result {
+	answer, err := c.Send(ctx, a)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(answer.Body)
+		answer.Body.Close()
+	}
+	var failure *Error
+	if errors.As(err, &failure) {
+		return result{Answer: answer, outcome: failure.Outcome, reason: failure.Reason, failed: failure.Failed}
+	}
+	if answer.EndsAtClose {
+		return result{Answer: answer, outcome: core.OutcomeUnknown}
+	}
+	return result{Answer: answer, body: string(body), outcome: core.OutcomeAnswered}
+}
+
+// idle waits until n connections are idle.
+func idle(t *testing.T, c *Client, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		return len(c.pool.idle) == n
+	}, waitEnd, time.Millisecond)
+}
+
+// Guards against the re-sending of net/http.Transport, which repeats a request on a new connection when a reused one
+// breaks: work that is not idempotent would run twice.
+func TestRequestIsWrittenAtMostOnce(t *testing.T) {
+	big := strings.Repeat("b", 8<<20)
+	requests := map[string]Attempt{
+		"GET": attempt(http.MethodGet, ""), "empty POST": attempt(http.MethodPost, ""),
+		"POST": attempt(http.MethodPost, "body"), "big POST": attempt(http.MethodPost, big),
+	}
+	// Each fault gets the reused connection before the second request.
+	faults := map[string]struct {
+		run  func(c *net.TCPConn, r *bufio.Reader) (touched bool)
+		want []core.AttemptOutcome
+	}{
+		"closed before": {func(*net.TCPConn, *bufio.Reader) bool { return false }, []core.AttemptOutcome{core.OutcomeNotSent, core.OutcomeAnswered}},
+		"reset before": {func(c *net.TCPConn, _ *bufio.Reader) bool { _ = c.SetLinger(0); return false },
+			[]core.AttemptOutcome{core.OutcomeNotSent, core.OutcomeAnswered}},
+		"closed during": {func(_ *net.TCPConn, r *bufio.Reader) bool { _, err := r.Peek(10); return err == nil }, []core.AttemptOutcome{core.OutcomeUnknown}},
+		"reset during": {func(c *net.TCPConn, r *bufio.Reader) bool {
+			_, err := r.Peek(10)
+			_ = c.SetLinger(0)
+			return err == nil
+		},
+			[]core.AttemptOutcome{core.OutcomeUnknown}},
+		"closed after": {func(_ *net.TCPConn, r *bufio.Reader) bool { _, err := readRequest(r); return err == nil }, []core.AttemptOutcome{core.OutcomeUnknown}},
+		"reset after": {func(c *net.TCPConn, r *bufio.Reader) bool {
+			_, err := readRequest(r)
+			_ = c.SetLinger(0)
+			return err == nil
+		},
+			[]core.AttemptOutcome{core.OutcomeUnknown}},
+		"408 after": {func(c *net.TCPConn, r *bufio.Reader) bool {
+			_, err := readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nContent-Length: 5\r\n\r\n")
+			return err == nil
+		}, []core.AttemptOutcome{core.OutcomeUnknown}},
+	}
+	for requestName, a := range requests {
+		for faultName, fault := range faults {
+			for _, key := range []string{"", "key-1"} {
+				t.Run(strings.Join([]string{requestName, faultName, key}, "/"), func(t *testing.T) {
+					var touched atomic.Int64
+					broken := make(chan struct{})
+					s := newRawTarget(t, func(number int64, c *net.TCPConn, r *bufio.Reader) {
+						if _, err := readRequest(r); err != nil {
+							return
+						}
+						if number > 1 {
+							touched.Add(1)
+						}
+						_, _ = io.WriteString(c, okAnswer)
+						if number > 1 {
+							return
+						}
+						if fault.run(c, r) {
+							touched.Add(1)
+						}
+						c.Close()
+						close(broken)
+					})
+					c := newTestClient(t, s.addr, nil)
+					require.Equal(t, core.OutcomeAnswered, run(t.Context(), c, attempt(http.MethodGet, "")).outcome)
+					if strings.HasSuffix(faultName, "before") {
+						<-broken
+					} else {
+						idle(t, c, 1)
+					}
+					a := a
+					a.Header = http.Header{}
+					if key != "" {
+						a.Header.Set("Idempotency-Key", key)
+					}
+					a.Deadline = time.Now().Add(waitEnd)
+					got := run(t.Context(), c, a)
+					require.Contains(t, fault.want, got.outcome)
+					if got.outcome == core.OutcomeNotSent {
+						require.Zero(t, touched.Load())
+						return
+					}
+					require.EqualValues(t, 1, touched.Load())
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer that is taken for whole, or for proof that nothing ran, without evidence.
+func TestAnswerEvidence(t *testing.T) {
+	declared := func(status, headers string) string {
+		return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\n\r\n"
+	}
+	cases := map[string]struct {
+		method, answer string
+		want           core.AttemptOutcome
+		reason         core.Reason
+		status         int
+		body           string
+	}{
+		"fixed":              {"GET", okAnswer, core.OutcomeAnswered, "", 200, "ok"},
+		"chunked":            {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", core.OutcomeAnswered, "", 200, "ok"},
+		"HEAD":               {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", core.OutcomeAnswered, "", 200, ""},
+		"HEAD no length":     {"HEAD", "HTTP/1.1 200 OK\r\n\r\n", core.OutcomeAnswered, "", 200, ""},
+		"204":                {"POST", "HTTP/1.1 204 No Content\r\n\r\n", core.OutcomeAnswered, "", 204, ""},
+		"304":                {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", core.OutcomeAnswered, "", 304, ""},
+		"1xx before":         {"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + okAnswer, core.OutcomeAnswered, "", 200, "ok"},
+		"switch":             {"GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"only 1xx":           {"GET", "HTTP/1.1 100 Continue\r\n\r\n", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"truncated":          {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", core.OutcomeUnknown, core.ReasonFailed, 200, ""},
+		"chunks cut":         {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", core.OutcomeUnknown, core.ReasonFailed, 200, ""},
+		"cut before trailer": {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSu", core.OutcomeUnknown, core.ReasonFailed, 200, ""},
+		"ends at close":      {"GET", "HTTP/1.1 200 OK\r\n\r\nok", core.OutcomeUnknown, "", 200, ""},
+		"1.0 ends at close":  {"GET", "HTTP/1.0 200 OK\r\n\r\nok", core.OutcomeUnknown, "", 200, ""},
+		"cut head":           {"GET", "HTTP/1.1 200 OK\r\nContent-", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"no answer":          {"GET", "", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"not HTTP":           {"GET", "hello\r\n\r\n", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"two lengths":        {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"oversized head":     {"GET", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 2<<20) + "\r\n\r\n", core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"endless 1xx":        {"GET", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 60_000), core.OutcomeUnknown, core.ReasonFailed, 0, ""},
+		"500":                {"GET", declared("500 Error", ""), core.OutcomeAnswered, "", 500, ""},
+		"shed":               {"POST", declared("503 Busy", "Burdockpitch-Declare: shed\r\n"), core.OutcomeRefused, core.ReasonShed, 0, ""},
+		"draining":           {"POST", declared("503 Busy", "Burdockpitch-Declare: draining\r\n"), core.OutcomeRefused, core.ReasonDraining, 0, ""},
+		"expired":            {"POST", declared("503 Busy", "Burdockpitch-Declare: expired\r\n"), core.OutcomeRefused, core.ReasonExpired, 0, ""},
+		"declared and cut":   {"POST", "HTTP/1.1 503 B\r\nBurdockpitch-Declare: shed\r\nContent-Length: 9\r\n\r\n", core.OutcomeRefused, core.ReasonShed, 0, ""},
+		"unknown declared":   {"POST", declared("503 Busy", "Burdockpitch-Declare: no\r\n"), core.OutcomeAnswered, "", 503, ""},
+		"two declared":       {"POST", declared("503 Busy", "Burdockpitch-Declare: shed\r\nBurdockpitch-Declare: shed\r\n"), core.OutcomeAnswered, "", 503, ""},
+		"declared on 200":    {"POST", declared("200 OK", "Burdockpitch-Declare: shed\r\n"), core.OutcomeAnswered, "", 200, ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+				if _, err := readRequest(r); err == nil {
+					_, _ = io.WriteString(c, tc.answer)
+				}
+			})
+			got := run(t.Context(), newTestClient(t, s.addr, nil), attempt(tc.method, ""))
+			require.Equal(t, tc.want, got.outcome)
+			require.Equal(t, tc.reason, got.reason)
+			if tc.status != 0 {
+				require.Equal(t, tc.status, got.Status)
+			}
+			require.Equal(t, tc.body, got.body)
+		})
+	}
+}
+
+// Guards against lost trailers in both directions, and against an "Expect" that would wait for a 100 status.
+func TestRequestIsWrittenAsGiven(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+		req, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		got <- req
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nSum: 7\r\n\r\n")
+	})
+	a := attempt(http.MethodPost, "body")
+	a.Header.Set("Expect", "100-continue")
+	a.Trailer = http.Header{"Digest": {"1"}}
+	answer := run(t.Context(), newTestClient(t, s.addr, nil), a)
+	require.Equal(t, http.Header{"Sum": {"7"}}, answer.Trailer)
+	req := <-got
+	require.Equal(t, http.Header{"Digest": {"1"}}, req.Trailer)
+	require.Equal(t, "service", req.Host)
+	require.NotContains(t, req.Header, "Expect")
+	require.NotContains(t, req.Header, "User-Agent")
+	_, ok := wire.ParseDeadline(req.Header)
+	require.True(t, ok)
+}
+
+// Guards against "not sent" without proof and against attempts that wait without a bound.
+func TestAttemptEndsBeforeAnswer(t *testing.T) {
+	closedAddr := newClosedAddress(t)
+	cases := map[string]struct {
+		client  func(addr string) *Client
+		prepare func(ctx context.Context, c *Client, a *Attempt)
+		want    core.AttemptOutcome
+		reason  core.Reason
+		failed  bool
+	}{
+		"refused dial": {func(string) *Client { return NewClient(closedAddr, DefaultConfig()) }, nil, core.OutcomeNotSent, core.ReasonNotSent, true},
+		"expired":      {nil, func(_ context.Context, _ *Client, a *Attempt) { a.Deadline = time.Now() }, core.OutcomeNotSent, core.ReasonDeadline, false},
+		"wall clock expired": {nil, func(_ context.Context, _ *Client, a *Attempt) { a.Deadline = time.Now().Add(-time.Second).Round(0) },
+			core.OutcomeNotSent, core.ReasonDeadline, false},
+		"closed client": {nil, func(_ context.Context, c *Client, _ *Attempt) { c.Close() }, core.OutcomeNotSent, core.ReasonNotSent, false},
+		"timeout": {nil, func(_ context.Context, _ *Client, a *Attempt) { a.Deadline = time.Now().Add(50 * time.Millisecond) },
+			core.OutcomeUnknown, core.ReasonSlow, true},
+		"connection limit": {func(addr string) *Client {
+			cfg := DefaultConfig()
+			cfg.MaxConnections, cfg.WaitLimit = 1, time.Millisecond
+			return NewClient(addr, cfg)
+		}, func(ctx context.Context, c *Client, _ *Attempt) {
+			go c.Send(ctx, attempt(http.MethodGet, ""))
+			for len(c.pool.slots) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}, core.OutcomeNotSent, ReasonNoConnection, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s := newRawTarget(t, func(_ int64, _ *net.TCPConn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+			if tc.client == nil {
+				tc.client = func(addr string) *Client { return NewClient(addr, DefaultConfig()) }
+			}
+			c, a := tc.client(s.addr), attempt(http.MethodPost, "")
+			if tc.prepare != nil {
+				tc.prepare(ctx, c, &a)
+			}
+			got := run(ctx, c, a)
+			require.Equal(t, tc.want, got.outcome)
+			require.Equal(t, tc.reason, got.reason)
+			require.Equal(t, tc.failed, got.failed)
+		})
+	}
+}
+
+func newClosedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against a target that works on for nobody: a cancelled attempt must close its connection.
+func TestCancelledAttemptClosesItsConnection(t *testing.T) {
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	s := newRawTarget(t, func(_ int64, _ *net.TCPConn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		close(arrived)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	c := newTestClient(t, s.addr, nil)
+	done := make(chan result)
+	go func() { done <- run(ctx, c, attempt(http.MethodGet, "")) }()
+	<-arrived
+	cancel()
+	got := <-done
+	require.Equal(t, core.OutcomeUnknown, got.outcome)
+	require.Equal(t, ReasonCancelled, got.reason)
+	require.False(t, got.failed)
+	<-closed
+}
+
+// Guards against a first write after the process or machine was paused past the deadline, and against a write on a
+// connection that the target has closed.
+func TestFirstWriteIsChecked(t *testing.T) {
+	cases := map[string]struct {
+		deadline time.Time
+		closed   bool
+		want     error
+	}{
+		"in time":            {time.Now().Add(time.Hour), false, nil},
+		"monotonic and wall": {time.Now().Add(-time.Second), false, errExpired},
+		"wall clock only":    {time.Now().Add(-time.Second).Round(0), false, errExpired},
+		"closed by target":   {time.Now().Add(time.Hour), true, errDead},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+				if !tc.closed {
+					_, _ = io.Copy(io.Discard, r)
+				}
+			})
+			raw, err := net.Dial("tcp", s.addr)
+			require.NoError(t, err)
+			defer raw.Close()
+			c, err := newPool(s.addr, DefaultConfig()).newConn(raw)
+			require.NoError(t, err)
+			if tc.closed {
+				require.Eventually(t, func() bool { return sockets.Peek(c.raw) == sockets.Closed }, waitEnd, time.Millisecond)
+			}
+			sent := c.begin(tc.deadline)
+			_, err = c.Write([]byte("GET"))
+			require.ErrorIs(t, err, tc.want)
+			require.Equal(t, tc.want == nil, sent.seal())
+			_, err = c.Write([]byte("x"))
+			require.Error(t, err, "a sealed attempt must not write")
+		})
+	}
+}
+
+// Guards against the use of one unresponsive connection after another while new connections work.
+func TestOldConnectionsAreDistrustedAfterTimeout(t *testing.T) {
+	var silent atomic.Bool
+	var together atomic.Int64
+	s := newRawTarget(t, func(number int64, c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			if silent.Load() && number <= 3 {
+				continue
+			}
+			for number <= 3 && together.Add(1) < 3 && together.Load() < 3 {
+				time.Sleep(time.Millisecond) // hold the first three so that each gets its own connection
+			}
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	c := newTestClient(t, s.addr, nil)
+	for range 3 {
+		go run(t.Context(), c, attempt(http.MethodGet, ""))
+	}
+	idle(t, c, 3)
+	silent.Store(true)
+	a := attempt(http.MethodGet, "")
+	a.Deadline = time.Now().Add(50 * time.Millisecond)
+	got := run(t.Context(), c, a)
+	require.Equal(t, core.ReasonSlow, got.reason)
+	require.False(t, got.failed, "the target is not suspected")
+	idle(t, c, 0)
+	require.Equal(t, core.OutcomeAnswered, run(t.Context(), c, attempt(http.MethodGet, "")).outcome)
+}
+
+// Guards against reuse of a connection where it is not allowed, and against its loss where it is.
+func TestConnectionReuse(t *testing.T) {
+	cases := map[string]struct {
+		change func(*Config)
+		fresh  bool
+		answer string
+		want   int64 // connections after two attempts
+	}{
+		"reused":                   {nil, false, okAnswer, 1},
+		"fresh, recently answered": {nil, true, okAnswer, 1},
+		"fresh, old":               {func(c *Config) { c.FreshWithin = 0 }, true, okAnswer, 2},
+		"fresh, old, at the limit": {func(c *Config) { c.FreshWithin, c.MaxConnections = 0, 1 }, true, okAnswer, 2},
+		"declaration":              {nil, false, "HTTP/1.1 503 B\r\nBurdockpitch-Declare: shed\r\nContent-Length: 2\r\n\r\nno", 1},
+		"Connection: close":        {nil, false, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+				for {
+					if _, err := readRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, tc.answer)
+				}
+			})
+			c := newTestClient(t, s.addr, tc.change)
+			for range 2 {
+				a := attempt(http.MethodPost, "")
+				a.Fresh = tc.fresh
+				ctx, cancel := context.WithCancel(t.Context())
+				run(ctx, c, a)
+				cancel() // the gateway cancels an attempt that has ended; the connection must outlive that
+				require.Eventually(t, func() bool { return len(c.pool.slots) == 0 }, waitEnd, time.Millisecond)
+			}
+			require.Equal(t, tc.want, s.accepted.Load())
+			c.pool.mu.Lock()
+			defer c.pool.mu.Unlock()
+			require.LessOrEqual(t, c.pool.open, c.pool.cfg.MaxConnections)
+		})
+	}
+}
+
+// Guards against idle connections that stay open for ever.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) { answerAll(c, r) })
+	c := newTestClient(t, s.addr, func(cfg *Config) { cfg.IdleTimeout = time.Millisecond })
+	require.Equal(t, core.OutcomeAnswered, run(t.Context(), c, attempt(http.MethodGet, "")).outcome)
+	idle(t, c, 0)
+	require.Eventually(t, func() bool {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		return c.pool.open == 0
+	}, waitEnd, time.Millisecond)
+}
+
+// Guards against the delivery of an earlier request's surplus answer to the next caller.
+func TestSurplusAnswerIsNotTakenForTheNext(t *testing.T) {
+	const surplus = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+	for name, answers := range map[string][]string{
+		"with the answer": {okAnswer + surplus}, "after the answer": {okAnswer, surplus}, "body to HEAD": {okAnswer + "ok"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan struct{})
+			s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+				for {
+					if _, err := readRequest(r); err != nil {
+						return
+					}
+					for _, answer := range answers {
+						_, _ = io.WriteString(c, answer)
+					}
+					written <- struct{}{}
+				}
+			})
+			c := newTestClient(t, s.addr, nil)
+			for range 200 {
+				got := run(t.Context(), c, attempt(http.MethodGet, ""))
+				if got.outcome == core.OutcomeNotSent { // the surplus was seen on the idle connection
+					continue
+				}
+				<-written
+				require.Equal(t, core.OutcomeAnswered, got.outcome)
+				require.Equal(t, "ok", got.body)
+			}
+		})
+	}
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -52,9 +52,14 @@
 	DeclareExpired  Declaration = "expired"
 )
 
-// ParseDeclaration returns the declaration in h and whether a known one is present.
+// ParseDeclaration returns the declaration in h and whether exactly one known declaration is present. Anything else is no
+// proof that the request did not run.
 func ParseDeclaration(h http.Header) (Declaration, bool) {
-	d := Declaration(h.Get(HeaderDeclare))
+	values := h[HeaderDeclare]
+	if len(values) != 1 {
+		return "", false
+	}
+	d := Declaration(values[0])
 	switch d {
 	case DeclareShed, DeclareDraining, DeclareExpired:
 		return d, true
