core: mark failed and given-up answers when they commit

Cause: the reducer must know before delivery whether a whole answer is a 5xx or an inner give-up, because an idempotent 5xx may be retried and a give-up may not. Two fields only; no decision uses them yet.

--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -162,6 +162,10 @@
 type AttemptCommitted struct {
 	Request RequestID
 	Attempt AttemptID
+	// Failed marks a whole answer with a status of 500 or above.
+	Failed bool
+	// GaveUp marks an answer on which an inner entry instance already gave up.
+	GaveUp bool
 }
 
 // AttemptEnded reports the final outcome of an attempt and frees its slot.
