core: test the reducer with random events and judge slowness by streaks

Cause: the latency estimate alone ejected healthy targets, and nothing checked the reducer's promises. Ruled out: a lower weight per sample, because a target 20 times slower then stays in rotation for many requests; comparing with the 95 % quantile only, because a slow target's own answers raise it. Now three slow answers in a row or an estimate of six times the median eject.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -9,7 +9,7 @@
 	drainSteps  = int(drainWindow / drainStep)
 	// waitMargin is added to the expected wait: a request refused at once costs its caller less than one that expires
 	// in the queue.
-	waitMargin = 1.25
+	waitMargin = 1.5
 	// retryAfterMin and retryAfterMax bound Retry-After.
 	retryAfterMin = 100 * time.Millisecond
 	retryAfterMax = 30 * time.Second
@@ -88,18 +88,26 @@
 		return s.refuse(now, r, ReasonQueueFull, out)
 	}
 	wait := time.Duration(waitMargin * float64(s.expectedWait(now, r.class)))
-	if now+wait+s.usual() > r.deadline {
+	if r.started == 0 && now+wait+s.usual() > r.deadline {
 		return s.refuse(now, r, ReasonInfeasible, out)
 	}
 	r.phase = phaseQueued
-	s.queue.push(now, r)
+	s.queue.push(r)
 	s.drained.setBusy(now, true)
 	s.scheduleRequest(r)
 	return out
 }
 
-// dispatch sends queued requests while targets have room.
-func (s *Service) dispatch(now Instant, out []Effect) []Effect {
+// dispatch sends queued requests while targets have room. Freed is the target that may have got room, or nil.
+func (s *Service) dispatch(now Instant, freed *targetState, out []Effect) []Effect {
+	s.freed = freed
+	out = s.dispatchQueue(now, out)
+	s.full = s.full && (s.queue.length() > 0 || freed == nil)
+	s.freed = nil
+	return out
+}
+
+func (s *Service) dispatchQueue(now Instant, out []Effect) []Effect {
 	for s.queue.length() > 0 {
 		r := s.queue.head()
 		if now+s.usual() > r.deadline {
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -10,6 +10,7 @@
 	id        AttemptID
 	request   *request
 	target    *targetState
+	start     string // start of the target that was known when it was sent
 	sentAt    Instant
 	answered  Instant // time of AttemptCommitted or of the cancellation; never before that
 	cancelled bool
@@ -56,7 +57,7 @@
 		a, s.spare = s.spare[n-1], s.spare[:n-1]
 	}
 	s.lastID++
-	*a = attempt{id: s.lastID, request: r, target: t, sentAt: now, answered: never, older: t.newest}
+	*a = attempt{id: s.lastID, request: r, target: t, start: t.starts.current, sentAt: now, answered: never, older: t.newest}
 	if t.newest == nil {
 		t.oldest = a
 	} else {
@@ -160,8 +161,9 @@
 	if r.phase == phaseActive && !dropped && r.pending() == nil {
 		out = s.proceed(now, r, ev, out)
 	}
+	t := a.target
 	s.forget(r)
-	return s.dispatch(now, out)
+	return s.dispatch(now, t, out)
 }
 
 // proceed retries or refuses a request whose attempts have all ended without an answer to deliver.
--- /dev/null
+++ b/pkg/core/bench_test.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchService returns a service with n targets in three zones, each with a load report and a latency estimate.
+func benchService(n int, method Selection) *Service {
+	p := DefaultPolicy()
+	p.Selection = method
+	p.Zone = "a"
+	s := NewService(p)
+	var list []Target
+	for i := range n {
+		list = append(list, Target{ID: TargetID(fmt.Sprintf("t%d", i)), Zone: Zone("abc"[i%3 : i%3+1]), Start: "1"})
+	}
+	s.Reduce(Input{Event: TargetsChanged{Targets: list}}, nil)
+	for i, t := range s.order {
+		now := Instant(i) * time.Microsecond
+		s.noteLoad(now, t, LoadReport{InUse: i % 5, Slots: 4}, 0)
+		s.median.observe(5 * time.Millisecond)
+		s.observe(now, t, time.Duration(4+i%3)*time.Millisecond)
+	}
+	return s
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 1100} {
+		for _, method := range []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices} {
+			b.Run(fmt.Sprintf("targets=%d/%s", n, method), func(b *testing.B) {
+				s := benchService(n, method)
+				s.rng.Seed(1, 2)
+				r := &request{class: ClassLookup}
+				b.ReportAllocs()
+				for b.Loop() {
+					if s.choose(10*time.Millisecond, r, false) == nil {
+						b.Fatal("no target")
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkChooseWithoutRoom measures the worst case: no target has room, so all are looked at.
+func BenchmarkChooseWithoutRoom(b *testing.B) {
+	s := benchService(1100, SelectLoad)
+	for _, t := range s.order {
+		t.backoffUntil = time.Hour
+	}
+	r := &request{class: ClassLookup}
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.choose(10*time.Millisecond, r, false) != nil {
+			b.Fatal("unexpected target")
+		}
+	}
+}
+
+// BenchmarkRequest measures the three steps of a request that is answered at once; step-ns is the mean of one step.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{15, 1100} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			s := benchService(n, SelectLoad)
+			out := make([]Effect, 0, 16)
+			var now Instant
+			var id RequestID
+			reduce := func(ev Event) []Effect {
+				now += 50 * time.Microsecond
+				out = s.Reduce(Input{Now: now, Rand: uint64(now), Event: ev}, out[:0])
+				return out
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				a := reduce(RequestArrived{Request: id, Class: ClassLookup, Deadline: now + time.Second})[0].Attempt
+				reduce(AttemptCommitted{Request: id, Attempt: a})
+				reduce(AttemptEnded{Request: id, Attempt: a, Outcome: OutcomeAnswered, Load: LoadReport{InUse: 2, Slots: 4}})
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(3*b.N), "step-ns")
+		})
+	}
+}
--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -6,12 +6,18 @@
 )
 
 const (
-	// ejectRatio is the latency ratio against the service at which a target is ejected.
-	ejectRatio = 4
+	// ejectRatio is the ratio of the latency estimate against the service at which a target is ejected. One answer 20
+	// times slower than usual reaches it.
+	ejectRatio = 6
+	// ejectSlow is the number of slow answers in a row at which a target is ejected. One in twenty answers of a healthy
+	// target is slow, so three in a row are one in 8,000.
+	ejectSlow = 3
 	// suspectRatio is the ratio at which an outstanding attempt makes a target a last choice.
 	suspectRatio = 4
 	// doubtRatio is the ratio of the latency estimate at which a target becomes a last choice.
-	doubtRatio = 2
+	doubtRatio = 2.5
+	// onceDoubtTime is how long a single slow answer makes a target a last choice for non-idempotent requests.
+	onceDoubtTime = time.Second
 	// maxEjectedShare is one over the share of a service that may be ejected: when more targets look unhealthy, the
 	// network is the likelier cause.
 	maxEjectedShare = 3
@@ -22,8 +28,6 @@
 	ejectMemory = time.Minute
 	// trialEvery bounds trial traffic to one in this many requests.
 	trialEvery = 20
-	// trialRatio is the latency ratio up to which a trial succeeds.
-	trialRatio = 3
 	// trialPatience is how long an ejected target waits for a trial. Without idempotent traffic there is none, and the
 	// target returns through slow start.
 	trialPatience = 10 * time.Second
@@ -44,9 +48,12 @@
 // maxEjected returns the number of targets that may be ejected.
 func (s *Service) maxEjected() int { return s.usable / maxEjectedShare }
 
-// judge ejects t when its latency estimate is too high.
+// judge ejects t when its latency estimate is too high or too many answers in a row were slow.
 func (s *Service) judge(now Instant, t *targetState, why Reason, out []Effect) []Effect {
-	if !t.usable() || t.ejection.active || s.slowness(t, now) < ejectRatio || s.ejected >= s.maxEjected() {
+	if t.slowInRow < ejectSlow && s.slowness(t, now) < ejectRatio {
+		return out
+	}
+	if !t.usable() || t.ejection.active || s.ejected >= s.maxEjected() {
 		return out
 	}
 	if now-t.ejection.returnedAt > ejectMemory {
@@ -75,15 +82,16 @@
 	}
 	t.ejection.active, t.ejection.ready, t.ejection.trying = false, false, false
 	s.ejected--
+	s.full = false
 	s.dropTrial(t)
 }
 
-// restore returns t to service through slow start.
+// restore returns t to service through slow start. The former evidence would eject it again.
 func (s *Service) restore(now Instant, t *targetState) {
 	s.release(t)
 	t.ejection.returnedAt = now
-	t.startRamp(now)
-	s.scheduleTarget(now, t)
+	t.hasLatency, t.slowInRow = false, 0
+	s.startRamp(now, t)
 }
 
 // trimEjections releases targets when the service has become too small for the number of ejected ones.
@@ -105,7 +113,6 @@
 	case e.trying, e.ready && t.inFlight > 0:
 		// The attempt in flight will tell.
 	case e.ready:
-		t.hasLatency = false
 		s.restore(now, t)
 	default:
 		e.ready = true
@@ -147,7 +154,6 @@
 		s.extendEjection(now, t, t.ejection.reason)
 		return
 	}
-	t.hasLatency = false // the former estimate would eject it again
-	s.observe(now, t, a.elapsed(now))
 	s.restore(now, t)
+	s.observe(now, t, a.elapsed(now))
 }
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -19,10 +19,10 @@
 	maxSampleRatio = 20
 	// failureRatio is the weight of a failure as a latency, in multiples of the usual one: two in a row lead to
 	// ejection, a single one does not.
-	failureRatio = 10
-	// lostHedgeRatio scales the time after which a hedge overtook an attempt. The remaining time is unknown, and two
-	// lost hedges in a row are rare on a healthy target.
-	lostHedgeRatio = 3
+	failureRatio = 16
+	// tailQuantile and tailRatio define a slow answer: later than this quantile and this multiple of the usual latency.
+	tailQuantile = 0.95
+	tailRatio    = 2
 )
 
 // quantile tracks one quantile of a stream in constant space: the value moves up by step*p on a larger sample and down
@@ -56,6 +56,10 @@
 	return max(s.median.value, usualFloor)
 }
 
+// slowAfter returns the time from which an answer counts as slow. The quantile adapts it to services with widely spread
+// latencies, where a multiple of the median alone is exceeded all the time.
+func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.usual()) }
+
 // expected returns the latency estimate of t, drawn towards that of the service as its evidence ages.
 func (s *Service) expected(t *targetState, now Instant) time.Duration {
 	usual := s.usual()
@@ -89,6 +93,17 @@
 	t.hasLatency = true
 }
 
+// countSlow counts slow answers in a row: in contrast to the estimate it does not depend on how far the latencies of a
+// service are spread.
+func (s *Service) countSlow(now Instant, t *targetState, slow bool) {
+	if !slow {
+		t.slowInRow = 0
+		return
+	}
+	t.slowInRow++
+	t.slowAt = now
+}
+
 // observeAtLeast adds a sample of which only a lower bound is known; one below the estimate says nothing.
 func (s *Service) observeAtLeast(now Instant, t *targetState, bound time.Duration) {
 	if bound > s.expected(t, now) {
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -5,7 +5,7 @@
 // learn takes the evidence of an ended attempt.
 func (s *Service) learn(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
-	s.learnStart(now, t, ev.Start, ev.Leaving || ev.Reason == ReasonDraining)
+	s.learnStart(now, t, a.start, ev.Start, ev.Leaving || ev.Reason == ReasonDraining)
 	s.noteLoad(now, t, ev.Load, 0)
 	good := false
 	if a.sentAt >= s.resumedAt { // a time that spans a pause of this process says nothing about the target
@@ -32,18 +32,17 @@
 	case ev.Outcome == OutcomeRefused && ev.Reason == ReasonDraining:
 		return false, out
 	case ev.Outcome == OutcomeRefused, ev.Reason == ReasonSlow:
-		s.observeAtLeast(now, t, elapsed)
-		return false, s.judge(now, t, ReasonSlow, out)
+		return false, s.learnCancelled(now, a, elapsed, out)
 	case !ev.Failed && (ev.Outcome == OutcomeAnswered || a.answered != never):
 		return s.succeeded(now, a, elapsed, out)
 	}
 	return false, s.failed(now, t, max(elapsed, failureRatio*s.usual()), out)
 }
 
-// learnCancelled takes the evidence of a cancelled attempt: it would have taken longer than it was given.
+// learnCancelled takes the evidence of an attempt that was ended early: it would have taken longer than it was given.
 func (s *Service) learnCancelled(now Instant, a *attempt, elapsed time.Duration, out []Effect) []Effect {
-	if a.lost {
-		elapsed *= lostHedgeRatio
+	if a.lost || elapsed > s.slowAfter() {
+		s.countSlow(now, a.target, true)
 	}
 	s.observeAtLeast(now, a.target, elapsed)
 	return s.judge(now, a.target, ReasonSlow, out)
@@ -51,16 +50,18 @@
 
 func (s *Service) succeeded(now Instant, a *attempt, elapsed time.Duration, out []Effect) (bool, []Effect) {
 	t := a.target
+	good := elapsed <= s.slowAfter()
 	s.median.observe(elapsed)
+	s.tail.observe(elapsed)
 	s.hedgeDelay[a.request.class].observe(elapsed)
 	s.raiseLimit(t)
 	if a.sentAt >= t.shedAt {
 		t.sheds = 0
 	}
-	good := elapsed <= trialRatio*s.usual()
 	if a.trial {
 		return good, out
 	}
+	s.countSlow(now, t, !good)
 	s.observe(now, t, elapsed)
 	return good, s.judge(now, t, ReasonSlow, out)
 }
--- a/pkg/core/leaving.go
+++ b/pkg/core/leaving.go
@@ -4,7 +4,7 @@
 
 const (
 	// startMemory is the number of former and of leaving starts remembered per target.
-	startMemory = 4
+	startMemory = 8
 	// absentMemory is how long the starts of an unlisted target are remembered: longer than the instance list may lag.
 	absentMemory = 10 * time.Minute
 )
@@ -108,12 +108,16 @@
 	s.startsChanged(now, s.targets[ev.Target], false)
 }
 
-// learnStart applies what an answer or a probe tells about the start of t.
-func (s *Service) learnStart(now Instant, t *targetState, start string, leaving bool) {
+// learnStart applies what an answer or a probe tells about the start of t. Asked is the start that was known when it was
+// sent for: an answer that names the same start again is no news, however many starts were seen since.
+func (s *Service) learnStart(now Instant, t *targetState, asked, start string, leaving bool) {
 	if start == "" && !leaving {
 		return
 	}
-	restarted := t.starts.adopt(start)
+	if start == "" {
+		start = asked
+	}
+	restarted := start != asked && t.starts.adopt(start)
 	if leaving {
 		t.starts.leave(start)
 	}
--- a/pkg/core/limits.go
+++ b/pkg/core/limits.go
@@ -15,6 +15,8 @@
 	// rampTime is the duration of the slow start, and rampFloor the share of traffic at its beginning.
 	rampTime  = 5 * time.Second
 	rampFloor = 0.1
+	// rampStep is the interval at which waiting requests are offered the room that a slow start has opened.
+	rampStep = rampTime / 10
 )
 
 // minLimit is the fair share of this instance in the slots of a target, so that the limits of all instances together
@@ -89,4 +91,8 @@
 	return 1 - (1-rampFloor)*float64(t.rampUntil-now)/float64(rampTime)
 }
 
-func (t *targetState) startRamp(now Instant) { t.rampUntil = now + rampTime }
+// startRamp begins the slow start of t.
+func (s *Service) startRamp(now Instant, t *targetState) {
+	t.rampUntil = now + rampTime
+	s.scheduleTarget(now, t)
+}
--- /dev/null
+++ b/pkg/core/oracle_test.go
@@ -0,0 +1,279 @@
+package core
+
+import (
+	"strconv"
+	"time"
+)
+
+// sent is an attempt as the runtime sees it between SendAttempt and AttemptEnded.
+type sent struct {
+	id        AttemptID
+	request   *asked
+	target    TargetID
+	start     int
+	committed bool
+	cancelled bool
+}
+
+// asked is a request with everything that the reducer decided about it.
+type asked struct {
+	id         RequestID
+	class      Class
+	deadline   Instant
+	attempts   int
+	live       int
+	mayHaveRun bool
+	decided    int
+	delivered  AttemptID
+}
+
+func (a *asked) notRun() bool { return a.live == 0 && !a.mayHaveRun }
+
+// fataler is implemented by testing.T and rapid.T.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// runtime plays the runtime's part and checks each effect against its own record of events. It shares no state with the
+// reducer, so that an error in the reducer's accounting cannot hide itself.
+type runtime struct {
+	fataler
+	s        *Service
+	now      Instant
+	rand     uint64
+	armed    Instant
+	requests []*asked
+	live     []*sent
+	last     []Effect // effects of the latest step
+	arrivals []Instant
+	retries  []Instant
+	hedges   []Instant
+	told     map[TargetID]int // newest start that a list, an answer or a probe named
+	left     map[string]bool  // starts that a leaving sign named
+}
+
+func newRuntime(t fataler, p Policy) *runtime {
+	return &runtime{
+		fataler: t, s: NewService(p), armed: never, rand: 1, told: make(map[TargetID]int), left: make(map[string]bool),
+	}
+}
+
+func startID(id TargetID, start int) string { return string(id) + "/" + strconv.Itoa(start) }
+
+// step applies one event at the current time and checks its effects.
+func (rt *runtime) step(ev Event) []Effect {
+	rt.Helper()
+	rt.rand = rt.rand*6364136223846793005 + 1442695040888963407
+	before := rt.s.budget.total.retries
+	rt.s.budget.advance(rt.now)
+	before = min(before, rt.s.budget.total.retries)
+	if _, ok := ev.(TimerFired); ok {
+		rt.armed = never
+	}
+	rt.last = rt.s.Reduce(Input{Now: rt.now, Rand: rt.rand, Event: ev}, nil)
+	for range rt.s.budget.total.retries - before {
+		rt.retries = append(rt.retries, rt.now)
+	}
+	for _, e := range rt.last {
+		rt.check(e)
+	}
+	rt.checkBudgets()
+	rt.checkState()
+	return rt.last
+}
+
+func (rt *runtime) check(e Effect) {
+	rt.Helper()
+	switch e.Kind {
+	case SendAttempt:
+		rt.checkSend(e)
+	case CancelAttempt:
+		a := rt.find(e.Attempt)
+		if a == nil || a.cancelled || a.request.decided > 0 {
+			rt.Fatalf("attempt %d cancelled after its end, twice or after the decision", e.Attempt)
+		}
+		a.cancelled = true
+	case Deliver:
+		a := rt.find(e.Attempt)
+		if a == nil || !a.committed || a.cancelled || a.request.id != e.Request {
+			rt.Fatalf("delivered attempt %d without a usable answer", e.Attempt)
+		}
+		a.request.decided++
+		a.request.delivered = a.id
+	case Refuse:
+		r := rt.asked(e.Request)
+		r.decided++
+		if e.NotRun != r.notRun() {
+			rt.Fatalf("request %d refused with NotRun %v, want %v", e.Request, e.NotRun, r.notRun())
+		}
+		if e.RetryAfter <= 0 {
+			rt.Fatalf("request %d refused without RetryAfter", e.Request)
+		}
+	case SetTimer:
+		if e.At <= rt.now {
+			rt.Fatalf("timer set for the past")
+		}
+		rt.armed = e.At
+	case CountHedge:
+		rt.hedges = append(rt.hedges, rt.now)
+	}
+}
+
+func (rt *runtime) checkSend(e Effect) {
+	rt.Helper()
+	r := rt.asked(e.Request)
+	switch {
+	case r.decided > 0:
+		rt.Fatalf("attempt for the decided request %d", r.id)
+	case r.class == ClassOnce && !r.notRun():
+		rt.Fatalf("second attempt for the once request %d without proof that the first did not run", r.id)
+	case rt.now >= r.deadline || e.At != r.deadline:
+		rt.Fatalf("attempt for request %d with deadline %v at %v", r.id, e.At, rt.now)
+	case rt.left[startID(e.Target, rt.told[e.Target])]:
+		rt.Fatalf("attempt to the leaving target %s", e.Target)
+	}
+	r.attempts++
+	r.live++
+	if r.attempts > rt.s.policy.MaxAttempts {
+		rt.Fatalf("request %d has %d attempts", r.id, r.attempts)
+	}
+	rt.live = append(rt.live, &sent{id: e.Attempt, request: r, target: e.Target, start: rt.told[e.Target]})
+}
+
+// checkBudgets compares the retries and hedges just decided with the requests in the exact window.
+func (rt *runtime) checkBudgets() {
+	rt.Helper()
+	requests := float64(recent(rt.arrivals, rt.now))
+	p := rt.s.policy
+	if n := len(rt.retries); n > 0 && rt.retries[n-1] == rt.now {
+		if got := recent(rt.retries, rt.now); float64(got) > float64(p.RetryFloor)+p.RetryRatio*requests {
+			rt.Fatalf("%d retries for %v requests in the window", got, requests)
+		}
+	}
+	if n := len(rt.hedges); n > 0 && rt.hedges[n-1] == rt.now {
+		if got := recent(rt.hedges, rt.now); float64(got) > float64(p.HedgeFloor)+p.HedgeRatio*requests {
+			rt.Fatalf("%d hedges for %v requests in the window", got, requests)
+		}
+	}
+}
+
+func recent(times []Instant, now Instant) int {
+	n := 0
+	for _, at := range times {
+		if now-at < BudgetWindow {
+			n++
+		}
+	}
+	return n
+}
+
+func (rt *runtime) checkState() {
+	rt.Helper()
+	if rt.s.inFlight != len(rt.live) {
+		rt.Fatalf("%d attempts in flight, want %d", rt.s.inFlight, len(rt.live))
+	}
+	for _, r := range rt.requests {
+		if r.decided > 1 || r.decided == 0 && rt.now >= r.deadline+2*decisionGrace {
+			rt.Fatalf("request %d has %d decisions at %v, deadline %v", r.id, r.decided, rt.now, r.deadline)
+		}
+	}
+	view := rt.s.View(rt.now)
+	usable, ejected := 0, 0
+	for _, t := range view.Targets {
+		if t.InFlight < 0 {
+			rt.Fatalf("negative requests in flight on %s", t.ID)
+		}
+		if t.State != TargetLeft {
+			usable++
+		}
+		if t.State == TargetEjected {
+			ejected++
+		}
+	}
+	if ejected > usable/maxEjectedShare {
+		rt.Fatalf("%d of %d targets ejected", ejected, usable)
+	}
+	for class, n := range view.Queued {
+		if n < 0 || n > rt.s.policy.QueueLimit {
+			rt.Fatalf("%d requests of class %s queued", n, class)
+		}
+	}
+	for _, t := range rt.s.all {
+		waits := rt.s.queue.length() > 0 && rt.s.inFlight < rt.s.serviceLimit()
+		if waits && rt.now >= t.rampUntil && rt.s.hasRoom(t, rt.now) {
+			rt.Fatalf("requests wait while %s has room", t.id)
+		}
+	}
+	if len(rt.s.timers) > 0 && rt.armed > rt.s.timers[0].at {
+		rt.Fatalf("no timer for the due time %v", rt.s.timers[0].at)
+	}
+}
+
+func (rt *runtime) find(id AttemptID) *sent {
+	for _, a := range rt.live {
+		if a.id == id {
+			return a
+		}
+	}
+	return nil
+}
+
+func (rt *runtime) asked(id RequestID) *asked { return rt.requests[id-1] }
+
+// arrive submits a request with the given time until its deadline and returns it.
+func (rt *runtime) arrive(class Class, limit time.Duration) *asked {
+	rt.Helper()
+	r := &asked{id: RequestID(len(rt.requests) + 1), class: class, deadline: rt.now + limit}
+	rt.requests = append(rt.requests, r)
+	rt.arrivals = append(rt.arrivals, rt.now)
+	rt.step(RequestArrived{Request: r.id, Class: class, Deadline: r.deadline})
+	return r
+}
+
+// commit reports an answer of a and, unless it was delivered, its end.
+func (rt *runtime) commit(a *sent, failed, gaveUp bool) {
+	rt.Helper()
+	a.committed = true
+	rt.step(AttemptCommitted{Request: a.request.id, Attempt: a.id, Failed: failed, GaveUp: gaveUp})
+	if a.request.delivered != a.id {
+		rt.end(a, AttemptEnded{Outcome: OutcomeAnswered, Failed: failed, GaveUp: gaveUp})
+	}
+}
+
+// end reports the end of a; ev needs no ids.
+func (rt *runtime) end(a *sent, ev AttemptEnded) []Effect {
+	rt.Helper()
+	ev.Request, ev.Attempt = a.request.id, a.id
+	for i, other := range rt.live {
+		if other == a {
+			rt.live = append(rt.live[:i], rt.live[i+1:]...)
+			break
+		}
+	}
+	a.request.live--
+	if !ev.Outcome.ProvesNotRun() {
+		a.request.mayHaveRun = true
+	}
+	return rt.step(ev)
+}
+
+// answer commits and ends a.
+func (rt *runtime) answer(a *sent) {
+	rt.Helper()
+	rt.commit(a, false, false)
+	if a.request.delivered == a.id {
+		rt.end(a, AttemptEnded{Outcome: OutcomeAnswered})
+	}
+}
+
+// advance lets time pass, firing the timer whenever it is due.
+func (rt *runtime) advance(d time.Duration) {
+	rt.Helper()
+	end := rt.now + d
+	for rt.armed <= end {
+		rt.now = max(rt.now, rt.armed)
+		rt.step(TimerFired{})
+	}
+	rt.now = end
+}
--- a/pkg/core/queue.go
+++ b/pkg/core/queue.go
@@ -21,6 +21,17 @@
 	l.length++
 }
 
+func (l *requestList) pushFront(r *request) {
+	r.prev, r.next = nil, l.head
+	if l.head == nil {
+		l.tail = r
+	} else {
+		l.head.prev = r
+	}
+	l.head = r
+	l.length++
+}
+
 func (l *requestList) remove(r *request) {
 	if r.prev == nil {
 		l.head = r.next
@@ -62,14 +73,19 @@
 // urgentHead returns the earlier of the first waiting once and lookup requests.
 func (q *queue) urgentHead() *request {
 	once, lookup := q.classes[ClassOnce].head, q.classes[ClassLookup].head
-	if once == nil || lookup != nil && lookup.queuedAt < once.queuedAt {
+	if once == nil || lookup != nil && lookup.arrived < once.arrived {
 		return lookup
 	}
 	return once
 }
 
-func (q *queue) push(now Instant, r *request) {
-	r.queuedAt = now
+// push adds a request at the end. One that had an attempt before goes to the front: it waited once, and a refusal after
+// a second wait would be late.
+func (q *queue) push(r *request) {
+	if r.started > 0 {
+		q.classes[r.class].pushFront(r)
+		return
+	}
 	q.classes[r.class].push(r)
 }
 
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -29,6 +29,7 @@
 	id       RequestID
 	class    Class
 	phase    phase
+	arrived  Instant
 	deadline Instant
 	due      due
 
@@ -45,7 +46,6 @@
 	hedgeDenied bool
 	hedged      bool
 
-	queuedAt   Instant
 	prev, next *request // in its queue
 }
 
@@ -82,14 +82,14 @@
 	return r.deadline
 }
 
-func (s *Service) newRequest(ev RequestArrived) *request {
+func (s *Service) newRequest(now Instant, ev RequestArrived) *request {
 	r := &request{}
 	if n := len(s.idle); n > 0 {
 		r, s.idle = s.idle[n-1], s.idle[:n-1]
 	}
 	attempts, targets := r.attempts[:0], r.targets[:0]
 	*r = request{
-		id: ev.Request, class: min(ev.Class, numClasses-1), deadline: ev.Deadline,
+		id: ev.Request, class: min(ev.Class, numClasses-1), arrived: now, deadline: ev.Deadline,
 		attempts: attempts, targets: targets, retryAt: never, hedgeAt: never,
 	}
 	r.due.request = r
@@ -122,7 +122,7 @@
 	if s.requests[ev.Request] != nil {
 		return out
 	}
-	r := s.newRequest(ev)
+	r := s.newRequest(now, ev)
 	s.budget.addRequest(now)
 	s.sinceTrial++
 	if ev.Hops > maxHops {
@@ -141,7 +141,7 @@
 	}
 	if s.queue.length() > 0 {
 		out = s.admit(now, r, out)
-		return s.dispatch(now, out)
+		return s.dispatch(now, nil, out)
 	}
 	if t := s.chooseTrial(now, r); t != nil {
 		return s.sendTrial(now, r, t, out)
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -53,7 +53,7 @@
 func (s *Service) hedge(now Instant, r *request, out []Effect) []Effect {
 	share := hedgeReserve
 	first := r.pending()
-	if r.phase != phaseActive || first == nil || r.started >= s.policy.MaxAttempts {
+	if now >= r.deadline || r.phase != phaseActive || first == nil || r.started >= s.policy.MaxAttempts {
 		r.hedgeAt = never
 		return out
 	}
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -45,6 +45,24 @@
 	if s.inFlight >= s.serviceLimit() {
 		return nil
 	}
+	if s.full {
+		return s.chooseFreed(now, hedge)
+	}
+	t := s.compare(now, r, hedge)
+	s.full = t == nil && !hedge
+	return t
+}
+
+// chooseFreed returns the target that may have got room in this step. While the service is full, looking at 1,100
+// targets in each step would cost more than the step.
+func (s *Service) chooseFreed(now Instant, hedge bool) *targetState {
+	if t := s.freed; t != nil && !hedge && t.usable() && s.hasRoom(t, now) {
+		return t
+	}
+	return nil
+}
+
+func (s *Service) compare(now Instant, r *request, hedge bool) *targetState {
 	if s.policy.Selection == SelectRoundRobin {
 		return s.nextInTurn(now, r, hedge)
 	}
@@ -128,17 +146,23 @@
 	if s.policy.Zone != "" && t.zone != s.policy.Zone {
 		score += zonePenalty
 	}
-	if s.doubtful(t, now) {
-		score += s.doubt(r)
+	return score + s.doubt(t, now, r)
+}
+
+// doubt returns the penalty for a target that looks slow.
+func (s *Service) doubt(t *targetState, now Instant, r *request) float64 {
+	doubtful := s.doubtful(t, now)
+	if r.class != ClassOnce {
+		return doubtPenalty * indicator(doubtful)
 	}
-	return score
+	return onceDoubtPenalty * indicator(doubtful || t.slowInRow > 0 && now-t.slowAt < onceDoubtTime)
 }
 
-func (s *Service) doubt(r *request) float64 {
-	if r.class == ClassOnce {
-		return onceDoubtPenalty
+func indicator(condition bool) float64 {
+	if condition {
+		return 1
 	}
-	return doubtPenalty
+	return 0
 }
 
 // load estimates the requests on t: our own, which are known, and those of others as last reported. As the report ages
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -40,13 +40,16 @@
 	inFlight int
 	limitSum float64 // sum of the limits of the usable targets
 	turn     int     // next position for round robin
+	full     bool    // no target had room when all were looked at last
+	freed    *targetState
 
 	ejected    int
 	trials     []*targetState // ejected targets that wait for a trial
 	sinceTrial int            // requests since the last trial
 
-	meanOthers float64 // mean of the reported load without our own requests
-	median     quantile
+	meanOthers float64  // mean of the reported load without our own requests
+	median     quantile // of the latency of the service
+	tail       quantile
 	hedgeDelay [numClasses]quantile
 }
 
@@ -58,6 +61,7 @@
 		targets:  make(map[TargetID]*targetState),
 		lineages: make(map[TargetID]*lineage),
 		median:   quantile{p: 0.5},
+		tail:     quantile{p: tailQuantile},
 	}
 	s.setPolicy(0, p)
 	return s
@@ -85,13 +89,13 @@
 		s.armed = never
 	case TargetsChanged:
 		s.setTargets(now, ev.Targets)
-		return s.dispatch(now, out)
+		return s.dispatch(now, nil, out)
 	case PolicyChanged:
 		s.setPolicy(now, ev.Policy)
-		return s.dispatch(now, out)
+		return s.dispatch(now, nil, out)
 	case TargetLeaving:
 		s.targetLeaving(now, ev)
-		return s.dispatch(now, out)
+		return s.dispatch(now, nil, out)
 	case LoadReported:
 		if t := s.targets[ev.Target]; t != nil {
 			s.noteLoad(now, t, ev.Load, ev.Age)
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -24,6 +24,8 @@
 	latency    time.Duration
 	latencyAt  Instant
 	hasLatency bool
+	slowInRow  int // slow answers without another one between them
+	slowAt     Instant
 
 	limit        float64
 	sheds        int // sheds in a row
@@ -61,7 +63,7 @@
 	if t == nil {
 		t = s.newTarget(now, entry.ID)
 		if !first {
-			t.startRamp(now)
+			s.startRamp(now, t)
 		}
 	}
 	t.listed = true
@@ -88,13 +90,13 @@
 // resetTarget forgets the evidence about the former process behind t.
 func (s *Service) resetTarget(now Instant, t *targetState) {
 	s.release(t)
+	s.full = false
 	t.slots, t.reportedInUse, t.hasReport = 0, 0, false
-	t.hasLatency = false
+	t.hasLatency, t.slowInRow = false, 0
 	t.sheds, t.backoffUntil = 0, 0
 	t.ejection = ejection{}
 	s.setLimit(t, float64(s.slots(t)))
-	t.startRamp(now)
-	s.scheduleTarget(now, t)
+	s.startRamp(now, t)
 }
 
 // forgetTargets drops the targets that are no longer listed; attempts in flight still hold theirs.
@@ -111,7 +113,7 @@
 
 // refreshTargets recomputes what depends on the set of usable targets.
 func (s *Service) refreshTargets(now Instant) {
-	s.usable, s.limitSum = 0, 0
+	s.usable, s.limitSum, s.full = 0, 0, false
 	s.all, s.local = s.all[:0], s.local[:0]
 	for _, t := range s.order {
 		if !t.usable() {
@@ -134,8 +136,11 @@
 	if t.backoffUntil > now {
 		at = t.backoffUntil
 	}
-	if t.ejection.active && t.ejection.wakeAt < at {
-		at = t.ejection.wakeAt
+	if t.ejection.active {
+		at = min(at, t.ejection.wakeAt)
+	}
+	if now < t.rampUntil {
+		at = min(at, now+rampStep, t.rampUntil)
 	}
 	s.schedule(&t.due, at)
 }
@@ -146,7 +151,7 @@
 		s.ejectionDue(now, t)
 	}
 	s.scheduleTarget(now, t)
-	return s.dispatch(now, out)
+	return s.dispatch(now, t, out)
 }
 
 // noteLoad takes note of a load report that is age old.
@@ -175,10 +180,10 @@
 		}
 		return out
 	}
-	s.learnStart(now, t, ev.Start, ev.Leaving)
+	s.learnStart(now, t, t.starts.current, ev.Start, ev.Leaving)
 	if !ev.OK {
 		return s.failed(now, t, failureRatio*s.usual(), out)
 	}
 	s.noteLoad(now, t, ev.Load, 0)
-	return out
+	return s.dispatch(now, nil, out)
 }
