standin: add target faults, an open-loop load generator and a demo

The stand-in target now draws log-normal service times, honours the deadline and cancellation inside a slot, and shows faults that are switched on through /control. Its ledger can also be a file, so a killed target loses no run.

Service times use kernel timers: runtime timers are rounded to whole milliseconds in epoll_wait, about as much as the added latency to be measured.

The load generator keeps a Poisson schedule, counts latency from the scheduled time and compares what callers were told with the ledgers.

'make demo' starts the platform, three targets and two entry instances.

The silent fault first also silenced the connection that switched it on, which hung the test; that connection is now left out.

--- a/Makefile
+++ b/Makefile
@@ -16,5 +16,8 @@
 unit:
 	$(GO) test -race -timeout 6m ./...
 
+demo: build
+	bin/standin demo
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
--- /dev/null
+++ b/cmd/standin/demo.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/burdockpitch/burdockpitch/internal/e2e"
+	"github.com/burdockpitch/burdockpitch/internal/standin"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// startLimit bounds the start of a deployment.
+const startLimit = 30 * time.Second
+
+func newDemo() *cobra.Command {
+	var binaries string
+	cmd := &cobra.Command{
+		Use: "demo", Short: "Serve lookups and bookings through two entry instances", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return withCluster(binaries, func(c *e2e.Cluster) error { return demo(cmd.Context(), c, cmd.OutOrStdout()) })
+		},
+	}
+	binariesFlag(cmd, &binaries)
+	return cmd
+}
+
+func binariesFlag(cmd *cobra.Command, value *string) {
+	cmd.Flags().StringVar(value, "bin", "", "directory of the built programs (default: that of this program)")
+}
+
+// withCluster runs use with a cluster in a temporary directory. No process is left when it returns.
+func withCluster(binaries string, use func(*e2e.Cluster) error) error {
+	if binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return eris.Wrap(err, "find this program")
+		}
+		binaries = filepath.Dir(self)
+	}
+	work, err := os.MkdirTemp("", "standin")
+	if err != nil {
+		return eris.Wrap(err, "make working directory")
+	}
+	defer os.RemoveAll(work)
+	c := e2e.NewCluster(binaries, work)
+	defer c.Stop()
+	return use(c)
+}
+
+func demo(ctx context.Context, c *e2e.Cluster, out io.Writer) error {
+	cfg := e2e.DeploymentConfig{
+		Targets: 3, Entries: 2, Slots: 4, QueueLimit: 8, ServiceTime: 10 * time.Millisecond, Sigma: 0.3, Seed: 1,
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	d, err := e2e.StartDeployment(startCtx, c, cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "platform %s, targets %v in three zones, entry instances %v\n", d.Platform, d.Targets, d.Callers)
+	load := standin.LoadConfig{
+		Entries: d.Callers, Seed: 1, Mix: standin.Mix{Lookup: 0.7, Once: 0.3}, Wait: standin.DefaultWait(),
+		Stages: []standin.Stage{{Phase: standin.PhaseBefore, Rate: 200, Length: 3 * time.Second}},
+	}
+	result := standin.RunLoad(ctx, load)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	ledger, err := d.Ledger()
+	if err != nil {
+		return err
+	}
+	return printDemo(out, d, result, result.Compare(ledger))
+}
+
+func printDemo(out io.Writer, d *e2e.Deployment, r *standin.LoadResult, c *standin.Comparison) error {
+	for _, class := range []core.Class{core.ClassLookup, core.ClassOnce} {
+		for i := range d.Callers {
+			of := func(rec *standin.Record) bool { return rec.Class == class && rec.Entry == i }
+			served := r.Count(func(rec *standin.Record) bool { return of(rec) && rec.Outcome == wire.OutcomeAnswered })
+			fmt.Fprintf(out, "%-7s through entry instance %d: %d of %d served\n", class, i+1, served, r.Count(of))
+		}
+		h := r.Latency(class, standin.PhaseBefore)
+		fmt.Fprintf(out, "%-7s latency: %s\n", class, standin.FormatPercentiles(h))
+	}
+	fmt.Fprintln(out, "ledger:", c)
+	unserved := r.Count(func(rec *standin.Record) bool { return !rec.Served() })
+	if unserved > 0 || !c.Clean() {
+		return eris.Errorf("%d requests not served; ledger: %s", unserved, c)
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,7 +19,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newPlatform(), newTarget())
+	root.AddCommand(newPlatform(), newTarget(), newDemo())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
@@ -38,23 +38,6 @@
 	return cmd
 }
 
-func newTarget() *cobra.Command {
-	var listen string
-	cfg := standin.TargetConfig{}
-	cmd := &cobra.Command{
-		Use: "target", Short: "Server with slots, a queue and a ledger", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, standin.NewTarget(cfg).Handler())
-		},
-	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9811", "address to listen on")
-	cmd.Flags().IntVar(&cfg.Slots, "slots", 4, "requests worked on at once")
-	cmd.Flags().IntVar(&cfg.QueueLimit, "queue", 8, "waiting requests before requests are shed")
-	cmd.Flags().DurationVar(&cfg.ServiceTime, "service-time", 5*time.Millisecond, "time in a slot")
-	cmd.Flags().StringVar(&cfg.Start, "start", "1", "id of this start")
-	return cmd
-}
-
 func serve(ctx context.Context, listen string, h http.Handler) error {
 	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	go func() {
--- /dev/null
+++ b/cmd/standin/target.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"net"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockpitch/burdockpitch/internal/standin"
+)
+
+func newTarget() *cobra.Command {
+	var listen []string
+	var ledgerDir string
+	cfg := standin.TargetConfig{}
+	cmd := &cobra.Command{
+		Use: "target", Short: "Servers with slots, a queue and a ledger", Args: cobra.NoArgs,
+		Long: "Runs one server for each address. Faults are switched on with POST /control/faults.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			group, ctx := errgroup.WithContext(cmd.Context())
+			for i, addr := range listen {
+				own := cfg
+				own.Seed += uint64(i)
+				target, l, err := openTarget(own, addr, ledgerDir)
+				if err != nil {
+					return err
+				}
+				group.Go(func() error { return target.Serve(ctx, l) })
+			}
+			return group.Wait()
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&listen, "listen", []string{"127.0.0.1:9811"}, "addresses to listen on, one server each")
+	f.StringVar(&ledgerDir, "ledger-dir", "", "directory for ledger files, which survive a kill")
+	f.IntVar(&cfg.Slots, "slots", 4, "requests worked on at once")
+	f.IntVar(&cfg.QueueLimit, "queue", 8, "waiting requests before requests are shed")
+	f.DurationVar(&cfg.ServiceTime, "service-time", 5*time.Millisecond, "mean time in a slot")
+	f.Float64Var(&cfg.Sigma, "sigma", 0, "standard deviation of the logarithm of the service time")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the service times; the n-th address uses seed+n")
+	f.DurationVar(&cfg.ColdStart, "cold-start", 0, "time after the start with longer service times")
+	f.Float64Var(&cfg.ColdFactor, "cold-factor", 5, "factor on the service time during the cold start")
+	f.StringVar(&cfg.Start, "start", "1", "id of this start")
+	return cmd
+}
+
+func openTarget(cfg standin.TargetConfig, addr, ledgerDir string) (*standin.Target, net.Listener, error) {
+	if ledgerDir != "" {
+		log, err := standin.OpenLedgerFile(filepath.Join(ledgerDir, standin.LedgerFileName(addr)))
+		if err != nil {
+			return nil, nil, err
+		}
+		cfg.LedgerLog = log
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "listen on %s", strings.TrimSpace(addr))
+	}
+	return standin.NewTarget(cfg), l, nil
+}
--- /dev/null
+++ b/internal/e2e/deployment.go
@@ -0,0 +1,266 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/internal/standin"
+	"github.com/burdockpitch/burdockpitch/pkg/platform"
+)
+
+// Document routes the paths of the load generator to the service "registry".
+const Document = `service = "registry"
+epoch = 1
+revision = 1
+[rules]
+lookup = { path = "/records/*", methods = ["GET"], class = "lookup", deadline = "1s" } # asked by the load generator
+archive = { path = "/archive/*", methods = ["GET"], class = "patient", deadline = "5s" } # asked by the load generator
+booking = { path = "/bookings/*", methods = ["POST"], class = "once", deadline = "3s" } # asked by the load generator
+`
+
+// zones is the number of availability zones that targets and entry instances are spread over.
+const zones = 3
+
+// DeploymentConfig describes a deployment.
+type DeploymentConfig struct {
+	// Targets is the number of targets.
+	Targets int
+	// Entries is the number of entry instances.
+	Entries int
+	// Shared hosts all targets but the first in one process. The first can then still be paused or killed alone, and
+	// the machine runs fewer processes. Otherwise each target is a process.
+	Shared bool
+	// Slots, QueueLimit, ServiceTime, Sigma and Seed configure the targets.
+	Slots       int
+	QueueLimit  int
+	ServiceTime time.Duration
+	Sigma       float64
+	Seed        uint64
+	// Selection is the selection method of the entry instances; empty for the default.
+	Selection string
+}
+
+// Deployment is a running platform stand-in with targets and entry instances.
+type Deployment struct {
+	*Cluster
+	// Platform is the address of the platform stand-in.
+	Platform string
+	// Targets are the addresses of the targets.
+	Targets []string
+	// TargetProcesses run the targets; the first runs the first target alone.
+	TargetProcesses []*Process
+	// Callers and Admins are the addresses of the entry instances.
+	Callers []string
+	Admins  []string
+	// Entries run the entry instances.
+	Entries []*Process
+
+	cfg     DeploymentConfig
+	ledgers string // directory of the ledger files
+}
+
+// StartDeployment starts everything and waits until every entry instance is ready. On failure nothing keeps running.
+func StartDeployment(ctx context.Context, c *Cluster, cfg DeploymentConfig) (*Deployment, error) {
+	d := &Deployment{Cluster: c, cfg: cfg, ledgers: filepath.Join(c.work, "ledgers")}
+	if err := d.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	if err := os.MkdirAll(d.ledgers, 0o700); err != nil {
+		return eris.Wrap(err, "make ledger directory")
+	}
+	addrs, err := FreeAddresses(1 + d.cfg.Targets + 3*d.cfg.Entries)
+	if err != nil {
+		return err
+	}
+	d.Platform, addrs = addrs[0], addrs[1:]
+	d.Targets, addrs = addrs[:d.cfg.Targets], addrs[d.cfg.Targets:]
+	d.Callers, addrs = addrs[:d.cfg.Entries], addrs[d.cfg.Entries:]
+	d.Admins, addrs = addrs[:d.cfg.Entries], addrs[d.cfg.Entries:]
+	if _, err := d.Start("standin", "platform", "--listen", d.Platform); err != nil {
+		return err
+	}
+	if err := d.startTargets(ctx); err != nil {
+		return err
+	}
+	if err := d.publish(ctx, addrs); err != nil {
+		return err
+	}
+	return d.startEntries(ctx, addrs)
+}
+
+func (d *Deployment) startTargets(ctx context.Context) error {
+	for _, group := range d.groups() {
+		p, err := d.Start("standin", "target", "--listen", strings.Join(group, ","), "--ledger-dir", d.ledgers,
+			"--slots", strconv.Itoa(d.cfg.Slots), "--queue", strconv.Itoa(d.cfg.QueueLimit),
+			"--service-time", d.cfg.ServiceTime.String(), "--sigma", fmt.Sprint(d.cfg.Sigma),
+			"--seed", strconv.FormatUint(d.cfg.Seed+uint64(len(d.TargetProcesses))*100, 10))
+		if err != nil {
+			return err
+		}
+		d.TargetProcesses = append(d.TargetProcesses, p)
+	}
+	for _, t := range d.Targets {
+		if err := WaitStatus(ctx, "http://"+t+"/control/counts", http.StatusOK); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// groups returns the addresses of the targets of each process.
+func (d *Deployment) groups() [][]string {
+	if d.cfg.Shared && len(d.Targets) > 1 {
+		return [][]string{d.Targets[:1], d.Targets[1:]}
+	}
+	var list [][]string
+	for i := range d.Targets {
+		list = append(list, d.Targets[i:i+1])
+	}
+	return list
+}
+
+func (d *Deployment) publish(ctx context.Context, peers []string) error {
+	if err := WaitStatus(ctx, "http://"+d.Platform+platform.PathIndex, http.StatusOK); err != nil {
+		return err
+	}
+	var list []platform.Instance
+	for i, addr := range d.Targets {
+		t := platform.Instance{Service: "registry", Address: addr, Zone: zone(i), Start: "1", State: platform.StateLive}
+		list = append(list, t)
+	}
+	for i, addr := range peers {
+		e := platform.Instance{Service: platform.ServiceEntry, Address: addr, Zone: zone(i), State: platform.StateLive}
+		list = append(list, e)
+	}
+	if err := PublishInstances(d.Platform, list); err != nil {
+		return err
+	}
+	return PublishDocument(d.Platform, Document)
+}
+
+func zone(i int) string { return string(rune('a' + i%zones)) }
+
+func (d *Deployment) startEntries(ctx context.Context, peers []string) error {
+	for i := range d.Callers {
+		text := fmt.Sprintf("zone = %q\nlisten = %q\nadmin_listen = %q\npeer_listen = %q\nplatform = %q\nlame_duck = \"100ms\"\n",
+			zone(i), d.Callers[i], d.Admins[i], peers[i], "http://"+d.Platform)
+		if d.cfg.Selection != "" {
+			text += fmt.Sprintf("selection = %q\n", d.cfg.Selection)
+		}
+		p, err := d.StartEntry(fmt.Sprint("entry", i), text)
+		if err != nil {
+			return err
+		}
+		d.Entries = append(d.Entries, p)
+	}
+	for i, admin := range d.Admins {
+		if err := WaitStatus(ctx, "http://"+admin+"/v1/ready", http.StatusOK); err != nil {
+			return eris.Wrapf(err, "entry instance %d: %s", i, d.Entries[i].Output())
+		}
+	}
+	return nil
+}
+
+// Ledger returns the merged ledgers of all targets, those of killed targets included.
+func (d *Deployment) Ledger() (standin.Ledger, error) {
+	all := make(standin.Ledger)
+	for _, addr := range d.Targets {
+		l, err := standin.ReadLedgerFile(filepath.Join(d.ledgers, standin.LedgerFileName(addr)))
+		if err != nil {
+			return nil, err
+		}
+		all.Merge(l)
+	}
+	return all, nil
+}
+
+// SetFault switches a fault on at a target.
+func (d *Deployment) SetFault(target int, fault standin.Fault) error {
+	return SetFault(d.Targets[target], fault)
+}
+
+// Counts returns the counts of a target.
+func (d *Deployment) Counts(target int) (standin.Counts, error) {
+	var c standin.Counts
+	resp, err := http.Get("http://" + d.Targets[target] + "/control/counts")
+	if err != nil {
+		return c, eris.Wrap(err, "read counts")
+	}
+	defer resp.Body.Close()
+	return c, eris.Wrap(json.NewDecoder(resp.Body).Decode(&c), "decode counts")
+}
+
+// Metric returns the sum of a counter over all labels and all entry instances that answer.
+func (d *Deployment) Metric(name string) float64 {
+	var sum float64
+	for _, admin := range d.Admins {
+		sum += readMetric(admin, name)
+	}
+	return sum
+}
+
+func readMetric(admin, name string) float64 {
+	resp, err := http.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil || families[name] == nil {
+		return 0
+	}
+	var sum float64
+	for _, m := range families[name].Metric {
+		sum += m.GetCounter().GetValue()
+	}
+	return sum
+}
+
+// FreeAddresses returns n different loopback addresses with ports that were free a moment ago.
+func FreeAddresses(n int) ([]string, error) {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "find a free port")
+		}
+		defer l.Close() // all stay open until the last is found, so that none is found twice
+		list = append(list, l.Addr().String())
+	}
+	return list, nil
+}
+
+// SetFault switches a fault on at the target at addr.
+func SetFault(addr string, fault standin.Fault) error {
+	text, err := json.Marshal(fault)
+	if err != nil {
+		return eris.Wrap(err, "encode fault")
+	}
+	resp, err := http.Post("http://"+addr+"/control/faults", "application/json", strings.NewReader(string(text)))
+	if err != nil {
+		return eris.Wrap(err, "set fault")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("set fault %s: status %d", fault.Kind, resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,6 +14,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
@@ -21,77 +25,229 @@
 	Slots int
 	// QueueLimit is the number of waiting requests beyond which requests are shed.
 	QueueLimit int
-	// ServiceTime is the time in a slot.
+	// ServiceTime is the mean time in a slot.
 	ServiceTime time.Duration
+	// Sigma is the standard deviation of the logarithm of the service time; 0 makes it constant.
+	Sigma float64
+	// Seed fixes the drawn service times.
+	Seed uint64
+	// ColdStart is how long after its start the target is slower.
+	ColdStart time.Duration
+	// ColdFactor multiplies the service time during ColdStart.
+	ColdFactor float64
 	// Start identifies this start of the target.
 	Start string
+	// LedgerLog, if set, receives one line with the work id for each run.
+	LedgerLog io.Writer
 }
 
 // LedgerHeader names the request header whose value the ledger counts.
 const LedgerHeader = "Standin-Work-Id"
 
+// Counts tells what a target did with the requests it received.
+type Counts struct {
+	// Received counts the requests that carry a work id.
+	Received int64 `json:"received"`
+	// Other counts the requests without a work id, such as probes.
+	Other int64 `json:"other"`
+	// Ran counts the requests that took a slot.
+	Ran int64 `json:"ran"`
+	// Shed counts the requests refused because the queue was full.
+	Shed int64 `json:"shed"`
+	// Expired counts the requests whose deadline passed in the queue.
+	Expired int64 `json:"expired"`
+	// Swallowed counts the reads from unresponsive connections, about one for each request sent on them.
+	Swallowed int64 `json:"swallowed"`
+}
+
 // Target stands in for a server with slots, a queue and a ledger of what it ran. It is safe for concurrent use.
 type Target struct {
-	cfg    TargetConfig
-	slots  chan struct{}
-	held   atomic.Int64 // requests in slots or queue
-	ledger ledger
-}
+	cfg      TargetConfig
+	started  time.Time
+	slots    chan *sleeper // free slots
+	held     atomic.Int64  // requests in slots or queue
+	ledger   ledger
+	faults   faults
+	listener *listener // nil unless Serve runs
 
-// ledger counts the runs of each work id.
-type ledger struct {
-	mu   sync.Mutex
-	runs map[string]int
-}
+	received, other, ran, shed, expired atomic.Int64
 
-func (l *ledger) add(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs[id]++
+	mu        sync.Mutex
+	rng       *rand.Rand
+	neighbour neighbour
 }
 
 // NewTarget returns an idle target.
 func NewTarget(cfg TargetConfig) *Target {
-	return &Target{cfg: cfg, slots: make(chan struct{}, cfg.Slots), ledger: ledger{runs: make(map[string]int)}}
+	t := &Target{
+		cfg: cfg, started: time.Now(), slots: make(chan *sleeper, cfg.Slots),
+		ledger: ledger{runs: make(Ledger), log: cfg.LedgerLog},
+		faults: faults{active: make(map[FaultKind]activeFault)},
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+	for range cfg.Slots {
+		t.slots <- newSleeper()
+	}
+	return t
 }
 
 // Handler serves requests, and under /control the switches of the stand-in.
 func (t *Target) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/control/ledger", t.writeLedger)
+	r.Get("/control/ledger", t.ledger.write)
+	r.Get("/control/counts", t.writeCounts)
+	r.Get("/control/faults", t.listFaults)
+	r.Post("/control/faults", t.putFault)
+	r.Delete("/control/faults", t.clearFaults)
 	r.Handle("/*", http.HandlerFunc(t.serve))
 	return r
 }
 
+// Serve serves on l until ctx ends.
+func (t *Target) Serve(ctx context.Context, l net.Listener) error {
+	t.listener = newListener(l)
+	server := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: 10 * time.Second, ConnContext: withConn}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(t.listener); err != http.ErrServerClosed {
+		return eris.Wrap(err, "serve target")
+	}
+	return nil
+}
+
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(LedgerHeader)
+	t.countArrival(id)
 	held := t.held.Add(1)
 	defer t.held.Add(-1)
-	w.Header().Set(wire.HeaderLoad, wire.Load{InUse: int(held), Slots: t.cfg.Slots}.String())
-	w.Header().Set(wire.HeaderStart, t.cfg.Start)
+	if t.failFast(w) {
+		return
+	}
+	t.report(w.Header(), held)
+	if t.faults.on(FaultDrain) {
+		w.Header().Set(wire.HeaderLeaving, "1")
+		declare(w, wire.DeclareDraining)
+		return
+	}
 	if held > int64(t.cfg.Slots+t.cfg.QueueLimit) {
+		t.shed.Add(1)
 		declare(w, wire.DeclareShed)
 		return
 	}
-	ctx := r.Context()
+	ctx, cancel := deadlineContext(r)
+	defer cancel()
+	// The server notices that a caller left only once the request body was read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	slot := t.takeSlot(ctx)
+	if slot == nil {
+		t.expired.Add(1)
+		declare(w, wire.DeclareExpired)
+		return
+	}
+	t.run(ctx, id, slot)
+	if ctx.Err() != nil {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	t.answer(ctx, w, r, id)
+}
+
+func (t *Target) countArrival(id string) {
+	if id == "" {
+		t.other.Add(1)
+		return
+	}
+	t.received.Add(1)
+}
+
+func (t *Target) failFast(w http.ResponseWriter) bool {
+	if t.faults.on(FaultClose) {
+		panic(http.ErrAbortHandler)
+	}
+	if t.faults.on(FaultError) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	return false
+}
+
+func (t *Target) report(h http.Header, held int64) {
+	if t.faults.on(FaultLoadReport) {
+		held = 0
+	}
+	if t.faults.on(FaultLeaving) {
+		h.Set(wire.HeaderLeaving, "1")
+	}
+	h.Set(wire.HeaderLoad, wire.Load{InUse: int(held), Slots: t.cfg.Slots}.String())
+	h.Set(wire.HeaderStart, t.cfg.Start)
+}
+
+func deadlineContext(r *http.Request) (context.Context, context.CancelFunc) {
 	if limit, ok := wire.ParseDeadline(r.Header); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
+		return context.WithTimeout(r.Context(), limit)
 	}
+	return r.Context(), func() {}
+}
+
+// takeSlot waits for a free slot; nil means that ctx ended first and nothing runs.
+func (t *Target) takeSlot(ctx context.Context) *sleeper {
 	select {
-	case t.slots <- struct{}{}:
-		defer func() { <-t.slots }()
+	case slot := <-t.slots:
+		if ctx.Err() == nil {
+			return slot
+		}
+		t.slots <- slot
 	case <-ctx.Done():
-		declare(w, wire.DeclareExpired)
-		return
 	}
-	if id := r.Header.Get(LedgerHeader); id != "" {
-		t.ledger.add(id)
+	return nil
+}
+
+// run holds the slot for the service time, or until the deadline or the cancellation of the request.
+func (t *Target) run(ctx context.Context, id string, slot *sleeper) {
+	defer func() { t.slots <- slot }()
+	t.ran.Add(1)
+	if id != "" {
+		if err := t.ledger.add(id); err != nil {
+			panic(err)
+		}
+	}
+	_ = slot.sleep(ctx, t.serviceTime())
+}
+
+// serviceTime draws from a log-normal distribution whose mean is ServiceTime.
+func (t *Target) serviceTime() time.Duration {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	factor := math.Exp(t.rng.NormFloat64()*t.cfg.Sigma - t.cfg.Sigma*t.cfg.Sigma/2)
+	if now.Sub(t.started) < t.cfg.ColdStart {
+		factor *= t.cfg.ColdFactor
+	}
+	if f, ok := t.faults.get(FaultSlow, now); ok {
+		factor *= f.Factor
+	}
+	if f, ok := t.faults.get(FaultNeighbour, now); ok && t.neighbour.active(now, t.rng) {
+		factor *= f.Factor
+	}
+	return time.Duration(factor * float64(t.cfg.ServiceTime))
+}
+
+// answer echoes the work id, followed by as many zero bytes as the query parameter "size" asks for.
+func (t *Target) answer(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	if f, ok := t.faults.get(FaultDelay, time.Now()); ok {
+		_ = sleepCoarse(ctx, time.Duration(f.DelayMs)*time.Millisecond)
 	}
-	time.Sleep(t.cfg.ServiceTime)
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
-	_, _ = io.WriteString(w, r.Header.Get(LedgerHeader))
-	_, _ = w.Write(make([]byte, size))
+	if !t.faults.on(FaultTruncate) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(id)+size))
+		_, _ = io.WriteString(w, id)
+		_, _ = w.Write(make([]byte, size))
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(id)+size+1))
+	_, _ = io.WriteString(w, id)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
 }
 
 func declare(w http.ResponseWriter, d wire.Declaration) {
@@ -99,8 +255,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func (t *Target) writeLedger(w http.ResponseWriter, _ *http.Request) {
-	t.ledger.mu.Lock()
-	defer t.ledger.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(t.ledger.runs)
+func (t *Target) writeCounts(w http.ResponseWriter, _ *http.Request) {
+	c := Counts{
+		Received: t.received.Load(), Other: t.other.Load(), Ran: t.ran.Load(), Shed: t.shed.Load(),
+		Expired: t.expired.Load(),
+	}
+	if t.listener != nil {
+		c.Swallowed = t.listener.swallowed.Load()
+	}
+	_ = json.NewEncoder(w).Encode(c)
 }
--- /dev/null
+++ b/internal/standin/target_test.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// serveTarget serves a target on its own listener and returns its base URL.
+func serveTarget(t *testing.T, cfg TargetConfig) (*Target, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	target := NewTarget(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- target.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return target, "http://" + l.Addr().String()
+}
+
+func get(t *testing.T, c *http.Client, url, id, deadline string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	req.Header.Set(LedgerHeader, id)
+	if deadline != "" {
+		req.Header.Set(wire.HeaderDeadline, deadline)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func setFault(t *testing.T, base string, f Fault) {
+	t.Helper()
+	text, err := json.Marshal(f)
+	require.NoError(t, err)
+	resp, err := http.Post(base+"/control/faults", "application/json", strings.NewReader(string(text)))
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+// Guards against faults that run a request, or say so, when the contract of the fault says otherwise.
+func TestFaultsShowTheirContract(t *testing.T) {
+	cases := []struct {
+		fault   Fault
+		status  int // 0: no whole answer
+		declare wire.Declaration
+		ran     int
+	}{
+		{Fault{Kind: FaultError}, 500, "", 0},
+		{Fault{Kind: FaultClose}, 0, "", 0},
+		{Fault{Kind: FaultDrain}, 503, wire.DeclareDraining, 0},
+		{Fault{Kind: FaultTruncate}, 0, "", 1},
+		{Fault{Kind: FaultDelay, DelayMs: 1}, 200, "", 1},
+		{Fault{Kind: FaultLeaving}, 200, "", 1},
+		{Fault{Kind: FaultLoadReport}, 200, "", 1},
+		{Fault{Kind: FaultSlow, Factor: 2}, 200, "", 1},
+		{Fault{Kind: FaultNeighbour, Factor: 2}, 200, "", 1},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault.Kind), func(t *testing.T) {
+			target, base := serveTarget(t, TargetConfig{Slots: 1, ServiceTime: time.Millisecond, Sigma: 0.5})
+			setFault(t, base, c.fault)
+			// A POST, because the client repeats a GET by itself on a broken connection.
+			resp, err := http.DefaultClient.Do(booking(t, base, "w1"))
+			status := 0
+			if err == nil {
+				defer resp.Body.Close()
+				if _, err = io.ReadAll(resp.Body); err == nil {
+					status = resp.StatusCode
+					require.Equal(t, string(c.declare), resp.Header.Get(wire.HeaderDeclare))
+				}
+			}
+			require.Equal(t, c.status, status)
+			require.Equal(t, c.ran, target.ledger.runs["w1"])
+		})
+	}
+}
+
+func booking(t *testing.T, base, id string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, base+"/bookings/1", strings.NewReader(id))
+	require.NoError(t, err)
+	req.Header.Set(LedgerHeader, id)
+	return req
+}
+
+// Guards against a silent fault that also stops new connections, or that lets an old one answer.
+func TestSilentConnectionsStayOpenAndNewOnesWork(t *testing.T) {
+	_, base := serveTarget(t, TargetConfig{Slots: 1})
+	old := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: 100 * time.Millisecond}
+	_, _, err := get(t, old, base, "a", "")
+	require.NoError(t, err)
+	setFault(t, base, Fault{Kind: FaultSilent})
+	_, _, err = get(t, old, base, "b", "")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, body, err := get(t, &http.Client{Transport: &http.Transport{}}, base, "c", "")
+	require.NoError(t, err)
+	require.Equal(t, "c", body)
+}
+
+// Guards against a target that runs work which it declared shed or expired.
+func TestFullTargetDeclaresAndDoesNotRun(t *testing.T) {
+	target := NewTarget(TargetConfig{Slots: 1, QueueLimit: 1, ServiceTime: time.Hour})
+	server := httptest.NewServer(target.Handler())
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	holder := booking(t, server.URL, "holder").WithContext(ctx)
+	go func() {
+		if resp, err := server.Client().Do(holder); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return target.ran.Load() == 1 }, 10*time.Second, time.Millisecond)
+
+	resp, _, err := get(t, server.Client(), server.URL, "late", "20")
+	require.NoError(t, err)
+	require.Equal(t, string(wire.DeclareExpired), resp.Header.Get(wire.HeaderDeclare))
+
+	target.held.Add(1) // as if one request waited
+	resp, _, err = get(t, server.Client(), server.URL, "extra", "")
+	require.NoError(t, err)
+	require.Equal(t, string(wire.DeclareShed), resp.Header.Get(wire.HeaderDeclare))
+	require.Equal(t, Ledger{"holder": 1}, target.ledger.runs)
+
+	cancel() // the slot is freed although the work would take an hour
+	require.Eventually(t, func() bool { return len(target.slots) == 1 }, 10*time.Second, time.Millisecond)
+}
