--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/burdockpitch/burdockpitch/internal/standin"
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+func newLoad() *cobra.Command {
+	cfg := standin.LoadConfig{Mix: standin.DefaultMix, Wait: standin.DefaultWait()}
+	stage := standin.Stage{Phase: standin.PhaseBefore}
+	var ledgers []string
+	cmd := &cobra.Command{
+		Use: "load", Short: "Open-loop callers; optionally compares with ledger files", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Stages = []standin.Stage{stage}
+			result := standin.RunLoad(cmd.Context(), cfg)
+			for _, class := range []core.Class{core.ClassLookup, core.ClassPatient, core.ClassOnce} {
+				h := result.Latency(class, stage.Phase)
+				fmt.Fprintf(cmd.OutOrStdout(), "%-7s %s\n", class, standin.FormatPercentiles(h))
+			}
+			unserved := result.Count(func(rec *standin.Record) bool { return !rec.Served() })
+			fmt.Fprintf(cmd.OutOrStdout(), "not served: %d of %d\n", unserved, len(result.Records))
+			return compareLedgers(cmd, result, ledgers)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&cfg.Entries, "entry", nil, "addresses to spread the requests over")
+	f.StringSliceVar(&ledgers, "ledger", nil, "ledger files of all targets")
+	f.Float64Var(&stage.Rate, "rate", 100, "requests per second")
+	f.DurationVar(&stage.Length, "length", 10*time.Second, "length of the run")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the schedule")
+	f.Float64Var(&cfg.Mix.Lookup, "lookup", cfg.Mix.Lookup, "share of lookups")
+	f.Float64Var(&cfg.Mix.Patient, "patient", cfg.Mix.Patient, "share of patient requests; the rest are bookings")
+	_ = cmd.MarkFlagRequired("entry")
+	return cmd
+}
+
+func compareLedgers(cmd *cobra.Command, result *standin.LoadResult, files []string) error {
+	if len(files) == 0 {
+		return nil
+	}
+	all := make(standin.Ledger)
+	for _, file := range files {
+		l, err := standin.ReadLedgerFile(file)
+		if err != nil {
+			return err
+		}
+		all.Merge(l)
+	}
+	c := result.Compare(all)
+	fmt.Fprintln(cmd.OutOrStdout(), "ledger:", c)
+	if !c.Clean() {
+		return eris.New("callers were told something else than what ran")
+	}
+	return nil
+}
--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -105,6 +105,21 @@
 	c.processes = nil
 }
 
+// running returns the processes that have not ended.
+func (c *Cluster) running() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []*Process
+	for _, p := range c.processes {
+		select {
+		case <-p.done:
+		default:
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -30,6 +30,10 @@
 booking = { path = "/bookings/*", methods = ["POST"], class = "once", deadline = "3s" } # asked by the load generator
 `
 
+// control is the client for the control paths of the stand-ins and for administration. It keeps no connection, since a
+// fault may have made it unresponsive, and gives up on a stopped process.
+var control = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 500 * time.Millisecond}
+
 // zones is the number of availability zones that targets and entry instances are spread over.
 const zones = 3
 
@@ -199,7 +203,7 @@
 // Counts returns the counts of a target.
 func (d *Deployment) Counts(target int) (standin.Counts, error) {
 	var c standin.Counts
-	resp, err := http.Get("http://" + d.Targets[target] + "/control/counts")
+	resp, err := control.Get("http://" + d.Targets[target] + "/control/counts")
 	if err != nil {
 		return c, eris.Wrap(err, "read counts")
 	}
@@ -217,7 +221,7 @@
 }
 
 func readMetric(admin, name string) float64 {
-	resp, err := http.Get("http://" + admin + "/metrics")
+	resp, err := control.Get("http://" + admin + "/metrics")
 	if err != nil {
 		return 0
 	}
@@ -254,7 +258,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode fault")
 	}
-	resp, err := http.Post("http://"+addr+"/control/faults", "application/json", strings.NewReader(string(text)))
+	resp, err := control.Post("http://"+addr+"/control/faults", "application/json", strings.NewReader(string(text)))
 	if err != nil {
 		return eris.Wrap(err, "set fault")
 	}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -138,7 +138,9 @@
 	for _, c := range g.clients {
 		c.CloseIdleConnections()
 	}
-	return &LoadResult{Records: g.records[:sent], Wall: time.Since(g.base)}
+	result := &LoadResult{Records: g.records[:sent], Wall: time.Since(g.base)}
+	result.assignOnset(cfg.Stages, arrivals)
+	return result
 }
 
 // beginStages calls Begin of each stage at its time and returns the end of the last stage.
--- a/internal/standin/load_record.go
+++ b/internal/standin/load_record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -54,6 +55,24 @@
 	Wall time.Duration
 }
 
+// assignOnset moves requests that were in flight when the fault began to its first phase, so that the figures from
+// before the fault hold nothing of it.
+func (r *LoadResult) assignOnset(stages []Stage, arrivals []arrival) {
+	at := slices.IndexFunc(stages, func(s Stage) bool { return s.Phase == PhaseOnset })
+	if at < 0 {
+		return
+	}
+	var onset time.Duration
+	for _, s := range stages[:at] {
+		onset += s.Length
+	}
+	for i := range r.Records {
+		if rec := &r.Records[i]; rec.Phase == PhaseBefore && arrivals[i].at+rec.Latency > onset {
+			rec.Phase = PhaseOnset
+		}
+	}
+}
+
 // Histogram limits: 1 us to 60 s at three significant digits.
 const (
 	lowestMicros  = 1
@@ -79,9 +98,9 @@
 	return r.Histogram(keep, latencyOf)
 }
 
-// RefusalLatency returns the distribution of the time to a refusal over all phases but the warm-up.
+// RefusalLatency returns the distribution of the time to a refusal from the onset on.
 func (r *LoadResult) RefusalLatency() *hdrhistogram.Histogram {
-	return r.Histogram(func(rec *Record) bool { return rec.Phase != PhaseWarmUp && rec.Refused() }, latencyOf)
+	return r.Histogram(func(rec *Record) bool { return inFault(rec) && rec.Refused() }, latencyOf)
 }
 
 // SendLag returns the distribution of how late requests were sent.
