--- a/internal/e2e/measure.go
+++ b/internal/e2e/measure.go
@@ -194,7 +194,7 @@
 		if err := r.Undo(r.d); err != nil {
 			return err
 		}
-		end.counts = r.countsAfterUndo()
+		end.counts = r.d.Settled()
 	}
 	ledger, err := r.d.Ledger()
 	if err != nil {
@@ -213,22 +213,23 @@
 	return nil
 }
 
-// countsAfterUndo waits until the resumed target has read what was sent to it.
-func (r *faultRun) countsAfterUndo() []int64 {
-	last := r.d.received()
+// settle is how long the count of a resumed target must stay the same to be taken as final.
+const settle = 200 * time.Millisecond
+
+// Settled waits until a resumed first target has read what was sent to it, and returns the requests received by each
+// target.
+func (d *Deployment) Settled() []int64 {
+	last := d.received()
 	for {
 		time.Sleep(settle)
-		next := r.d.received()
-		if next[0] == last[0] {
+		next := d.received()
+		if next[0] == last[0] && next[0] != unknownCount {
 			return next
 		}
 		last = next
 	}
 }
 
-// settle is how long a resumed target's count must stay the same to be taken as final.
-const settle = 200 * time.Millisecond
-
 func countBetween(from, to sample) (affected, all int64) {
 	for i := range to.counts {
 		n := max(to.counts[i]-max(from.counts[i], 0), 0)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +54,8 @@
 	Mix Mix
 	// Wait is how long a caller waits for its answer, by class.
 	Wait map[core.Class]time.Duration
+	// Deadline, if set, is sent with each request. It should be shorter than Wait, so that the answer still arrives.
+	Deadline time.Duration
 }
 
 // DefaultWait is how long callers wait unless configured.
@@ -209,7 +210,9 @@
 		panic(err) // the address is not an address
 	}
 	req.Header.Set(LedgerHeader, a.id)
-	req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(g.cfg.Wait[a.class].Milliseconds(), 10))
+	if g.cfg.Deadline > 0 {
+		req.Header.Set(wire.HeaderDeadline, wire.FormatDeadline(g.cfg.Deadline))
+	}
 	return req
 }
 
