settings: add connections.wait_limit

Ruled out: a default inside the pool; two places would then decide the value. Before: WaitLimit 0 from settings. After: 250 ms by default, checked from 1 ms to 1 m. Conclusion: every field of target.Config has a setting.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -29,6 +29,7 @@
 	{"connections.per_target", 1, 100_000, "from 1 to 100000"},
 	{"connections.dial_timeout", float64(time.Millisecond), float64(10 * time.Second), "from 1ms to 10s"},
 	{"connections.idle_timeout", float64(time.Second), float64(10 * time.Minute), "from 1s to 10m"},
+	{"connections.wait_limit", float64(time.Millisecond), float64(time.Minute), "from 1ms to 1m"},
 	{"connections.fresh_within", 0, float64(10 * time.Minute), "from 0s to 10m"},
 	{"retry.ratio", 0, 1, "a share from 0 to 1"},
 	{"retry.floor", 0, 10_000, "from 0 to 10000"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -104,6 +104,8 @@
 	DialTimeout Duration `toml:"dial_timeout"`
 	// IdleTimeout closes a connection that was unused for this long. Default 30s.
 	IdleTimeout Duration `toml:"idle_timeout"`
+	// WaitLimit bounds the wait for a connection while all are in use; then another target is tried. Default 250ms.
+	WaitLimit Duration `toml:"wait_limit"`
 	// FreshWithin is how recently a reused connection received a byte to carry a "once" attempt. Default 1s.
 	FreshWithin Duration `toml:"fresh_within"`
 }
@@ -172,6 +174,7 @@
 			PerTarget:   200,
 			DialTimeout: Duration(t.DialTimeout),
 			IdleTimeout: Duration(t.IdleTimeout),
+			WaitLimit:   Duration(t.WaitLimit),
 			FreshWithin: Duration(t.FreshWithin),
 		},
 		Retry:    Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
@@ -214,6 +217,7 @@
 	return target.Config{
 		DialTimeout:    s.Connections.DialTimeout.Std(),
 		MaxConnections: max(s.Connections.PerTarget/s.Instances, 1),
+		WaitLimit:      s.Connections.WaitLimit.Std(),
 		FreshWithin:    s.Connections.FreshWithin.Std(),
 		IdleTimeout:    s.Connections.IdleTimeout.Std(),
 	}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -92,6 +92,7 @@
 per_target = 100
 dial_timeout = "2s"
 idle_timeout = "9s"
+wait_limit = "4s"
 fresh_within = "3s"
 [retry]
 ratio = 0.2
@@ -111,7 +112,7 @@
 	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
 	require.Equal(t, want, s.Policy())
 	require.Equal(t, target.Config{
-		DialTimeout: 2 * time.Second, MaxConnections: 14, FreshWithin: 3 * time.Second, IdleTimeout: 9 * time.Second,
+		DialTimeout: 2 * time.Second, WaitLimit: 4 * time.Second, MaxConnections: 14, FreshWithin: 3 * time.Second, IdleTimeout: 9 * time.Second,
 	}, s.Target())
 }
 
