gateway: report outcomes, refuse with reasons and survive broken peers

Cause: the thin handler told "answered" for every delivered response, also for 5xx and for a relayed give-up of an inner instance; counted only some refusals; held a target's slot while the caller read; passed on no trailers; numbered requests from 1 on each instance.

Now: outcome "unknown" for 5xx and give-ups, which are also marked when they commit; a closed set of refusal reasons, each with status, outcome, Retry-After and counter; Upgrade and CONNECT refused; body read within the rule's deadline; a complete answer frees its slot before it is written to the caller, a streamed one is flushed piece by piece under a limit on each write; a broken stream aborts the connection; request ids of 128 random bits; one log line per request; pause detection on both clocks with core.Resumed and Config.OnResume.

Runs that failed without the mechanism: TestAnswerIsPassedOn (chunked cut: no abort; 500, inner not-run, inner unknown: outcome from the status alone), TestStreamIsFlushed (no flush: timed out), TestRefusals/slow body (no read deadline: timed out), TestCallerCannotHoldTheTarget (no write limit: timed out), TestPauseIsDetected/suspended host (monotonic clock only), TestLogLineAndDrain (no Connection: close), TestAnswerIsPassedOn/trailers (short chunked body lost its trailers until the head is flushed).

Ruled out: passing 1xx answers on, because the attempt that sent them may still be replaced; a fixed write deadline for the whole answer, because it would cut long answers that are read steadily.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -16,6 +16,7 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
@@ -46,7 +47,9 @@
 }
 
 func newLogger() logr.Logger {
-	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+	handler := slog.NewJSONHandler(os.Stderr, nil)
+	slog.SetDefault(slog.New(handler)) // net/http writes to the default logger
+	return logr.FromSlogHandler(handler)
 }
 
 func newRegistry() (*prometheus.Registry, prometheus.Registerer) {
@@ -119,7 +122,7 @@
 }
 
 func (i *instance) run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", i.settings.Listen)
+	callers, err := sockets.ListenConfig().Listen(ctx, "tcp", i.settings.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -127,7 +130,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
-	callerServer := &http.Server{Handler: i.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := i.gateway.NewServer()
 	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry), ReadHeaderTimeout: readHeaderTimeout}
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
@@ -135,6 +138,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(adminServer, administration) })
+	go i.gateway.WatchPauses(background)
 	go i.reader.WatchIndex(background)
 	go i.reader.WatchInstances(background)
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
@@ -145,15 +149,24 @@
 	return group.Wait()
 }
 
-// stop lets the platform's balancer see the failing readiness before connections close.
+// stop ends the instance without cutting a request. During the lame-duck period the platform's balancer sees the failing
+// readiness, and callers are moved off their kept-alive connections by the answers to their own requests: closing an idle
+// connection earlier could cut a request that is on its way.
 func (i *instance) stop(callers *http.Server) {
 	i.stopping.Store(true)
+	i.gateway.Drain()
 	i.log.Info("instance stopping")
-	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
 	defer cancel()
+	select {
+	case <-time.After(i.settings.LameDuck.Std()):
+	case <-ctx.Done():
+	}
 	if err := callers.Shutdown(ctx); err != nil {
-		i.log.Error(err, "graceful stop cut requests")
+		aborted := i.gateway.Active()
+		i.gateway.CountAborted(aborted)
+		i.log.Error(err, "graceful stop reached its limit", "aborted", aborted)
+		_ = callers.Close()
 	}
 	i.log.Info("instance stopped")
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
-	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // engine runs the reducer of one service: it feeds events in under one lock and performs the effects.
@@ -41,6 +39,8 @@
 	attempt  target.Attempt // template of each attempt
 	decided  chan decision  // buffered by one; receives the only decision
 	attempts map[core.AttemptID]*flight
+	sent     int           // attempts started
+	last     core.TargetID // target of the last attempt
 }
 
 // flight is one attempt that is being sent.
@@ -58,6 +58,8 @@
 	attempt core.AttemptID
 	target  core.TargetID
 	refusal core.Effect
+	// attempts is the number of attempts that were started.
+	attempts int
 }
 
 func newEngine(name string, policy core.Policy, ck clock, cl *clients, m *Metrics, log logr.Logger) *engine {
@@ -120,6 +122,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &flight{target: effect.Target, cancel: cancel}
 	x.attempts[effect.Attempt] = f
+	x.sent++
+	x.last = effect.Target
 	a := x.attempt
 	a.Fresh = effect.Fresh
 	if at := e.clock.time(effect.At); at.Before(a.Deadline) {
@@ -147,12 +151,12 @@
 	x := e.pending[effect.Request]
 	f := x.attempts[effect.Attempt]
 	f.taken = true
-	x.decided <- decision{answer: f.answer, attempt: effect.Attempt, target: f.target}
+	x.decided <- decision{answer: f.answer, attempt: effect.Attempt, target: f.target, attempts: x.sent}
 }
 
 func (e *engine) refuse(effect core.Effect) {
 	x := e.pending[effect.Request]
-	x.decided <- decision{refusal: effect}
+	x.decided <- decision{refusal: effect, target: x.last, attempts: x.sent}
 	e.forget(x)
 }
 
@@ -181,14 +185,18 @@
 func (e *engine) commit(x *exchange, id core.AttemptID, f *flight, answer *bufferedAnswer) {
 	e.mu.Lock()
 	f.answer = answer
-	e.apply(core.AttemptCommitted{Request: x.id, Attempt: id})
+	e.apply(core.AttemptCommitted{Request: x.id, Attempt: id, Failed: answer.failed(), GaveUp: answer.gaveUp})
 	taken := f.taken
 	e.mu.Unlock()
 	if taken {
 		return
 	}
 	answer.close()
-	e.end(x, id, attemptAnswered(x.id, id, answer, answer.complete))
+	end := delivered
+	if !answer.complete {
+		end = callerBroke // nobody wanted the rest
+	}
+	e.end(x, id, attemptDelivered(x.id, id, answer, end))
 }
 
 // end reports the end of an attempt and frees its resources.
@@ -202,36 +210,3 @@
 	e.apply(ev)
 	e.forget(x)
 }
-
-func attemptFailed(request core.RequestID, id core.AttemptID, err error) core.AttemptEnded {
-	ev := core.AttemptEnded{Request: request, Attempt: id, Outcome: core.OutcomeUnknown, Reason: core.ReasonFailed, Failed: true}
-	if failure, ok := err.(*target.Error); ok {
-		ev.Outcome = failure.Outcome
-		ev.Reason = failure.Reason
-		ev.Failed = failure.Outcome == core.OutcomeUnknown
-		readReports(&ev, failure.Header)
-	}
-	return ev
-}
-
-func attemptAnswered(request core.RequestID, id core.AttemptID, answer *bufferedAnswer, whole bool) core.AttemptEnded {
-	ev := core.AttemptEnded{Request: request, Attempt: id, Outcome: core.OutcomeAnswered}
-	if !whole {
-		ev.Outcome = core.OutcomeUnknown
-		ev.Reason = core.ReasonFailed
-	}
-	ev.Failed = answer.Status >= http.StatusInternalServerError
-	readReports(&ev, answer.Header)
-	return ev
-}
-
-func readReports(ev *core.AttemptEnded, h http.Header) {
-	if h == nil {
-		return
-	}
-	if load, ok := wire.ParseLoad(h); ok {
-		ev.Load = core.LoadReport{InUse: load.InUse, Slots: load.Slots}
-	}
-	ev.Start = h.Get(wire.HeaderStart)
-	ev.Leaving = h.Get(wire.HeaderLeaving) != "" || h.Get(wire.HeaderDeclare) == string(wire.DeclareDraining)
-}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,22 +5,16 @@
 package gateway
 
 import (
-	"errors"
-	"io"
-	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
-	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // Config configures the caller side.
@@ -29,8 +23,16 @@
 	Policy core.Policy
 	// Target configures the connections to targets.
 	Target target.Config
+	// WriteStall bounds each write to a caller; zero means DefaultWriteStall.
+	WriteStall time.Duration
+	// OnResume is called after a pause of the process was reported to all services; it may be nil.
+	OnResume func(gap time.Duration)
 }
 
+// DefaultWriteStall is long enough for a congested network and short enough to free the slot of a target whose answer
+// nobody reads.
+const DefaultWriteStall = 10 * time.Second
+
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg     Config
@@ -39,7 +41,8 @@
 	metrics *Metrics
 	log     logr.Logger
 	table   atomic.Pointer[rules.Table]
-	lastID  atomic.Uint64
+	drains  atomic.Bool
+	active  atomic.Int64 // requests of callers
 
 	mu      sync.Mutex
 	engines map[string]*engine
@@ -47,6 +50,9 @@
 
 // New returns a gateway without rules and targets.
 func New(cfg Config, m *Metrics, log logr.Logger) *Gateway {
+	if cfg.WriteStall == 0 {
+		cfg.WriteStall = DefaultWriteStall
+	}
 	g := &Gateway{
 		cfg: cfg, clock: newClock(), clients: newClients(cfg.Target), metrics: m, log: log,
 		engines: make(map[string]*engine),
@@ -99,114 +105,24 @@
 	return e
 }
 
-// Handler returns the HTTP handler for callers.
-func (g *Gateway) Handler() http.Handler {
-	r := chi.NewRouter()
-	r.Handle("/*", http.HandlerFunc(g.serve))
-	return r
-}
-
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	rule := g.table.Load().Match(r.Method, r.URL.Path)
-	if rule == nil {
-		reject(w, http.StatusNotFound, "no-rule")
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rule.BodyLimit))
-	if err != nil {
-		rejectBody(w, err)
-		return
-	}
-	e := g.engine(rule.Service)
-	x := e.submit(rule.Class, wire.ParseHops(r.Header), g.attempt(r, rule, body))
-	g.await(w, r, e, x)
-}
-
-func (g *Gateway) attempt(r *http.Request, rule *rules.Rule, body []byte) target.Attempt {
-	limit := rule.Deadline
-	if asked, ok := wire.ParseDeadline(r.Header); ok && asked < limit {
-		limit = asked
-	}
-	header := r.Header.Clone()
-	removeHopByHop(header)
-	wire.StripFromCaller(header)
-	header.Set(wire.HeaderHops, strconv.Itoa(wire.ParseHops(r.Header)+1))
-	if header.Get(wire.HeaderRequestID) == "" {
-		header.Set(wire.HeaderRequestID, strconv.FormatUint(g.lastID.Add(1), 36))
-	}
-	return target.Attempt{
-		Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body, Deadline: time.Now().Add(limit),
-	}
-}
-
-// await waits for the decision on a request and answers its caller.
-func (g *Gateway) await(w http.ResponseWriter, r *http.Request, e *engine, x *exchange) {
-	var d decision
-	select {
-	case d = <-x.decided:
-	case <-r.Context().Done():
-		e.dispatch(core.CallerLeft{Request: x.id})
-		d = <-x.decided
-	}
-	if d.answer == nil {
-		e.metrics.refusals.WithLabelValues(e.name, string(d.refusal.Reason)).Inc()
-		writeRefusal(w, d.refusal)
-		return
-	}
-	whole := writeAnswer(w, d.answer)
-	d.answer.close()
-	e.metrics.requests.WithLabelValues(e.name, x.class.String(), string(wire.OutcomeAnswered)).Inc()
-	e.end(x, d.attempt, attemptAnswered(x.id, d.attempt, d.answer, whole))
-	if !whole {
-		panic(http.ErrAbortHandler) // the caller must see a broken answer, not a clean end
-	}
+// Drain begins the graceful stop: each answer from now on closes its connection, and the reducers are told. Requests
+// are still served.
+func (g *Gateway) Drain() {
+	g.drains.Store(true)
+	g.broadcast(core.StopRequested{})
 }
 
-func writeRefusal(w http.ResponseWriter, refusal core.Effect) {
-	outcome := wire.OutcomeUnknown
-	status := http.StatusBadGateway
-	if refusal.NotRun {
-		outcome = wire.OutcomeNotRun
-		status = http.StatusServiceUnavailable
-	}
-	h := w.Header()
-	h.Set(wire.HeaderOutcome, string(outcome))
-	h.Set(wire.HeaderReason, string(refusal.Reason))
-	h.Set("Retry-After", strconv.Itoa(int((refusal.RetryAfter+time.Second-1)/time.Second)))
-	w.WriteHeader(status)
-}
+// Active returns the number of requests of callers that are being served.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
 
-// writeAnswer passes the answer on and reports whether all of it was written.
-func writeAnswer(w http.ResponseWriter, a *bufferedAnswer) bool {
-	h := w.Header()
-	for name, values := range a.Header {
-		h[name] = values
-	}
-	removeHopByHop(h)
-	wire.StripFromTarget(h)
-	h.Set(wire.HeaderOutcome, string(wire.OutcomeAnswered))
-	w.WriteHeader(a.Status)
-	if _, err := w.Write(a.first); err != nil {
-		return false
-	}
-	if a.complete {
-		return true
-	}
-	_, err := io.Copy(w, a.Body)
-	return err == nil
-}
-
-func reject(w http.ResponseWriter, status int, reason core.Reason) {
-	w.Header().Set(wire.HeaderOutcome, string(wire.OutcomeNotRun))
-	w.Header().Set(wire.HeaderReason, string(reason))
-	w.WriteHeader(status)
-}
+// CountAborted counts the requests that are cut because the graceful stop reached its limit.
+func (g *Gateway) CountAborted(n int) { g.metrics.aborted.Add(float64(n)) }
 
-func rejectBody(w http.ResponseWriter, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		reject(w, http.StatusRequestEntityTooLarge, "body-too-large")
-		return
+// broadcast sends an event to every service.
+func (g *Gateway) broadcast(ev core.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.engines {
+		e.dispatch(ev)
 	}
-	reject(w, http.StatusBadRequest, "body-broken")
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,7 @@
 	hedges    *prometheus.CounterVec
 	ejections *prometheus.CounterVec
 	denied    *prometheus.CounterVec
+	aborted   prometheus.Counter
 }
 
 // NewMetrics registers the counters with reg.
@@ -24,7 +25,7 @@
 		reg.MustRegister(c)
 		return c
 	}
-	return &Metrics{
+	m := &Metrics{
 		requests:  counter("requests_total", "Requests by service, class and outcome.", "service", "class", "outcome"),
 		refusals:  counter("refusals_total", "Refused requests by reason.", "service", "reason"),
 		attempts:  counter("attempts_total", "Attempts by outcome and reason.", "service", "outcome", "reason"),
@@ -33,6 +34,14 @@
 		ejections: counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		denied:    counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
+	m.aborted = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "burdockpitch", Name: "stop_aborted_requests_total", Help: "Requests cut by the limit of a graceful stop.",
+	})
+	reg.MustRegister(m.aborted)
+	for _, r := range rejections {
+		m.refusals.WithLabelValues("", string(r.reason))
+	}
+	return m
 }
 
 func (m *Metrics) count(service string, effect core.Effect) {
--- /dev/null
+++ b/pkg/gateway/reasons.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+// Reasons for refusals before a request reaches the reducer. They complete the closed set of package core.
+const (
+	ReasonNoRule       core.Reason = "no-rule"
+	ReasonBodyTooLarge core.Reason = "body-too-large"
+	ReasonBodyBroken   core.Reason = "body-broken"
+	ReasonBodySlow     core.Reason = "body-slow"
+	ReasonUpgrade      core.Reason = "upgrade"
+	ReasonConnect      core.Reason = "connect"
+)
+
+// rejection is the answer to a request that is refused before it reaches the reducer.
+type rejection struct {
+	reason core.Reason
+	status int
+	// retryAfter is short where a new configuration may help, and long where only another request does.
+	retryAfter time.Duration
+}
+
+const (
+	retrySoon  = time.Second
+	retryLater = time.Minute
+)
+
+var (
+	rejectNoRule       = rejection{ReasonNoRule, http.StatusNotFound, retrySoon}
+	rejectBodyTooLarge = rejection{ReasonBodyTooLarge, http.StatusRequestEntityTooLarge, retryLater}
+	rejectBodyBroken   = rejection{ReasonBodyBroken, http.StatusBadRequest, retryLater}
+	rejectBodySlow     = rejection{ReasonBodySlow, http.StatusRequestTimeout, retrySoon}
+	rejectUpgrade      = rejection{ReasonUpgrade, http.StatusNotImplemented, retryLater}
+	rejectConnect      = rejection{ReasonConnect, http.StatusNotImplemented, retryLater}
+)
+
+var rejections = []rejection{
+	rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectUpgrade, rejectConnect,
+}
+
+// refusalStatus returns the status of a request that the reducer refused.
+func refusalStatus(refusal core.Effect) int {
+	switch {
+	case refusal.Reason == core.ReasonLoop:
+		return http.StatusLoopDetected
+	case refusal.NotRun:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == core.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/pkg/gateway/serve.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout is longer than the idle timeouts of common balancers, so that the balancer closes first and no
+	// request meets a connection that is being closed.
+	callerIdleTimeout = 10 * time.Minute
+	// maxHeaderBytes bounds the head of a caller's request; a longer one is answered with status 431.
+	maxHeaderBytes = 64 << 10
+)
+
+// NewServer returns a server for callers with its limits on slow and oversized requests.
+func (g *Gateway) NewServer() *http.Server {
+	return &http.Server{
+		Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
+	}
+}
+
+// Handler returns the HTTP handler for callers.
+func (g *Gateway) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.NotFound(g.serve) // rules match paths and methods, also those that chi does not know
+	r.MethodNotAllowed(g.serve)
+	r.Handle("/*", http.HandlerFunc(g.serve))
+	return r
+}
+
+// call is one request of a caller on its way through the gateway.
+type call struct {
+	*callerWriter
+	r       *http.Request
+	id      string
+	arrived time.Time
+	rule    *rules.Rule
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c := &call{callerWriter: g.newCallerWriter(w), r: r, arrived: time.Now(), id: wire.ParseRequestID(r.Header)}
+	if c.id == "" {
+		c.id = rand.Text() // 128 random bits: unique over all entry instances
+	}
+	c.Header().Set(wire.HeaderRequestID, c.id)
+	if g.drains.Load() {
+		c.Header().Set("Connection", "close")
+	}
+	body, refusal := g.accept(c)
+	if refusal != nil {
+		g.reject(c, *refusal)
+		return
+	}
+	e := g.engine(c.rule.Service)
+	x := e.submit(c.rule.Class, wire.ParseHops(r.Header), c.attempt(body))
+	g.await(c, e, x)
+}
+
+// accept finds the rule and reads the body.
+func (g *Gateway) accept(c *call) ([]byte, *rejection) {
+	switch {
+	case c.r.Method == http.MethodConnect:
+		return nil, &rejectConnect
+	case len(c.r.Header["Upgrade"]) > 0:
+		return nil, &rejectUpgrade
+	}
+	c.rule = g.table.Load().Match(c.r.Method, c.r.URL.Path)
+	if c.rule == nil {
+		return nil, &rejectNoRule
+	}
+	if c.r.ContentLength > c.rule.BodyLimit {
+		return nil, &rejectBodyTooLarge // before the caller is told to continue
+	}
+	if c.r.ContentLength == 0 {
+		return nil, nil
+	}
+	return c.readBody()
+}
+
+// readBody reads the body within the rule's deadline.
+func (c *call) readBody() ([]byte, *rejection) {
+	_ = c.control.SetReadDeadline(c.arrived.Add(c.rule.Deadline))
+	limited := http.MaxBytesReader(c.ResponseWriter, c.r.Body, c.rule.BodyLimit)
+	var body []byte
+	var err error
+	if n := c.r.ContentLength; n > 0 {
+		body = make([]byte, n)
+		_, err = io.ReadFull(limited, body)
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	if err == nil {
+		// An expired read deadline would look as if the caller had left.
+		_ = c.control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &rejectBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &rejectBodySlow
+	}
+	return nil, &rejectBodyBroken
+}
+
+func (c *call) attempt(body []byte) target.Attempt {
+	limit := c.rule.Deadline
+	if asked, ok := wire.ParseDeadline(c.r.Header); ok && asked < limit {
+		limit = asked
+	}
+	header := c.r.Header.Clone()
+	removeHopByHop(header)
+	wire.StripFromCaller(header)
+	wire.StripFromCaller(c.r.Trailer)
+	header.Set(wire.HeaderHops, strconv.Itoa(wire.ParseHops(c.r.Header)+1))
+	header.Set(wire.HeaderRequestID, c.id)
+	return target.Attempt{
+		Method: c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header, Body: body, Trailer: c.r.Trailer,
+		Deadline: c.arrived.Add(limit),
+	}
+}
+
+// await waits for the decision on a request and answers its caller.
+func (g *Gateway) await(c *call, e *engine, x *exchange) {
+	d := waitForDecision(c.r.Context(), e, x)
+	if d.answer == nil {
+		g.refuse(c, d)
+		return
+	}
+	if d.answer.complete {
+		// The target is done: a caller that reads slowly does not hold its slot.
+		e.end(x, d.attempt, attemptDelivered(x.id, d.attempt, d.answer, delivered))
+	}
+	end := c.writeAnswer(d.answer)
+	if !d.answer.complete {
+		d.answer.close()
+		e.end(x, d.attempt, attemptDelivered(x.id, d.attempt, d.answer, end))
+	}
+	outcome := d.answer.outcome()
+	if end != delivered {
+		outcome = wire.OutcomeUnknown
+	}
+	g.finish(c, result{target: d.target, attempts: d.attempts, outcome: outcome, status: d.answer.Status})
+	if end != delivered {
+		panic(http.ErrAbortHandler) // the caller must see a broken answer, not a clean end
+	}
+}
+
+func waitForDecision(ctx context.Context, e *engine, x *exchange) decision {
+	select {
+	case d := <-x.decided:
+		return d
+	case <-ctx.Done():
+		e.dispatch(core.CallerLeft{Request: x.id})
+		return <-x.decided
+	}
+}
+
+func (g *Gateway) refuse(c *call, d decision) {
+	outcome := wire.OutcomeUnknown
+	if d.refusal.NotRun {
+		outcome = wire.OutcomeNotRun
+	}
+	res := result{
+		target: d.target, attempts: d.attempts, outcome: outcome, reason: d.refusal.Reason, status: refusalStatus(d.refusal),
+	}
+	c.writeRefusal(res.status, outcome, res.reason, d.refusal.RetryAfter)
+	g.finish(c, res)
+}
+
+func (g *Gateway) reject(c *call, why rejection) {
+	c.writeRefusal(why.status, wire.OutcomeNotRun, why.reason, why.retryAfter)
+	g.finish(c, result{outcome: wire.OutcomeNotRun, reason: why.reason, status: why.status})
+}
+
+// result is how a request ended.
+type result struct {
+	target   core.TargetID
+	attempts int
+	outcome  wire.Outcome
+	reason   core.Reason // set for refusals
+	status   int
+}
+
+// finish counts and logs the end of a request.
+func (g *Gateway) finish(c *call, res result) {
+	var service, class, rule string
+	if c.rule != nil {
+		service, class, rule = c.rule.Service, c.rule.Class.String(), c.rule.Name
+	}
+	g.metrics.requests.WithLabelValues(service, class, string(res.outcome)).Inc()
+	if res.reason != "" {
+		g.metrics.refusals.WithLabelValues(service, string(res.reason)).Inc()
+	}
+	log := g.log
+	if res.outcome == wire.OutcomeAnswered {
+		log = log.V(1)
+	}
+	if !log.Enabled() {
+		return
+	}
+	log.Info("request", "request", c.id, "service", service, "rule", rule, "target", res.target, "attempts", res.attempts,
+		"outcome", res.outcome, "reason", res.reason, "status", res.status, "duration", time.Since(c.arrived).String())
+}
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -66,6 +66,8 @@
 	Trailer http.Header
 	// Body reads the rest of the answer. An error other than io.EOF is an *Error: the answer is not whole.
 	Body io.ReadCloser
+	// Bodyless is set for the answer to a HEAD request, whose length describes a body that is not sent.
+	Bodyless bool
 	// EndsAtClose is set for a body whose end cannot be told from a broken connection.
 	EndsAtClose bool
 }
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -105,7 +105,7 @@
 
 func (c *Client) request(ctx context.Context, a Attempt) *http.Request {
 	u := *a.URL
-	u.Scheme, u.Host = "http", c.addr
+	u.Scheme, u.Host, u.User, u.Opaque = "http", c.addr, nil, ""
 	header := a.Header.Clone()
 	if header == nil {
 		header = make(http.Header)
@@ -168,9 +168,10 @@
 
 func (f *flight) answer(resp *http.Response, method string) (*Answer, error) {
 	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	answer.Bodyless = method == http.MethodHead
 	body := &answerBody{flight: f, resp: resp, answer: answer}
 	answer.Body = body
-	answer.EndsAtClose = method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	answer.EndsAtClose = !answer.Bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if d, ok := wire.ParseDeclaration(resp.Header); ok && resp.StatusCode >= http.StatusBadRequest {
 		f.detach() // the caller is done with the attempt, but the connection can be kept
 		go body.drain()
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -38,7 +38,7 @@
 	HeaderDeadline = "Burdockpitch-Deadline-Ms"
 	// HeaderHops counts the entry instances that the call chain has passed.
 	HeaderHops = "Burdockpitch-Hops"
-	// HeaderRequestID identifies the request in logs.
+	// HeaderRequestID identifies the request in logs. Callers may set it; it is also set on answers to callers.
 	HeaderRequestID = "Burdockpitch-Request-Id"
 )
 
@@ -77,6 +77,16 @@
 	OutcomeUnknown  Outcome = "unknown"
 )
 
+// GaveUp reports whether a target's answer relays the outcome of a nested call on which an entry instance gave up.
+func GaveUp(h http.Header) bool {
+	for _, value := range h[HeaderOutcome] {
+		if o := Outcome(value); o == OutcomeNotRun || o == OutcomeUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 // Load is a target's own report of its slots.
 type Load struct {
 	// InUse is the number of requests in slots or in the target's queue.
@@ -115,6 +125,18 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
+// maxRequestID bounds a request id that a caller sets, in bytes.
+const maxRequestID = 64
+
+// ParseRequestID returns the request id that a caller set, or "" when it is absent or not fit for logs.
+func ParseRequestID(h http.Header) string {
+	id := h.Get(HeaderRequestID)
+	if len(id) > maxRequestID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return ""
+	}
+	return id
+}
+
 // ParseHops reads the hop count; an absent or malformed count is 0.
 func ParseHops(h http.Header) int {
 	n, err := strconv.Atoi(h.Get(HeaderHops))
