--- /dev/null
+++ b/pkg/target/rawtarget_test.go
@@ -0,0 +1,130 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+const (
+	okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	waitEnd  = 10 * time.Second // bounds waits for events that should happen at once
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard) // net/http logs each unsolicited answer
+	os.Exit(m.Run())
+}
+
+// rawTarget is a TCP server that runs a script on each connection. number counts connections from 1.
+type rawTarget struct {
+	addr     string
+	accepted atomic.Int64
+}
+
+func newRawTarget(t *testing.T, script func(number int64, c *net.TCPConn, r *bufio.Reader)) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &rawTarget{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func(number int64) {
+				defer c.Close()
+				script(number, c.(*net.TCPConn), bufio.NewReader(c))
+			}(s.accepted.Add(1))
+		}
+	}()
+	return s
+}
+
+// readRequest reads one whole request.
+func readRequest(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req, err
+}
+
+// answerAll answers every request on a connection.
+func answerAll(c net.Conn, r *bufio.Reader) {
+	for {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okAnswer)
+	}
+}
+
+func newTestClient(t *testing.T, addr string, change func(*Config)) *Client {
+	cfg := DefaultConfig()
+	if change != nil {
+		change(&cfg)
+	}
+	c := NewClient(addr, cfg)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func attempt(method, body string) Attempt {
+	return Attempt{
+		Method: method, URL: &url.URL{Path: "/x"}, Host: "service", Header: http.Header{}, Body: []byte(body),
+		Deadline: time.Now().Add(waitEnd),
+	}
+}
+
+// result is an attempt that was read to its end.
+type result struct {
+	*Answer
+	body    string
+	outcome core.AttemptOutcome
+	reason  core.Reason
+	failed  bool
+}
+
+func run(ctx context.Context, c *Client, a Attempt) result {
+	answer, err := c.Send(ctx, a)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(answer.Body)
+		answer.Body.Close()
+	}
+	var failure *Error
+	if errors.As(err, &failure) {
+		return result{Answer: answer, outcome: failure.Outcome, reason: failure.Reason, failed: failure.Failed}
+	}
+	if answer.EndsAtClose {
+		return result{Answer: answer, outcome: core.OutcomeUnknown}
+	}
+	return result{Answer: answer, body: string(body), outcome: core.OutcomeAnswered}
+}
+
+// idle waits until n connections are idle.
+func idle(t *testing.T, c *Client, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		return len(c.pool.idle) == n
+	}, waitEnd, time.Millisecond)
+}
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -17,7 +17,7 @@
 // drainLimit and drainTime bound the reading of a declaration's body, which only serves to reuse the connection.
 const (
 	drainLimit = 64 << 10 // bytes
-	drainTime  = 100 * time.Millisecond
+	drainTime  = 500 * time.Millisecond
 )
 
 // errInformational marks a 1xx status in place of an answer, such as a protocol switch that was not asked for.
--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
-	"net/url"
-	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,116 +19,6 @@
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
-const (
-	okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	waitEnd  = 10 * time.Second // bounds waits for events that should happen at once
-)
-
-func TestMain(m *testing.M) {
-	log.SetOutput(io.Discard) // net/http logs each unsolicited answer
-	os.Exit(m.Run())
-}
-
-// rawTarget is a TCP server that runs a script on each connection. number counts connections from 1.
-type rawTarget struct {
-	addr     string
-	accepted atomic.Int64
-}
-
-func newRawTarget(t *testing.T, script func(number int64, c *net.TCPConn, r *bufio.Reader)) *rawTarget {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	s := &rawTarget{addr: l.Addr().String()}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func(number int64) {
-				defer c.Close()
-				script(number, c.(*net.TCPConn), bufio.NewReader(c))
-			}(s.accepted.Add(1))
-		}
-	}()
-	return s
-}
-
-// readRequest reads one whole request.
-func readRequest(r *bufio.Reader) (*http.Request, error) {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return nil, err
-	}
-	_, err = io.Copy(io.Discard, req.Body)
-	return req, err
-}
-
-// answerAll answers every request on a connection.
-func answerAll(c net.Conn, r *bufio.Reader) {
-	for {
-		if _, err := readRequest(r); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, okAnswer)
-	}
-}
-
-func newTestClient(t *testing.T, addr string, change func(*Config)) *Client {
-	cfg := DefaultConfig()
-	if change != nil {
-		change(&cfg)
-	}
-	c := NewClient(addr, cfg)
-	t.Cleanup(c.Close)
-	return c
-}
-
-func attempt(method, body string) Attempt {
-	return Attempt{
-		Method: method, URL: &url.URL{Path: "/x"}, Host: "service", Header: http.Header{}, Body: []byte(body),
-		Deadline: time.Now().Add(waitEnd),
-	}
-}
-
-// result is an attempt that was read to its end.
-type result struct {
-	*Answer
-	body    string
-	outcome core.AttemptOutcome
-	reason  core.Reason
-	failed  bool
-}
-
-func run(ctx context.Context, c *Client, a Attempt) result {
-	answer, err := c.Send(ctx, a)
-	var body []byte
-	if err == nil {
-		body, err = io.ReadAll(answer.Body)
-		answer.Body.Close()
-	}
-	var failure *Error
-	if errors.As(err, &failure) {
-		return result{Answer: answer, outcome: failure.Outcome, reason: failure.Reason, failed: failure.Failed}
-	}
-	if answer.EndsAtClose {
-		return result{Answer: answer, outcome: core.OutcomeUnknown}
-	}
-	return result{Answer: answer, body: string(body), outcome: core.OutcomeAnswered}
-}
-
-// idle waits until n connections are idle.
-func idle(t *testing.T, c *Client, n int) {
-	t.Helper()
-	require.Eventually(t, func() bool {
-		c.pool.mu.Lock()
-		defer c.pool.mu.Unlock()
-		return len(c.pool.idle) == n
-	}, waitEnd, time.Millisecond)
-}
-
 // Guards against the re-sending of net/http.Transport, which repeats a request on a new connection when a reused one
 // breaks: work that is not idempotent would run twice.
 func TestRequestIsWrittenAtMostOnce(t *testing.T) {
@@ -417,36 +304,67 @@
 }
 
 // Guards against the use of one unresponsive connection after another while new connections work.
-func TestOldConnectionsAreDistrustedAfterTimeout(t *testing.T) {
-	var silent atomic.Bool
-	var together atomic.Int64
-	s := newRawTarget(t, func(number int64, c *net.TCPConn, r *bufio.Reader) {
-		for {
-			if _, err := readRequest(r); err != nil {
-				return
-			}
-			if silent.Load() && number <= 3 {
-				continue
-			}
-			for number <= 3 && together.Add(1) < 3 && together.Load() < 3 {
-				time.Sleep(time.Millisecond) // hold the first three so that each gets its own connection
+func TestOldConnectionsAreDistrusted(t *testing.T) {
+	for name, end := range map[string]func(a *Attempt, cancel func(), arrived <-chan struct{}){
+		"timeout": func(a *Attempt, _ func(), _ <-chan struct{}) { a.Deadline = time.Now().Add(50 * time.Millisecond) },
+		"cancelled after a long silence": func(_ *Attempt, cancel func(), arrived <-chan struct{}) {
+			go func() { <-arrived; cancel() }()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const old = 3 // connections that become silent
+			var silent atomic.Bool
+			var together sync.WaitGroup
+			together.Add(old)
+			arrived := make(chan struct{})
+			s := newRawTarget(t, func(number int64, c *net.TCPConn, r *bufio.Reader) {
+				if number > old {
+					answerAll(c, r)
+					return
+				}
+				_, _ = readRequest(r)
+				together.Done()
+				together.Wait() // so that each request gets its own connection
+				_, _ = io.WriteString(c, okAnswer)
+				if _, err := readRequest(r); err == nil && silent.Load() {
+					close(arrived)
+					_, _ = r.ReadByte()
+				}
+			})
+			c := newTestClient(t, s.addr, func(cfg *Config) { cfg.FreshWithin = 0 })
+			for range old {
+				go run(t.Context(), c, attempt(http.MethodGet, ""))
 			}
-			_, _ = io.WriteString(c, okAnswer)
-		}
+			idle(t, c, old)
+			silent.Store(true)
+			ctx, cancel := context.WithCancel(t.Context())
+			a := attempt(http.MethodGet, "")
+			end(&a, cancel, arrived)
+			got := run(ctx, c, a)
+			require.Equal(t, core.OutcomeUnknown, got.outcome)
+			require.False(t, got.failed, "the target is not suspected")
+			idle(t, c, 0)
+			require.Equal(t, core.OutcomeAnswered, run(t.Context(), c, attempt(http.MethodGet, "")).outcome)
+		})
+	}
+}
+
+// Guards against the loss of a connection with each declaration, which would make overload dearer.
+func TestDeclarationKeepsItsConnection(t *testing.T) {
+	cancelled := make(chan struct{})
+	s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 B\r\nBurdockpitch-Declare: shed\r\nContent-Length: 2\r\n\r\n")
+		<-cancelled
+		_, _ = io.WriteString(c, "no")
+		_, _ = r.ReadByte()
 	})
 	c := newTestClient(t, s.addr, nil)
-	for range 3 {
-		go run(t.Context(), c, attempt(http.MethodGet, ""))
-	}
-	idle(t, c, 3)
-	silent.Store(true)
-	a := attempt(http.MethodGet, "")
-	a.Deadline = time.Now().Add(50 * time.Millisecond)
-	got := run(t.Context(), c, a)
-	require.Equal(t, core.ReasonSlow, got.reason)
-	require.False(t, got.failed, "the target is not suspected")
-	idle(t, c, 0)
-	require.Equal(t, core.OutcomeAnswered, run(t.Context(), c, attempt(http.MethodGet, "")).outcome)
+	ctx, cancel := context.WithCancel(t.Context())
+	require.Equal(t, core.OutcomeRefused, run(ctx, c, attempt(http.MethodPost, "")).outcome)
+	cancel() // the gateway cancels each attempt that has ended
+	close(cancelled)
+	idle(t, c, 1)
 }
 
 // Guards against reuse of a connection where it is not allowed, and against its loss where it is.
