gateway: keep a request that waits for a retry

Cause: the engine dropped a request as soon as it had no attempt left. A reducer that waits before a retry then sends an attempt of an unknown request. TestUndecidedRequestIsKept guards against it without that reducer.

Also: the time that Config.OnResume takes is no longer measured as a pause of its own.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -39,6 +39,7 @@
 	attempt  target.Attempt // template of each attempt
 	decided  chan decision  // buffered by one; receives the only decision
 	attempts map[core.AttemptID]*flight
+	done     bool          // decided
 	sent     int           // attempts started
 	last     core.TargetID // target of the last attempt
 }
@@ -151,17 +152,20 @@
 	x := e.pending[effect.Request]
 	f := x.attempts[effect.Attempt]
 	f.taken = true
+	x.done = true
 	x.decided <- decision{answer: f.answer, attempt: effect.Attempt, target: f.target, attempts: x.sent}
 }
 
 func (e *engine) refuse(effect core.Effect) {
 	x := e.pending[effect.Request]
+	x.done = true
 	x.decided <- decision{refusal: effect, target: x.last, attempts: x.sent}
 	e.forget(x)
 }
 
+// forget drops a request that is decided and has no attempts left. One without attempts may still wait for a retry.
 func (e *engine) forget(x *exchange) {
-	if len(x.attempts) == 0 {
+	if x.done && len(x.attempts) == 0 {
 		delete(e.pending, x.id)
 	}
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -366,6 +366,21 @@
 	}
 }
 
+// Guards against a request that is dropped while it waits for a retry: the retry would stop the process.
+func TestUndecidedRequestIsKept(t *testing.T) {
+	f := newFixture(t, logr.Discard(), Config{})
+	e := f.engine("registry")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x := &exchange{id: 7}
+	e.pending[x.id] = x
+	e.forget(x)
+	require.Contains(t, e.pending, x.id)
+	x.done = true
+	e.forget(x)
+	require.NotContains(t, e.pending, x.id)
+}
+
 // BenchmarkRequest measures a request through the handler; "direct" is the target alone.
 func BenchmarkRequest(b *testing.B) {
 	addr := handlerTarget(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -39,9 +39,8 @@
 		case <-ctx.Done():
 			return
 		}
-		now := g.clock.reading()
-		g.tick(now.gap(last))
-		last = now
+		g.tick(g.clock.reading().gap(last))
+		last = g.clock.reading() // the time that OnResume took is no pause
 	}
 }
 
