--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
@@ -44,7 +46,9 @@
 
 func newLogger(s settings.Settings) logr.Logger {
 	options := &slog.HandlerOptions{Level: slog.Level(-s.Log.Verbosity)} // logr's V(n) is slog's level -n
-	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, options))
+	handler := slog.NewJSONHandler(os.Stderr, options)
+	slog.SetDefault(slog.New(handler)) // net/http writes to the default logger
+	return logr.FromSlogHandler(handler)
 }
 
 func newRegistry() (*prometheus.Registry, prometheus.Registerer) {
@@ -132,7 +136,7 @@
 func (i *instance) Instances() []admin.Instance { return nil }
 
 func (i *instance) run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", i.settings.Listen)
+	callers, err := sockets.ListenConfig().Listen(ctx, "tcp", i.settings.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -140,14 +144,15 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
-	callerServer := i.newServer(i.gateway.Handler())
-	adminServer := i.newServer(admin.NewHandler(i, i.registry))
+	callerServer := i.limited(i.gateway.NewServer())
+	adminServer := i.limited(&http.Server{Handler: admin.NewHandler(i, i.registry)})
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(adminServer, administration) })
+	go i.gateway.WatchPauses(background)
 	go i.reader.WatchIndex(background)
 	go i.reader.WatchInstances(background)
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
@@ -158,20 +163,31 @@
 	return group.Wait()
 }
 
-func (i *instance) newServer(h http.Handler) *http.Server {
-	limits := i.settings.Limits
-	return &http.Server{Handler: h, ReadHeaderTimeout: limits.HeaderTimeout.Std(), MaxHeaderBytes: int(limits.Header)}
+// limited applies the settings' limits on request heads.
+func (i *instance) limited(s *http.Server) *http.Server {
+	s.ReadHeaderTimeout = i.settings.Limits.HeaderTimeout.Std()
+	s.MaxHeaderBytes = int(i.settings.Limits.Header)
+	return s
 }
 
-// stop lets the platform's balancer see the failing readiness before connections close.
+// stop ends the instance without cutting a request. During the lame-duck period the platform's balancer sees the failing
+// readiness, and callers are moved off their kept-alive connections by the answers to their own requests: closing an idle
+// connection earlier could cut a request that is on its way.
 func (i *instance) stop(callers *http.Server) {
 	i.stopping.Store(true)
+	i.gateway.Drain()
 	i.log.Info("instance stopping")
-	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
 	defer cancel()
+	select {
+	case <-time.After(i.settings.LameDuck.Std()):
+	case <-ctx.Done():
+	}
 	if err := callers.Shutdown(ctx); err != nil {
-		i.log.Error(err, "graceful stop cut requests")
+		aborted := i.gateway.Active()
+		i.gateway.CountAborted(aborted)
+		i.log.Error(err, "graceful stop reached its limit", "aborted", aborted)
+		_ = callers.Close()
 	}
 	i.log.Info("instance stopped")
 }
