--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -160,7 +160,11 @@
 // WaitStatus waits until a GET of url is answered with the status.
 func WaitStatus(ctx context.Context, url string, status int) error {
 	return WaitFor(ctx, url, func() error {
-		resp, err := http.Get(url)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := control.Do(req)
 		if err != nil {
 			return err
 		}
@@ -191,7 +195,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := control.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "put")
 	}
--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -32,7 +32,10 @@
 
 // control is the client for the control paths of the stand-ins and for administration. It keeps no connection, since a
 // fault may have made it unresponsive, and gives up on a stopped process.
-var control = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 500 * time.Millisecond}
+var control = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: controlLimit}
+
+// controlLimit is long enough for a busy machine and short against the phases of a run.
+const controlLimit = 500 * time.Millisecond
 
 // zones is the number of availability zones that targets and entry instances are spread over.
 const zones = 3
@@ -175,13 +178,27 @@
 		d.Entries = append(d.Entries, p)
 	}
 	for i, admin := range d.Admins {
-		if err := WaitStatus(ctx, "http://"+admin+"/v1/ready", http.StatusOK); err != nil {
+		if err := waitReady(ctx, d.Entries[i], admin); err != nil {
 			return eris.Wrapf(err, "entry instance %d: %s", i, d.Entries[i].Output())
 		}
 	}
 	return nil
 }
 
+// waitReady waits until an entry instance is ready, but not after its process ended.
+func waitReady(ctx context.Context, p *Process, admin string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-p.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return WaitStatus(ctx, "http://"+admin+"/v1/ready", http.StatusOK)
+}
+
 // Ledger returns the merged ledgers of all targets, those of killed targets included.
 func (d *Deployment) Ledger() (standin.Ledger, error) {
 	all := make(standin.Ledger)
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -108,10 +108,11 @@
 // Guards against a silent fault that also stops new connections, or that lets an old one answer.
 func TestSilentConnectionsStayOpenAndNewOnesWork(t *testing.T) {
 	_, base := serveTarget(t, TargetConfig{Slots: 1})
-	old := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: 100 * time.Millisecond}
+	old := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 	_, _, err := get(t, old, base, "a", "")
 	require.NoError(t, err)
 	setFault(t, base, Fault{Kind: FaultSilent})
+	old.Timeout = 100 * time.Millisecond
 	_, _, err = get(t, old, base, "b", "")
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	_, body, err := get(t, &http.Client{Transport: &http.Transport{}}, base, "c", "")
