--- a/internal/e2e/measure.go
+++ b/internal/e2e/measure.go
@@ -78,6 +78,10 @@
 			Name: "fail-fast", Title: "One of 15 targets answers every request at once with 500, 60 % load", Slots: 4, Load: 0.6,
 			Fault: targetFault(standin.Fault{Kind: standin.FaultError}),
 		},
+		{
+			Name: "fail-fast", Title: "One of 15 targets closes every connection at once, 60 % load", Slots: 4, Load: 0.6,
+			Fault: targetFault(standin.Fault{Kind: standin.FaultClose}),
+		},
 		{Name: "overload", Title: "Load rises from 60 % to 150 % of capacity", Slots: 4, Load: 0.6, FaultLoad: 1.5},
 		{
 			Name: "silent", Title: "The open connections of one of 15 targets become unresponsive, 60 % load", Slots: 4, Load: 0.6,
