e2e: fail a measurement when an entry instance ended

The cause was no load effect: entry instances had ended on a nil pointer in the engine. The run now stops with their output.

--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -199,6 +199,23 @@
 	return WaitStatus(ctx, "http://"+admin+"/v1/ready", http.StatusOK)
 }
 
+// maxEntryOutput is how much of the end of a failed entry instance's output an error shows, in bytes.
+const maxEntryOutput = 4 << 10
+
+// EntriesRunning returns an error with the last output of an entry instance that ended. A caller sees only refused
+// connections then, which looks like a fast failure.
+func (d *Deployment) EntriesRunning() error {
+	for i, p := range d.Entries {
+		select {
+		case <-p.Done():
+			out := p.Output()
+			return eris.Errorf("entry instance %d ended: %s", i, out[max(0, len(out)-maxEntryOutput):])
+		default:
+		}
+	}
+	return nil
+}
+
 // Ledger returns the merged ledgers of all targets, those of killed targets included.
 func (d *Deployment) Ledger() (standin.Ledger, error) {
 	all := make(standin.Ledger)
--- a/internal/e2e/latency.go
+++ b/internal/e2e/latency.go
@@ -53,6 +53,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if err := d.EntriesRunning(); err != nil {
+		return nil, err
+	}
 	end := d.sample()
 	ledger, err := d.Ledger()
 	if err != nil {
--- a/internal/e2e/measure.go
+++ b/internal/e2e/measure.go
@@ -165,6 +165,9 @@
 	if run.err != nil {
 		return run.err
 	}
+	if err := d.EntriesRunning(); err != nil {
+		return err
+	}
 	return run.finish(result, cfg, sum)
 }
 
