standin: count goodput within the schedule only

Queued requests were served after the schedule had ended and counted to its length. Double runs were ruled out by the ledger.

--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -140,7 +140,10 @@
 		c.CloseIdleConnections()
 	}
 	result := &LoadResult{Records: g.records[:sent], Wall: time.Since(g.base)}
-	result.assignOnset(cfg.Stages, arrivals)
+	for _, s := range cfg.Stages {
+		result.Planned += s.Length
+	}
+	result.assignOnset(cfg.Stages)
 	return result
 }
 
@@ -176,7 +179,7 @@
 // send sends one request and records its end.
 func (g *generator) send(ctx context.Context, a arrival) Record {
 	due := g.base.Add(a.at)
-	rec := Record{ID: a.id, Class: a.class, Phase: a.phase, Entry: a.entry, Lag: time.Since(due)}
+	rec := Record{ID: a.id, Class: a.class, Phase: a.phase, Entry: a.entry, At: a.at, Lag: time.Since(due)}
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Wait[a.class])
 	defer cancel()
 	resp, err := g.clients[a.entry].Do(g.request(ctx, a))
--- a/internal/standin/load_record.go
+++ b/internal/standin/load_record.go
@@ -26,6 +26,8 @@
 	Outcome wire.Outcome
 	// Reason is the reason given for a refusal.
 	Reason string
+	// At is the scheduled time of the request since the start of the run.
+	At time.Duration
 	// Latency is the time from the scheduled send to the end of the body.
 	Latency time.Duration
 	// Lag is how late the request was sent; a large lag means that the generator could not keep to the schedule.
@@ -53,11 +55,13 @@
 	Records []Record
 	// Wall is the length of the run.
 	Wall time.Duration
+	// Planned is the length of the schedule. Answers may come later.
+	Planned time.Duration
 }
 
 // assignOnset moves requests that were in flight when the fault began to its first phase, so that the figures from
 // before the fault hold nothing of it.
-func (r *LoadResult) assignOnset(stages []Stage, arrivals []arrival) {
+func (r *LoadResult) assignOnset(stages []Stage) {
 	at := slices.IndexFunc(stages, func(s Stage) bool { return s.Phase == PhaseOnset })
 	if at < 0 {
 		return
@@ -67,7 +71,7 @@
 		onset += s.Length
 	}
 	for i := range r.Records {
-		if rec := &r.Records[i]; rec.Phase == PhaseBefore && arrivals[i].at+rec.Latency > onset {
+		if rec := &r.Records[i]; rec.Phase == PhaseBefore && rec.At+rec.Latency > onset {
 			rec.Phase = PhaseOnset
 		}
 	}
--- a/internal/standin/load_test.go
+++ b/internal/standin/load_test.go
@@ -42,3 +42,19 @@
 	cfg.Seed = 8
 	require.NotEqual(t, first, schedule(cfg))
 }
+
+// Guards against figures from before a fault that hold requests caught by it, and against goodput above the capacity
+// from answers after the end of the schedule.
+func TestRequestsCountToTheTimeInWhichTheyEnd(t *testing.T) {
+	load := &LoadResult{Planned: 4 * time.Second, Records: []Record{
+		{Phase: PhaseBefore, At: time.Second, Latency: time.Second, Outcome: wire.OutcomeAnswered, Status: 200, Class: core.ClassLookup},
+		{Phase: PhaseBefore, At: time.Second, Latency: 2 * time.Second, Outcome: wire.OutcomeAnswered, Status: 200, Class: core.ClassLookup},
+		{Phase: PhaseAfter, At: 3 * time.Second, Latency: 2 * time.Second, Outcome: wire.OutcomeAnswered, Status: 200, Class: core.ClassLookup},
+	}}
+	load.assignOnset([]Stage{{Phase: PhaseBefore, Length: 2 * time.Second}, {Phase: PhaseOnset, Length: 2 * time.Second}})
+	require.Equal(t, []Phase{PhaseBefore, PhaseOnset, PhaseAfter},
+		[]Phase{load.Records[0].Phase, load.Records[1].Phase, load.Records[2].Phase})
+	var r FaultResult
+	r.Add(load, &Comparison{}, RunUsage{FaultTime: 2 * time.Second})
+	require.InDelta(t, 0.5, r.goodput(core.ClassLookup), 1e-9)
+}
--- a/internal/standin/measure_fault.go
+++ b/internal/standin/measure_fault.go
@@ -63,6 +63,7 @@
 func (r *FaultResult) Add(load *LoadResult, c *Comparison, u RunUsage) {
 	r.load.Records = append(r.load.Records, load.Records...)
 	r.load.Wall += load.Wall
+	r.load.Planned = load.Planned
 	r.comparison.RunTwice = append(r.comparison.RunTwice, c.RunTwice...)
 	r.comparison.NotRunButRan = append(r.comparison.NotRunButRan, c.NotRunButRan...)
 	r.comparison.AnsweredNeverRan = append(r.comparison.AnsweredNeverRan, c.AnsweredNeverRan...)
@@ -120,6 +121,7 @@
 		Title: "From the onset on; the share of the affected target from 2 s on (fair: equal parts).",
 		Head: []string{
 			"selection", "share of the affected target", "attempts per request", "goodput /s", "of capacity",
+			"lookups / bookings / patient",
 			"lookups served", "bookings served", "patient served", "lookups failed", "refused", "refusal p99 ms",
 			"run twice", "not-run but ran", "answered, never ran", "wrong answers",
 		},
@@ -134,8 +136,8 @@
 
 func (r *FaultResult) outcomeCells() []string {
 	total := r.load.Count(inFault)
-	good := r.load.Count(func(rec *Record) bool { return inFault(rec) && rec.Served() })
-	rate := float64(good) / r.usage.FaultTime.Seconds()
+	lookup, once, patient := r.goodput(core.ClassLookup), r.goodput(core.ClassOnce), r.goodput(core.ClassPatient)
+	rate := lookup + once + patient
 	refused := r.load.Count(func(rec *Record) bool { return inFault(rec) && rec.Refused() })
 	lookups := r.load.Count(func(rec *Record) bool { return inFault(rec) && rec.Class == core.ClassLookup })
 	failed := r.load.Count(func(rec *Record) bool {
@@ -144,7 +146,7 @@
 	c := &r.comparison
 	return []string{
 		r.Method, r.share(), fmt.Sprintf("%.3f", r.usage.Attempts/float64(total)), fmt.Sprintf("%.0f", rate),
-		percent(rate, r.Capacity), r.served(core.ClassLookup), r.served(core.ClassOnce), r.served(core.ClassPatient),
+		percent(rate, r.Capacity), fmt.Sprintf("%.0f / %.0f / %.0f", lookup, once, patient), r.served(core.ClassLookup), r.served(core.ClassOnce), r.served(core.ClassPatient),
 		fmt.Sprintf("%d (%s)", failed, percent(float64(failed), float64(lookups))), fmt.Sprint(refused),
 		FormatMillis(r.load.RefusalLatency().ValueAtQuantile(99)),
 		fmt.Sprint(len(c.RunTwice)), fmt.Sprint(len(c.NotRunButRan)), fmt.Sprint(len(c.AnsweredNeverRan)),
@@ -152,6 +154,15 @@
 	}
 }
 
+// goodput returns the served requests of a class per second that ended between the onset and the end of the schedule.
+// What is still queued then is served later, so counting it would give more than the capacity.
+func (r *FaultResult) goodput(class core.Class) float64 {
+	n := r.load.Count(func(rec *Record) bool {
+		return inFault(rec) && rec.Class == class && rec.Served() && rec.At+rec.Latency <= r.load.Planned
+	})
+	return float64(n) / r.usage.FaultTime.Seconds()
+}
+
 func (r *FaultResult) share() string {
 	if r.Unseen {
 		return "not seen"
