standin: add faults, call counts and the read limit to the platform

Ruled out: cutting readers by source port or address, because readers share the loopback address and ports change with each connection; readers name themselves in a header instead. Before: no fault could be switched on.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,41 +21,64 @@
 
 // Platform stands in for the configuration service and the instance list. It is safe for concurrent use.
 type Platform struct {
-	mu        sync.Mutex
-	changed   chan struct{} // closed and replaced at each change
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced at each change of content or faults
+	current snapshot
+	history []snapshot // earlier states, oldest first, for the fault "stale"
+	pinned  *snapshot  // served in place of current while the fault "stale" is on
+	list    platform.InstanceList
+	faults  PlatformFaults
+	meter   meter
+}
+
+// snapshot is the published state of the configuration service. It is not modified once stored.
+type snapshot struct {
 	index     platform.Index
 	documents map[string][]byte
-	list      platform.InstanceList
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{changed: make(chan struct{}), documents: make(map[string][]byte)}
+	return &Platform{changed: make(chan struct{}), meter: newMeter(ReadLimit)}
 }
 
-// Publish stores a document under its service.
-func (p *Platform) Publish(doc *rules.Document, text []byte) {
+// Publish stores a document under its service. It does not check the text, as the real service does not either.
+func (p *Platform) Publish(entry platform.IndexEntry, text []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.documents[doc.Service] = text
-	entry := platform.IndexEntry{
-		Service: doc.Service, Epoch: doc.Epoch, Revision: doc.Revision, Hash: platform.Hash(text),
-	}
-	entries := []platform.IndexEntry{entry}
-	for _, e := range p.index.Entries {
-		if e.Service != doc.Service {
-			entries = append(entries, e)
+	next := snapshot{documents: map[string][]byte{entry.Service: text}}
+	next.index = platform.Index{Sequence: p.current.index.Sequence + 1, Entries: []platform.IndexEntry{entry}}
+	for _, e := range p.current.index.Entries {
+		if e.Service != entry.Service {
+			next.index.Entries = append(next.index.Entries, e)
+			next.documents[e.Service] = p.current.documents[e.Service]
 		}
 	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].Service < entries[j].Service })
-	p.index = platform.Index{Sequence: p.index.Sequence + 1, Entries: entries}
+	sort.Slice(next.index.Entries, func(i, j int) bool { return next.index.Entries[i].Service < next.index.Entries[j].Service })
+	p.history = append(p.history, p.current)
+	if len(p.history) > historyLimit {
+		p.history = p.history[1:]
+	}
+	p.current = next
 	p.announce()
 }
 
-// SetInstances replaces the instance list.
+// SetInstances replaces the instance list; readers see it after the lag that is set as a fault.
 func (p *Platform) SetInstances(instances []platform.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if lag := p.faults.instanceLag(); lag > 0 {
+		time.AfterFunc(lag, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.replaceList(instances)
+		})
+		return
+	}
+	p.replaceList(instances)
+}
+
+func (p *Platform) replaceList(instances []platform.Instance) {
 	p.list = platform.InstanceList{Sequence: p.list.Sequence + 1, Instances: instances}
 	p.announce()
 }
@@ -63,18 +88,31 @@
 	p.changed = make(chan struct{})
 }
 
+// served returns the state that readers see. It is called under the lock.
+func (p *Platform) served() snapshot {
+	if p.pinned != nil {
+		return *p.pinned
+	}
+	return p.current
+}
+
 // Handler serves the platform's protocol, and under /control the switches of the stand-in.
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(platform.PathIndex, p.watch(func() (uint64, any) { return p.index.Sequence, p.index }))
-	r.Get(platform.PathInstances, p.watch(func() (uint64, any) { return p.list.Sequence, p.list }))
-	r.Get(platform.PathDocuments+"{service}", p.document)
+	r.Group(func(r chi.Router) {
+		r.Use(p.admit)
+		r.Get(platform.PathIndex, p.watch(func() (uint64, any) { return p.served().index.Sequence, p.served().index }))
+		r.Get(platform.PathInstances, p.watch(func() (uint64, any) { return p.list.Sequence, p.list }))
+		r.Get(platform.PathDocuments+"{service}", p.document)
+	})
 	r.Put("/control/documents", p.putDocument)
 	r.Put("/control/instances", p.putInstances)
+	r.Put("/control/faults", p.putFaults)
+	r.Get("/control/counts", p.getCounts)
 	return r
 }
 
-// watch answers when the sequence number exceeds "after" or "wait" ends. read is called under the lock.
+// watch answers when the sequence number differs from "after" or "wait" ends. read is called under the lock.
 func (p *Platform) watch(read func() (uint64, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
@@ -84,7 +122,11 @@
 			p.mu.Lock()
 			sequence, _ := read()
 			changed := p.changed
+			cut := p.faults.cuts(r)
 			p.mu.Unlock()
+			if cut {
+				panic(http.ErrAbortHandler) // a fault that is switched on also breaks waiting calls
+			}
 			if sequence != after {
 				break
 			}
@@ -105,7 +147,7 @@
 
 func (p *Platform) document(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	text, ok := p.documents[chi.URLParam(r, "service")]
+	text, ok := p.served().documents[chi.URLParam(r, "service")]
 	p.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
@@ -114,18 +156,32 @@
 	_, _ = w.Write(text)
 }
 
+// putDocument publishes the body. A text without a readable head is published under the query parameters "service",
+// "epoch" and "revision", so that tests can publish invalid documents; "hash" replaces the hash in the index.
 func (p *Platform) putDocument(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	doc, err := rules.Parse("document", text)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	entry := platform.IndexEntry{Hash: platform.Hash(text)}
+	query := r.URL.Query()
+	if query.Get("service") != "" {
+		entry.Service = query.Get("service")
+		entry.Epoch, _ = strconv.ParseUint(query.Get("epoch"), 10, 64)
+		entry.Revision, _ = strconv.ParseUint(query.Get("revision"), 10, 64)
+	} else {
+		doc, err := rules.Parse("document", text)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		entry.Service, entry.Epoch, entry.Revision = doc.Service, doc.Epoch, doc.Revision
 	}
-	p.Publish(doc, text)
+	if hash := query.Get("hash"); hash != "" {
+		entry.Hash = hash
+	}
+	p.Publish(entry, text)
 }
 
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
@@ -136,3 +192,39 @@
 	}
 	p.SetInstances(instances)
 }
+
+// admit applies the faults and the read limit to each read, and counts it.
+func (p *Platform) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		cut := p.faults.cuts(r)
+		delay := p.faults.delay()
+		p.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		if !p.meter.begin(r, time.Now()) {
+			http.Error(w, "read limit exceeded", http.StatusTooManyRequests)
+			return
+		}
+		defer p.meter.end()
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// cuts reports whether a call is broken by a fault.
+func (f PlatformFaults) cuts(r *http.Request) bool {
+	return f.Down || slices.Contains(f.Cut, r.Header.Get(platform.HeaderReader))
+}
+
+func operation(path string) string {
+	if strings.HasPrefix(path, platform.PathDocuments) {
+		return platform.PathDocuments
+	}
+	return path
+}
--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/platform"
+)
+
+func publish(p *Platform, revision uint64) {
+	text := []byte(fmt.Sprint("revision ", revision))
+	p.Publish(platform.IndexEntry{Service: "s", Epoch: 1, Revision: revision, Hash: platform.Hash(text)}, text)
+}
+
+func read(server *httptest.Server, path, reader string) (int, string, error) {
+	req, _ := http.NewRequest(http.MethodGet, server.URL+path, nil)
+	req.Header.Set(platform.HeaderReader, reader)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// Guards against a fault switch without effect, which would make the tests that rely on it pass for no reason.
+func TestPlatformFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults PlatformFaults
+		reader string
+		broken bool
+		text   string
+	}{
+		{name: "none", reader: "a", text: "revision 3"},
+		{name: "down", faults: PlatformFaults{Down: true}, reader: "a", broken: true},
+		{name: "cut reader", faults: PlatformFaults{Cut: []string{"a"}}, reader: "a", broken: true},
+		{name: "other reader", faults: PlatformFaults{Cut: []string{"a"}}, reader: "b", text: "revision 3"},
+		{name: "stale", faults: PlatformFaults{Stale: true}, reader: "a", text: "revision 2"},
+		{name: "stale by one", faults: PlatformFaults{Stale: true, StaleBy: 1}, reader: "a", text: "revision 1"},
+		{name: "slow", faults: PlatformFaults{DelayMs: 1}, reader: "a", text: "revision 3"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPlatform()
+			server := httptest.NewServer(p.Handler())
+			defer server.Close()
+			publish(p, 1)
+			publish(p, 2)
+			p.SetFaults(c.faults)
+			publish(p, 3)
+			_, text, err := read(server, platform.PathDocuments+"s", c.reader)
+			require.Equal(t, c.broken, err != nil)
+			require.Equal(t, c.text, text)
+		})
+	}
+}
+
+// Guards against a lag fault that shows the new list at once.
+func TestInstanceListLags(t *testing.T) {
+	p := NewPlatform()
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	p.SetFaults(PlatformFaults{InstanceLagMs: 50})
+	p.SetInstances([]platform.Instance{{Service: "s", Address: "127.0.0.1:1"}})
+	_, text, err := read(server, platform.PathInstances, "a")
+	require.NoError(t, err)
+	require.NotContains(t, text, "127.0.0.1:1")
+	_, text, err = read(server, platform.PathInstances+"?after=0&wait=1m", "a")
+	require.NoError(t, err)
+	require.Contains(t, text, "127.0.0.1:1")
+}
+
+// Guards against a watch that waits on after a fault was switched on, or that misses a publication.
+func TestWatchEnds(t *testing.T) {
+	cases := []struct {
+		name   string
+		event  func(p *Platform)
+		broken bool
+	}{
+		{"publication", func(p *Platform) { publish(p, 2) }, false},
+		{"stale", func(p *Platform) { p.SetFaults(PlatformFaults{Stale: true, StaleBy: 1}) }, false},
+		{"down", func(p *Platform) { p.SetFaults(PlatformFaults{Down: true}) }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPlatform()
+			server := httptest.NewServer(p.Handler())
+			defer server.Close()
+			publish(p, 1)
+			ended := make(chan error, 1)
+			go func() {
+				_, _, err := read(server, platform.PathIndex+"?after=1&wait=1m", "a")
+				ended <- err
+			}()
+			require.Eventually(t, func() bool { return p.Counts().Pending == 1 }, 10*time.Second, time.Millisecond)
+			c.event(p)
+			require.Equal(t, c.broken, <-ended != nil)
+		})
+	}
+}
+
+// Guards against a limit that does not count a pending watch, or that a burst of readers can exceed.
+func TestReadLimitCountsPendingWatches(t *testing.T) {
+	m := newMeter(3)
+	r := httptest.NewRequest(http.MethodGet, platform.PathIndex, nil)
+	now := time.Unix(100, 0)
+	require.True(t, m.begin(r, now)) // stays pending
+	require.True(t, m.begin(r, now))
+	m.end()
+	require.True(t, m.begin(r, now))
+	m.end()
+	require.False(t, m.begin(r, now))
+	now = now.Add(time.Second)
+	require.True(t, m.begin(r, now))
+	require.True(t, m.begin(r, now))
+	require.False(t, m.begin(r, now))
+	require.Equal(t, 3, m.counts.Peak)
+}
+
+// Guards against counts that the control interface does not show.
+func TestCountsAreServed(t *testing.T) {
+	server := httptest.NewServer(NewPlatform().Handler())
+	defer server.Close()
+	_, _, err := read(server, platform.PathDocuments+"missing", "a")
+	require.NoError(t, err)
+	_, text, err := read(server, "/control/counts", "a")
+	require.NoError(t, err)
+	var counts PlatformCounts
+	require.NoError(t, json.Unmarshal([]byte(text), &counts))
+	require.Equal(t, map[string]int{"a": 1}, counts.ByReader)
+	require.Equal(t, map[string]int{platform.PathDocuments: 1}, counts.ByOperation)
+}
--- a/pkg/platform/protocol.go
+++ b/pkg/platform/protocol.go
@@ -1,16 +1,21 @@
 // Package platform reads the configuration service and the instance list.
 //
-// Both can only be read and watched. The package writes nothing outside the process.
+// Both can only be read and watched. The package writes nothing outside the process. docs/platform-protocol.md
+// describes the protocol.
 package platform
 
 // Paths of the platform's HTTP protocol. Query parameters "after" and "wait" turn a read into a long poll that is
-// answered when the sequence number exceeds "after" or the wait ends.
+// answered when the sequence number differs from "after" or the wait ends. It may become lower: a platform that was
+// restored from an older state must not leave its readers waiting.
 const (
 	PathIndex     = "/v1/index"
 	PathDocuments = "/v1/documents/" // followed by the service name
 	PathInstances = "/v1/instances"
 )
 
+// HeaderReader names the reader on each call, so that the platform can count and tell apart its readers.
+const HeaderReader = "Burdockpitch-Reader"
+
 // IndexEntry names the newest document of one service.
 type IndexEntry struct {
 	Service  string `json:"service"`
@@ -20,7 +25,7 @@
 	Hash string `json:"hash"`
 }
 
-// Index lists the newest documents. Sequence grows with each change.
+// Index lists the newest documents. Sequence changes with each publication.
 type Index struct {
 	Sequence uint64       `json:"sequence"`
 	Entries  []IndexEntry `json:"entries"`
