peer: exchange documents and leaving signs between entry instances

Cause: an instance that cannot reach the platform, or reaches a stale one, had no other way to the newest configuration, and each instance learned of a leaving target alone. Ruled out: kept connections with one gob stream (a connection that became silent would cost every following round; a connection for each contact costs one); gob's own limit on messages, which lets a length of 1 GB allocate 10 MB before it fails; taking the sender's word for its address. Before: no exchange. Conclusion: readiness now waits for the platform and one peer, at most 5 s. Load reports are not exchanged yet.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -19,6 +19,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
@@ -31,8 +32,8 @@
 	c := dig.New()
 	constructors := []any{
 		func() settings.Settings { return s },
-		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, platform.NewMetrics,
-		newStore, newReader, newInstance,
+		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, platform.NewMetrics, peer.NewMetrics,
+		newStore, newNode, newReader, newFleet, newInstance,
 	}
 	for _, constructor := range constructors {
 		if err := c.Provide(constructor); err != nil {
@@ -64,28 +65,6 @@
 	return gateway.Config{Policy: policy, Target: target.DefaultConfig()}
 }
 
-func newStore(g *gateway.Gateway, m *platform.Metrics, log logr.Logger) *platform.Store {
-	return platform.NewStore(log, m, g.SetDocuments)
-}
-
-func newReader(
-	s settings.Settings, store *platform.Store, g *gateway.Gateway, m *platform.Metrics, log logr.Logger,
-) *platform.Reader {
-	return platform.NewReader(platform.DefaultReaderConfig(s.Platform, s.Listen), sink{store, g}, m, log)
-}
-
-// sink passes what the platform reader learns to its consumers.
-type sink struct {
-	store   *platform.Store
-	gateway *gateway.Gateway
-}
-
-func (s sink) OfferDocument(source, service string, text []byte) {
-	s.store.Offer(source, service, text)
-}
-func (s sink) HoldsDocument(e platform.IndexEntry) bool { return s.store.Holds(e) }
-func (s sink) SetInstances(list platform.InstanceList)  { s.gateway.SetInstances(list) }
-
 // instance is one running entry instance.
 type instance struct {
 	settings settings.Settings
@@ -93,14 +72,14 @@
 	registry *prometheus.Registry
 	gateway  *gateway.Gateway
 	store    *platform.Store
-	reader   *platform.Reader
+	fleet    *fleet
 	stopping atomic.Bool
 }
 
 func newInstance(
-	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *platform.Store, r *platform.Reader,
+	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *platform.Store, f *fleet,
 ) *instance {
-	return &instance{settings: s, log: log, registry: reg, gateway: g, store: st, reader: r}
+	return &instance{settings: s, log: log, registry: reg, gateway: g, store: st, fleet: f}
 }
 
 // Ready reports why the instance may not receive callers, or nil.
@@ -108,10 +87,7 @@
 	if i.stopping.Load() {
 		return eris.New("stopping")
 	}
-	if len(i.store.Documents()) == 0 {
-		return eris.New("no configuration in force")
-	}
-	return nil
+	return i.fleet.ready()
 }
 
 // Configuration lists the documents in force.
@@ -133,6 +109,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
+	peers, err := i.fleet.listen()
+	if err != nil {
+		return err
+	}
 	callerServer := &http.Server{Handler: i.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry), ReadHeaderTimeout: readHeaderTimeout}
 	background, stopBackground := context.WithCancel(context.Background())
@@ -141,8 +121,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(adminServer, administration) })
-	go i.reader.WatchIndex(background)
-	go i.reader.WatchInstances(background)
+	go i.fleet.run(background, peers)
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
 
 	<-ctx.Done()
@@ -155,6 +134,7 @@
 func (i *instance) stop(callers *http.Server) {
 	i.stopping.Store(true)
 	i.log.Info("instance stopping")
+	i.fleet.node.Leave(context.Background())
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
 	defer cancel()
--- /dev/null
+++ b/pkg/app/fleet.go
@@ -0,0 +1,220 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/peer"
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/settings"
+)
+
+const (
+	// askLimit is how long a new instance waits for the platform and a peer before it serves with what it has. It is
+	// longer than one failed call to each.
+	askLimit = 5 * time.Second
+	// watchTick and pauseGap detect a pause of the process: a gap over one second between ticks.
+	watchTick = 250 * time.Millisecond
+	pauseGap  = time.Second
+	// refreshLimit bounds the re-read after a pause.
+	refreshLimit = 2 * time.Second
+)
+
+// fleet connects the configuration store, the platform and the other entry instances.
+type fleet struct {
+	settings settings.Settings
+	log      logr.Logger
+	gateway  *gateway.Gateway
+	store    *platform.Store
+	reader   *platform.Reader
+	node     *peer.Node
+	started  time.Time
+}
+
+func newFleet(
+	s settings.Settings, log logr.Logger, g *gateway.Gateway, st *platform.Store, r *platform.Reader, n *peer.Node,
+) *fleet {
+	return &fleet{settings: s, log: log, gateway: g, store: st, reader: r, node: n, started: time.Now()}
+}
+
+func newStore(g *gateway.Gateway, m *platform.Metrics, log logr.Logger) *platform.Store {
+	return platform.NewStore(log, m, g.SetDocuments)
+}
+
+func newNode(s settings.Settings, store *platform.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
+	mark := func(sign membership.Sign) { g.MarkLeaving(core.TargetID(sign.Target), sign.Start) }
+	return peer.NewNode(peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers), documents{store}, m, mark, log)
+}
+
+func newReader(
+	s settings.Settings, store *platform.Store, g *gateway.Gateway, n *peer.Node, m *platform.Metrics, log logr.Logger,
+) *platform.Reader {
+	id := s.PeerListen
+	if id == "" {
+		id = s.Listen
+	}
+	return platform.NewReader(platform.DefaultReaderConfig(s.Platform, id), sink{store, g, n}, m, log)
+}
+
+// documents gives the peer exchange its view of the store.
+type documents struct{ store *platform.Store }
+
+// Digest implements peer.Documents.
+func (d documents) Digest() []peer.Entry {
+	docs := d.store.Documents()
+	list := make([]peer.Entry, len(docs))
+	for i, doc := range docs {
+		hash, _ := strconv.ParseUint(doc.Hash, 16, 64)
+		list[i] = peer.Entry{Service: doc.Service, Epoch: doc.Epoch, Revision: doc.Revision, Hash: hash}
+	}
+	return list
+}
+
+// Text implements peer.Documents.
+func (d documents) Text(service string) []byte {
+	doc, _ := d.store.Get(service)
+	return doc.Text
+}
+
+// Offer implements peer.Documents.
+func (d documents) Offer(source, service string, text []byte) { d.store.Offer(source, service, text) }
+
+// Changed implements peer.Documents.
+func (d documents) Changed() <-chan struct{} { return d.store.Changed() }
+
+// sink passes what the platform reader learns to its consumers.
+type sink struct {
+	store   *platform.Store
+	gateway *gateway.Gateway
+	node    *peer.Node
+}
+
+// OfferDocument implements platform.Sink.
+func (s sink) OfferDocument(source, service string, text []byte) {
+	s.store.Offer(source, service, text)
+}
+
+// HoldsDocument implements platform.Sink.
+func (s sink) HoldsDocument(e platform.IndexEntry) bool { return s.store.Holds(e) }
+
+// SetInstances implements platform.Sink. Signs that hold are passed on again, because the list may bring targets that
+// the gateway did not know when the sign arrived.
+func (s sink) SetInstances(list platform.InstanceList) {
+	s.gateway.SetInstances(list)
+	var l membership.Listed
+	for _, i := range list.Instances {
+		listing := membership.Listing{
+			Address: i.Address, Zone: i.Zone, Start: i.Start, Leaving: i.State == platform.StateLeaving,
+		}
+		if i.Service == platform.ServiceEntry {
+			l.Entries = append(l.Entries, listing)
+		} else {
+			l.Targets = append(l.Targets, listing)
+		}
+	}
+	s.node.SetMembers(context.Background(), l)
+	for _, sign := range s.node.Leaving() {
+		s.gateway.MarkLeaving(core.TargetID(sign.Target), sign.Start)
+	}
+}
+
+// listen opens the listener for other instances; nil if the settings name none.
+func (f *fleet) listen() (net.Listener, error) {
+	if f.settings.PeerListen == "" {
+		return nil, nil
+	}
+	if _, err := netip.ParseAddrPort(f.settings.PeerListen); err != nil {
+		return nil, eris.Wrap(err, "peer_listen must be ip:port")
+	}
+	l, err := net.Listen("tcp", f.settings.PeerListen)
+	return l, eris.Wrap(err, "listen for peers")
+}
+
+// run reads the platform and talks to other instances until ctx ends.
+func (f *fleet) run(ctx context.Context, peers net.Listener) {
+	go f.reader.WatchIndex(ctx)
+	go f.reader.WatchInstances(ctx)
+	if peers != nil {
+		go f.node.Run(ctx, peers)
+	}
+	f.watch(ctx)
+}
+
+// watch passes on what the gateway sees of targets each second and re-reads the platform after a pause.
+func (f *fleet) watch(ctx context.Context) {
+	ticker := time.NewTicker(watchTick)
+	defer ticker.Stop()
+	last, observed := time.Now(), time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		if gap := now.Sub(last); gap > watchTick+pauseGap {
+			go f.refresh(ctx, gap)
+		}
+		last = now
+		if now.Sub(observed) >= time.Second {
+			f.node.Observe(ctx, f.targets())
+			observed = now
+		}
+	}
+}
+
+func (f *fleet) refresh(ctx context.Context, gap time.Duration) {
+	f.log.Info("process was paused", "gap", gap.String())
+	ctx, cancel := context.WithTimeout(ctx, refreshLimit)
+	defer cancel()
+	if err := f.reader.Refresh(ctx); err != nil {
+		f.log.Info("re-read after a pause failed", "error", err.Error())
+	}
+}
+
+// targets returns what the gateway knows of the start ids and leaving signs of targets.
+func (f *fleet) targets() []membership.Listing {
+	var list []membership.Listing
+	for _, view := range f.gateway.Status() {
+		for _, t := range view.Targets {
+			leaving := t.State == core.TargetLeft
+			list = append(list, membership.Listing{Address: string(t.ID), Start: t.Start, Leaving: leaving})
+		}
+	}
+	return list
+}
+
+// ready reports why the configuration does not allow serving yet, or nil.
+func (f *fleet) ready() error {
+	if len(f.store.Documents()) == 0 {
+		return eris.New("no configuration in force")
+	}
+	if time.Since(f.started) > askLimit {
+		return nil
+	}
+	if !closed(f.reader.Asked()) {
+		return eris.New("configuration service not asked yet")
+	}
+	if f.settings.PeerListen != "" && f.node.Partners() > 0 && !closed(f.node.Asked()) {
+		return eris.New("no other instance asked yet")
+	}
+	return nil
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+)
+
+// contact exchanges state with another instance and pulls what is newer there.
+func (n *Node) contact(ctx context.Context, address string) {
+	err := n.exchangeWith(ctx, address)
+	if err == nil {
+		n.metrics.contacts.WithLabelValues("ok").Inc()
+		n.once.Do(func() { close(n.asked) })
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	n.metrics.contacts.WithLabelValues("failed").Inc()
+	n.log.V(1).Info("peer contact failed", "peer", address, "error", err.Error())
+	n.dispatch(ctx, membership.Failed{Address: address})
+}
+
+func (n *Node) exchangeWith(ctx context.Context, address string) error {
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return eris.Wrap(err, "dial")
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	client := rpc.NewClientWithCodec(newCodec(conn, MaxMessage))
+	defer client.Close()
+
+	ours, theirs := n.ours(), &Exchange{}
+	if err := n.call(conn, client, "Peer.Exchange", &ours, theirs); err != nil {
+		return err
+	}
+	if err := sameIP(theirs.Self, conn.RemoteAddr()); err != nil {
+		return err
+	}
+	n.learn(ctx, theirs)
+	for _, e := range append(n.newer(theirs.Digest), n.conflicting(theirs.Digest)...) {
+		doc := &Document{}
+		if err := n.call(conn, client, "Peer.Pull", &Pull{Service: e.Service}, doc); err != nil {
+			return err
+		}
+		if len(doc.Text) > 0 {
+			n.metrics.pulled.Inc()
+			n.docs.Offer("peer "+address, e.Service, doc.Text)
+		}
+	}
+	return nil
+}
+
+func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: n.cfg.CallTimeout}
+	if self, err := netip.ParseAddrPort(n.cfg.Self); err == nil {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0))
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func (n *Node) call(conn net.Conn, client *rpc.Client, method string, request, reply any) error {
+	if err := conn.SetDeadline(time.Now().Add(n.cfg.CallTimeout)); err != nil {
+		return eris.Wrap(err, "set deadline")
+	}
+	return eris.Wrap(client.Call(method, request, reply), method)
+}
--- /dev/null
+++ b/pkg/peer/message.go
@@ -0,0 +1,102 @@
+// Package peer exchanges configuration and leaving signs between entry instances.
+//
+// Each instance contacts a few others each second, compares digests and pulls what is newer. A change is told to others
+// at once. The transport is net/rpc over TCP with gob; each contact uses its own connection, so that a connection that
+// became silent costs one contact. Nothing that a peer sends is trusted beyond its connection: documents are checked by
+// the store like those of the platform.
+package peer
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+)
+
+// Limits of messages.
+const (
+	// MaxMessage bounds each message in bytes before it is decoded. A document takes at most 1 MiB.
+	MaxMessage = 2 << 20
+	// maxRequest bounds what is accepted from a caller. gob can expand a message about 40 times, and requests carry
+	// lists only: 2,048 entries and as many leaving signs take about 130 KB.
+	maxRequest = 256 << 10
+	maxDigest  = 2048 // entries
+	maxName    = 256  // bytes
+	maxText    = 1 << 20
+)
+
+// Entry names the document of one service in force.
+type Entry struct {
+	Service  string
+	Epoch    uint64
+	Revision uint64
+	// Hash is the xxhash64 of the document's bytes.
+	Hash uint64
+}
+
+// newer reports whether e is of a higher version than f.
+func (e Entry) newer(f Entry) bool {
+	if e.Epoch != f.Epoch {
+		return e.Epoch > f.Epoch
+	}
+	return e.Revision > f.Revision
+}
+
+// Exchange is what two instances tell each other about their state. The reply to an Exchange is an Exchange.
+type Exchange struct {
+	// Self is the peer address of the sender, Start its random start id.
+	Self  string
+	Start string
+	Zone  string
+	// Digest names the documents in force at the sender.
+	Digest []Entry
+	// Leaving lists the targets and entry instances that are known to leave.
+	Leaving []membership.Sign
+}
+
+// Pull asks for the document of a service.
+type Pull struct{ Service string }
+
+// Document is the reply to a Pull. Text is empty if the sender has no document of the service.
+type Document struct{ Text []byte }
+
+// message is implemented by all requests and replies.
+type message interface{ check() error }
+
+func (x *Exchange) check() error {
+	if _, err := netip.ParseAddrPort(x.Self); err != nil {
+		return eris.Wrap(err, "address of sender")
+	}
+	if x.Start == "" || len(x.Start) > maxName || len(x.Zone) > maxName {
+		return eris.New("bad start id or zone")
+	}
+	if len(x.Digest) > maxDigest || len(x.Leaving) > membership.MaxSigns {
+		return eris.New("list too long")
+	}
+	for _, e := range x.Digest {
+		if e.Service == "" || len(e.Service) > maxName {
+			return eris.New("bad service name")
+		}
+	}
+	for _, s := range x.Leaving {
+		if s.Target == "" || len(s.Target) > maxName || len(s.Start) > maxName {
+			return eris.New("bad leaving sign")
+		}
+	}
+	return nil
+}
+
+func (p *Pull) check() error {
+	if p.Service == "" || len(p.Service) > maxName {
+		return eris.New("bad service name")
+	}
+	return nil
+}
+
+func (d *Document) check() error {
+	if len(d.Text) > maxText {
+		return eris.New("document too large")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/metrics.go
@@ -0,0 +1,28 @@
+package peer
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics count the exchange with other instances.
+type Metrics struct {
+	contacts *prometheus.CounterVec
+	dropped  *prometheus.CounterVec
+	pulled   prometheus.Counter
+	fleet    prometheus.Gauge
+}
+
+// NewMetrics registers the metrics with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	opts := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: "burdockpitch", Name: name, Help: help}
+	}
+	m := &Metrics{
+		contacts: prometheus.NewCounterVec(opts("peer_contacts_total", "Contacts to other instances by result."), []string{"result"}),
+		dropped:  prometheus.NewCounterVec(opts("peer_dropped_total", "Accepted connections dropped by reason."), []string{"reason"}),
+		pulled:   prometheus.NewCounter(opts("peer_pulled_total", "Documents pulled from other instances.")),
+		fleet: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "burdockpitch", Name: "fleet_size", Help: "Largest number of entry instances seen in ten minutes.",
+		}),
+	}
+	reg.MustRegister(m.contacts, m.dropped, m.pulled, m.fleet)
+	return m
+}
--- /dev/null
+++ b/pkg/peer/node_test.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+)
+
+const limit = 20 * time.Second
+
+// fakeDocuments holds one document per service as its revision; the highest wins.
+type fakeDocuments struct {
+	mu      sync.Mutex
+	entries map[string]Entry
+	offered int
+	changed chan struct{}
+}
+
+func newFakeDocuments() *fakeDocuments {
+	return &fakeDocuments{entries: make(map[string]Entry), changed: make(chan struct{}, 1)}
+}
+
+func (f *fakeDocuments) Digest() []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Entry
+	for _, e := range f.entries {
+		list = append(list, e)
+	}
+	return list
+}
+
+func (f *fakeDocuments) Text(service string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[service]
+	return binary.BigEndian.AppendUint64(nil, e.Revision)
+}
+
+func (f *fakeDocuments) Offer(_, service string, text []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.offered++
+	revision := binary.BigEndian.Uint64(text)
+	if revision <= f.entries[service].Revision {
+		return
+	}
+	f.entries[service] = Entry{Service: service, Revision: revision, Hash: revision}
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fakeDocuments) Changed() <-chan struct{} { return f.changed }
+
+func (f *fakeDocuments) set(revision uint64) {
+	f.Offer("test", "s", binary.BigEndian.AppendUint64(nil, revision))
+}
+
+func (f *fakeDocuments) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries["s"].Revision
+}
+
+// testNode is a running node on an address of its own.
+type testNode struct {
+	*Node
+	docs     *fakeDocuments
+	registry *prometheus.Registry
+	signs    chan membership.Sign
+}
+
+func startNode(t *testing.T, ip string, seeds ...string) *testNode {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	require.NoError(t, err)
+	n := &testNode{docs: newFakeDocuments(), registry: prometheus.NewRegistry(), signs: make(chan membership.Sign, 100)}
+	cfg := DefaultConfig(l.Addr().String(), "a", seeds)
+	cfg.Round, cfg.CallTimeout, cfg.IdleTimeout = 20*time.Millisecond, 300*time.Millisecond, 300*time.Millisecond
+	onLeave := func(s membership.Sign) { n.signs <- s }
+	n.Node = NewNode(cfg, n.docs, NewMetrics(n.registry), onLeave, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.Run(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return n
+}
+
+func (n *testNode) count(name, label string) float64 {
+	families, _ := n.registry.Gather()
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			if family.GetName() == "burdockpitch_"+name && (label == "" || m.GetLabel()[0].GetValue() == label) {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	require.Eventually(t, check, limit, time.Millisecond, what)
+}
+
+func frameOf(t *testing.T, header, body any) []byte {
+	t.Helper()
+	client, server := net.Pipe()
+	go func() {
+		_ = writeFrame(client, header, body)
+		_ = client.Close()
+	}()
+	frame, err := io.ReadAll(server)
+	require.NoError(t, err)
+	return frame
+}
+
+// Guards against a bad message or connection that costs more than its own connection: the node must drop it, count it
+// and still exchange with others.
+func TestBadConnections(t *testing.T) {
+	request := &rpc.Request{ServiceMethod: "Peer.Exchange", Seq: 1}
+	foreign := &Exchange{Self: "127.0.0.9:1", Start: "1"}
+	oversized := binary.BigEndian.AppendUint32(nil, maxRequest+1)
+	lying := append(binary.BigEndian.AppendUint32(nil, 8), 0xfc, 0x3f, 0xff, 0xff, 0xff, 0, 0, 0) // gob length of 1 GB
+	cases := []struct {
+		name   string
+		from   string
+		send   []byte
+		reset  bool
+		reason string
+	}{
+		{name: "unknown sender", from: "127.0.0.7", reason: "unknown-sender"},
+		{name: "silent", reason: "silent"},
+		{name: "silent after half a message", send: []byte{0, 0}, reason: "silent"},
+		{name: "oversized", send: oversized, reason: "too-large"},
+		{name: "lying length", send: lying, reason: "malformed"},
+		{name: "no gob", send: []byte{0, 0, 0, 3, 2, 0xff, 0xff}, reason: "malformed"},
+		{name: "empty", send: []byte{0, 0, 0, 0}, reason: "malformed"},
+		{name: "unknown method", send: frameOf(t, &rpc.Request{ServiceMethod: "Peer.Stop"}, &Pull{"s"}), reason: "malformed"},
+		{name: "wrong body", send: frameOf(t, request, &Pull{"s"}), reason: "malformed"},
+		{name: "bad content", send: frameOf(t, request, &Exchange{Self: "nowhere", Start: "1"}), reason: "malformed"},
+		{name: "foreign address", send: frameOf(t, request, foreign), reason: "silent"},
+		{name: "reset", send: []byte{0, 0}, reset: true, reason: "broken"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := startNode(t, "127.0.0.1", "127.0.0.2:1")
+			from := c.from
+			if from == "" {
+				from = "127.0.0.2"
+			}
+			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+			conn, err := dialer.Dial("tcp", n.cfg.Self)
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = conn.Write(c.send)
+			require.NoError(t, err)
+			if c.reset {
+				require.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+				require.NoError(t, conn.Close())
+			} else {
+				_, _ = io.Copy(io.Discard, conn) // ends when the node drops the connection
+			}
+			eventually(t, "count", func() bool { return n.count("peer_dropped_total", c.reason) == 1 })
+			other := startNode(t, "127.0.0.2", n.cfg.Self)
+			other.docs.set(3)
+			eventually(t, "exchange afterwards", func() bool { return n.docs.revision() == 3 })
+			for _, m := range n.Members() {
+				require.NotEqual(t, foreign.Self, m.Address)
+			}
+		})
+	}
+}
+
+// Guards against a partner whose answers hold up or break the rounds with others.
+func TestBadPartners(t *testing.T) {
+	const foreign = "127.0.0.9:1"
+	reply := func(body any) func(net.Conn) {
+		return func(c net.Conn) {
+			if _, err := readFrame(c, MaxMessage); err == nil {
+				_ = writeFrame(c, &rpc.Response{ServiceMethod: "Peer.Exchange"}, body)
+			}
+		}
+	}
+	cases := []struct {
+		name  string
+		serve func(net.Conn)
+	}{
+		{"silent", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }},
+		{"reset", func(net.Conn) {}},
+		{"oversized", func(c net.Conn) { _, _ = c.Write(binary.BigEndian.AppendUint32(nil, MaxMessage+1)) }},
+		{"malformed", func(c net.Conn) { _, _ = c.Write([]byte{0, 0, 0, 1, 7}) }},
+		{"bad content", reply(&Exchange{Self: "x"})},
+		{"foreign address", reply(&Exchange{Self: foreign, Start: "1"})},
+		{"document that does not exist", reply(&Exchange{Self: "127.0.0.3:1", Start: "1", Digest: []Entry{{Service: "s", Revision: 9}}})},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.3:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						c.serve(conn)
+					}()
+				}
+			}()
+			good := startNode(t, "127.0.0.2", "127.0.0.1:1")
+			good.docs.set(5)
+			n := startNode(t, "127.0.0.1", l.Addr().String(), good.cfg.Self)
+			eventually(t, "exchange with the good partner", func() bool { return n.docs.revision() == 5 })
+			eventually(t, "failed contact", func() bool { return n.count("peer_contacts_total", "failed") > 0 })
+			for _, m := range n.Members() {
+				require.NotEqual(t, foreign, m.Address)
+			}
+			n.docs.set(6)
+			eventually(t, "push to the good partner", func() bool { return good.docs.revision() == 6 })
+		})
+	}
+}
+
+// Guards against a change or a leaving sign that reaches only some instances.
+func TestChangesAndSignsReachAll(t *testing.T) {
+	nodes := []*testNode{startNode(t, "127.0.0.1")}
+	for i := range 5 {
+		nodes = append(nodes, startNode(t, fmt.Sprint("127.0.0.", i+2), nodes[0].cfg.Self))
+	}
+	var list membership.Listed
+	for _, n := range nodes {
+		list.Entries = append(list.Entries, membership.Listing{Address: n.cfg.Self, Zone: "a"})
+	}
+	for _, n := range nodes {
+		n.SetMembers(context.Background(), list)
+		require.Equal(t, len(nodes), n.FleetSize())
+	}
+	nodes[3].docs.set(7)
+	sign := membership.Sign{Target: "t", Start: "1"}
+	nodes[4].Observe(context.Background(), []membership.Listing{{Address: "t", Start: "1", Leaving: true}})
+	for _, n := range nodes {
+		eventually(t, "document", func() bool { return n.docs.revision() == 7 })
+		select {
+		case got := <-n.signs:
+			require.Equal(t, sign, got)
+		case <-time.After(limit):
+			t.Fatal("no leaving sign")
+		}
+		select {
+		case <-n.Asked():
+		case <-time.After(limit):
+			t.Fatal("no exchange completed")
+		}
+	}
+	nodes[5].Leave(context.Background())
+	eventually(t, "leaving instance", func() bool {
+		for _, m := range nodes[0].Members() {
+			if m.Address == nodes[5].cfg.Self {
+				return m.Leaving
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a conflict that no store gets to see, and against pulling it again in each round.
+func TestConflictIsPulledOnce(t *testing.T) {
+	n := startNode(t, "127.0.0.1", "127.0.0.2:1")
+	n.docs.set(4)
+	other := startNode(t, "127.0.0.2", n.cfg.Self)
+	other.docs.mu.Lock()
+	other.docs.entries["s"] = Entry{Service: "s", Revision: 4, Hash: 99}
+	other.docs.mu.Unlock()
+	eventually(t, "pull", func() bool { return other.count("peer_pulled_total", "") == 1 })
+	before := other.count("peer_contacts_total", "ok")
+	eventually(t, "further rounds", func() bool { return other.count("peer_contacts_total", "ok") > before+3 })
+	require.Equal(t, float64(1), other.count("peer_pulled_total", ""))
+}
