--- /dev/null
+++ b/pkg/app/fleet_test.go
@@ -0,0 +1,56 @@
+package app
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/peer"
+	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/settings"
+)
+
+const document = "service = \"s\"\nepoch = 1\nrevision = 1\n[rules]\n" +
+	"a = { path = \"/a\", methods = [\"GET\"], class = \"lookup\", deadline = \"1s\" } # asked by the test\n"
+
+// Guards against an instance that takes callers with an outdated document because nobody was asked for a newer one, and
+// against one that waits for answers for ever.
+func TestReadyWaitsForAnswersOrTheLimit(t *testing.T) {
+	cases := []struct {
+		name     string
+		document bool
+		age      time.Duration
+		want     string
+	}{
+		{"nothing in force", false, 0, "no configuration in force"},
+		{"nothing in force after the limit", false, askLimit + time.Second, "no configuration in force"},
+		{"nobody asked", true, 0, "configuration service not asked yet"},
+		{"limit is over", true, askLimit + time.Second, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reg := prometheus.NewRegistry()
+			log := logr.Discard()
+			s := settings.Settings{PeerListen: "127.0.0.1:1", Peers: []string{"127.0.0.1:2"}, Platform: "http://127.0.0.1:3"}
+			g := gateway.New(gateway.Config{}, gateway.NewMetrics(reg), log)
+			m := platform.NewMetrics(reg)
+			store := newStore(g, m, log)
+			node := newNode(s, store, g, peer.NewMetrics(reg), log)
+			f := newFleet(s, log, g, store, newReader(s, store, g, node, m, log), node)
+			f.started = time.Now().Add(-c.age)
+			if c.document {
+				store.Offer("test", "s", []byte(document))
+			}
+			err := f.ready()
+			if c.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.EqualError(t, err, c.want)
+		})
+	}
+}
