e2e: measure healing after a separation of entry instances, not after a pause

Cause: the measurement of healing paused half of the fleet. A paused instance asks again as soon as it runs, while one that was separated has backed off and learns of the others only through its rounds. Ruled out: cutting connections in the network, for which the tests have no means. Instances that are not on the platform's list are refused, so two groups on two loopback addresses can be separated and joined through the list.

--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -27,6 +27,8 @@
 // instance can find its port in use by a connection of another one.
 const firstPort = 7000
 
+const maxSeeds = 3
+
 // Fleet is a platform stand-in with entry instances in three zones that know each other. It is used by one goroutine.
 type Fleet struct {
 	*Cluster
@@ -34,9 +36,13 @@
 	Platform string
 	// Entries are the running entry instances.
 	Entries []*Entry
+	// Groups is the number of loopback addresses that the entry instances are spread over, and know each other by from
+	// the settings. Between groups, instances know each other from the platform's list only, so that a list without a
+	// group separates it.
+	Groups int
 
 	client http.Client
-	ip     string   // loopback address of all entry instances
+	net    string   // loopback network of the entry instances
 	all    []*Entry // also those that were killed
 }
 
@@ -46,6 +52,7 @@
 	// Admin and Peer are its addresses; Peer also names it to the platform.
 	Admin, Peer string
 	zone        string
+	group       int
 	// last is the highest version reported, to notice a reversion.
 	last rules.Version
 }
@@ -63,8 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	ip := fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(254), rand.IntN(256))
-	f := &Fleet{Cluster: c, Platform: addr, ip: ip, client: http.Client{Timeout: requestLimit}}
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+	f := &Fleet{Cluster: c, Platform: addr, Groups: 1, net: network, client: http.Client{Timeout: requestLimit}}
 	if _, err := c.Start("standin", "platform", "--listen", addr); err != nil {
 		return nil, err
 	}
@@ -82,13 +89,14 @@
 }
 
 func (f *Fleet) addOne() error {
-	port := firstPort + 3*len(f.all)
-	address := func(i int) string { return fmt.Sprintf("%s:%d", f.ip, port+i) }
-	e := &Entry{Admin: address(0), Peer: address(1), zone: string(rune('a' + len(f.all)%3))}
+	port, group := firstPort+3*len(f.all), len(f.all)%f.Groups
+	address := func(i int) string { return fmt.Sprintf("%s.%d:%d", f.net, group+1, port+i) }
+	e := &Entry{Admin: address(0), Peer: address(1), group: group, zone: string(rune('a' + len(f.all)%3))}
 	var seeds []string
-	for _, other := range f.Entries[:min(len(f.Entries), 3)] {
+	for _, other := range f.Group(group) {
 		seeds = append(seeds, fmt.Sprintf("%q", other.Peer))
 	}
+	seeds = seeds[:min(len(seeds), maxSeeds)]
 	text := fmt.Sprintf("zone = %q\nadmin_listen = %q\npeer_listen = %q\nlisten = %q\nplatform = %q\npeers = [%s]\nlame_duck = \"100ms\"\n",
 		e.zone, e.Admin, e.Peer, address(2), "http://"+f.Platform, strings.Join(seeds, ", "))
 	p, err := f.StartEntry(fmt.Sprint("fleet", len(f.all)), text)
@@ -101,10 +109,24 @@
 	return nil
 }
 
+// Group returns the running entry instances of a group.
+func (f *Fleet) Group(group int) []*Entry {
+	var list []*Entry
+	for _, e := range f.Entries {
+		if e.group == group {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // List puts the running entry instances on the platform's list.
-func (f *Fleet) List() error {
+func (f *Fleet) List() error { return f.ListOnly(f.Entries) }
+
+// ListOnly puts the given entry instances on the platform's list.
+func (f *Fleet) ListOnly(entries []*Entry) error {
 	var list []platform.Instance
-	for _, e := range f.Entries {
+	for _, e := range entries {
 		list = append(list, platform.Instance{
 			Service: platform.ServiceEntry, Address: e.Peer, Zone: e.zone, State: platform.StateLive,
 		})
--- a/internal/e2e/measure_fleet.go
+++ b/internal/e2e/measure_fleet.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,7 +26,7 @@
 	Rounds int
 	// Duration is the time of each case in mode "cost".
 	Duration time.Duration
-	// Partition is how long a half of the fleet is paused and cut in mode "spread".
+	// Partition is how long a half of the fleet is separated from the other in mode "spread".
 	Partition time.Duration
 }
 
@@ -70,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	f.Groups = 2
 	v := rules.Version{Epoch: 1, Revision: 1}
 	if err := f.Publish(v); err != nil {
 		return err
@@ -90,7 +90,7 @@
 }
 
 func (m FleetMeasurement) spread(ctx context.Context, f *Fleet, v rules.Version, out *json.Encoder) error {
-	half := f.Entries[:len(f.Entries)/2]
+	half := f.Group(1)
 	var cut []string
 	for _, e := range half {
 		cut = append(cut, e.Peer)
@@ -118,41 +118,48 @@
 	return m.heal(ctx, f, v, half, out)
 }
 
-// heal pauses a half that is also cut from the platform, publishes meanwhile, and measures from the end of the pause.
-// The platform stays out of reach of that half, so that the newest version has to come from the other one.
+// heal separates a half, which is cut off from the platform already, from its peers: instances that are not on the
+// list are refused. It publishes meanwhile and measures from the end of the separation. The platform stays out of reach
+// of that half, so that the newest version has to come from the other one.
 func (m FleetMeasurement) heal(ctx context.Context, f *Fleet, v rules.Version, half []*Entry, out *json.Encoder) error {
 	v.Revision++
-	for _, e := range half {
-		if err := e.Signal(syscall.SIGSTOP); err != nil {
-			return err
-		}
+	if err := f.ListOnly(f.Group(0)); err != nil {
+		return err
+	}
+	if err := pause(ctx, m.Partition/2); err != nil {
+		return err
 	}
 	if err := f.Publish(v); err != nil {
 		return err
 	}
-	if err := f.Reaches(ctx, v, f.Entries[len(half):]...); err != nil {
+	if err := f.Reaches(ctx, v, f.Group(0)...); err != nil {
 		return err
 	}
-	select {
-	case <-time.After(m.Partition):
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := pause(ctx, m.Partition/2); err != nil {
+		return err
 	}
-	took, err := f.timed(ctx, v, func() error {
-		for _, e := range half {
-			if err := e.Signal(syscall.SIGCONT); err != nil {
-				return err
-			}
+	for _, e := range half {
+		if got, err := f.Version(e); err != nil || !got.Less(v) {
+			return eris.Errorf("version %v at %s during the separation: %v", got, e.Peer, err)
 		}
-		return nil
-	})
+	}
+	took, err := f.timed(ctx, v, f.List)
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("half paused for %s and cut off from the platform, after its end", m.Partition)
+	name := fmt.Sprintf("half separated from platform and peers for %s, after the end for peers", m.Partition)
 	return out.Encode(spreadResult(name, len(f.Entries), []time.Duration{took}))
 }
 
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // timed returns the time from the start of begin until v is in force everywhere.
 func (f *Fleet) timed(ctx context.Context, v rules.Version, begin func() error) (time.Duration, error) {
 	start := time.Now()
