Merge the fleet: platform reader, configuration reducer, peers and membership

Cause: instances read the platform without a budget, did not tell each other about newer documents or leaving targets, and had no membership. Ruled out: two watches for pauses of the process, one in the gateway and one in the fleet; the gateway's stays, calls the fleet's refresh, and requests wait until it returned.

--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -83,8 +83,8 @@
 	Start string `json:"start,omitempty"`
 	// State is "live" or "leaving".
 	State string `json:"state"`
-	// LastSeen is the time of the last exchange; zero when there was none.
-	LastSeen time.Time `json:"last_seen,omitzero"`
+	// InContact tells whether an exchange succeeded within the last minute.
+	InContact bool `json:"in_contact"`
 }
 
 // Budgets answers budgets.
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -20,6 +20,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/platform"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
@@ -30,7 +31,8 @@
 	c := dig.New()
 	constructors := []any{
 		func() settings.Settings { return s },
-		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, newStore, newReader, newInstance,
+		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, platform.NewMetrics, peer.NewMetrics,
+		newStore, newNode, newReader, newFleet, newInstance,
 	}
 	for _, constructor := range constructors {
 		if err := c.Provide(constructor); err != nil {
@@ -60,25 +62,6 @@
 	return gateway.Config{Policy: s.Policy(), Target: s.Target()}
 }
 
-func newStore(s settings.Settings, g *gateway.Gateway, log logr.Logger) *platform.Store {
-	return platform.NewStore(log, func(docs []*rules.Document) {
-		g.SetDocuments(rules.Capped(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
-	})
-}
-
-func newReader(s settings.Settings, store *platform.Store, g *gateway.Gateway, log logr.Logger) *platform.Reader {
-	return platform.NewReader(s.Platform, sink{store, g}, log)
-}
-
-// sink passes what the platform reader learns to its consumers.
-type sink struct {
-	store   *platform.Store
-	gateway *gateway.Gateway
-}
-
-func (s sink) OfferDocument(source string, text []byte) { s.store.Offer(source, text) }
-func (s sink) SetInstances(list platform.InstanceList)  { s.gateway.SetInstances(list) }
-
 // instance is one running entry instance.
 type instance struct {
 	settings settings.Settings
@@ -86,14 +69,14 @@
 	registry *prometheus.Registry
 	gateway  *gateway.Gateway
 	store    *platform.Store
-	reader   *platform.Reader
+	fleet    *fleet
 	stopping atomic.Bool
 }
 
 func newInstance(
-	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *platform.Store, r *platform.Reader,
+	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *platform.Store, f *fleet,
 ) *instance {
-	return &instance{settings: s, log: log, registry: reg, gateway: g, store: st, reader: r}
+	return &instance{settings: s, log: log, registry: reg, gateway: g, store: st, fleet: f}
 }
 
 // Ready reports why the instance may not receive callers, or nil.
@@ -101,10 +84,7 @@
 	if i.stopping.Load() {
 		return eris.New("stopping")
 	}
-	if len(i.store.Documents()) == 0 {
-		return eris.New("no configuration in force")
-	}
-	return nil
+	return i.fleet.ready()
 }
 
 // Configuration lists the documents in force.
@@ -117,8 +97,16 @@
 	return list
 }
 
-// Refused lists the last refused documents; the store does not record them yet.
-func (i *instance) Refused() []admin.Refusal { return nil }
+// Refused lists the last refused document of each service.
+func (i *instance) Refused() []admin.Refusal {
+	var list []admin.Refusal
+	for _, r := range i.store.LastRefused() {
+		list = append(list, admin.Refusal{
+			Service: r.Service, Version: r.Version, Source: r.Source, Time: r.Time, Reason: r.Reason, Findings: r.Findings,
+		})
+	}
+	return list
+}
 
 // Conflicts lists where documents in force compete.
 func (i *instance) Conflicts() []rules.Conflict {
@@ -132,8 +120,20 @@
 // Services returns a view of each service.
 func (i *instance) Services() map[string]core.View { return i.gateway.Status() }
 
-// Instances lists the known entry instances; there is no membership yet.
-func (i *instance) Instances() []admin.Instance { return nil }
+// Instances lists the other entry instances that are known.
+func (i *instance) Instances() []admin.Instance {
+	var list []admin.Instance
+	for _, m := range i.fleet.node.Members() {
+		state := platform.StateLive
+		if m.Leaving {
+			state = platform.StateLeaving
+		}
+		list = append(list, admin.Instance{
+			Address: m.Address, Zone: m.Zone, Start: m.Start, State: string(state), InContact: m.InContact,
+		})
+	}
+	return list
+}
 
 func (i *instance) run(ctx context.Context) error {
 	callers, err := sockets.ListenConfig().Listen(ctx, "tcp", i.settings.Listen)
@@ -144,6 +144,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
+	peers, err := i.fleet.listen()
+	if err != nil {
+		return err
+	}
 	callerServer := i.limited(i.gateway.NewServer())
 	adminServer := i.limited(&http.Server{Handler: admin.NewHandler(i, i.registry)})
 	background, stopBackground := context.WithCancel(context.Background())
@@ -152,9 +156,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(adminServer, administration) })
-	go i.gateway.WatchPauses(background)
-	go i.reader.WatchIndex(background)
-	go i.reader.WatchInstances(background)
+	go i.fleet.run(background, peers)
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
 
 	<-ctx.Done()
@@ -177,6 +179,7 @@
 	i.stopping.Store(true)
 	i.gateway.Drain()
 	i.log.Info("instance stopping")
+	i.fleet.node.Leave(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
 	defer cancel()
 	select {
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -56,13 +56,9 @@
 }
 
 func writeInstances(w io.Writer, list []admin.Instance) {
-	fmt.Fprintf(w, "\nINSTANCE\tZONE\tSTATE\tLAST SEEN\n")
+	fmt.Fprintf(w, "\nINSTANCE\tZONE\tSTATE\tIN CONTACT\n")
 	for _, i := range list {
-		seen := "-"
-		if !i.LastSeen.IsZero() {
-			seen = i.LastSeen.Format(time.RFC3339)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", i.Address, i.Zone, i.State, seen)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", i.Address, i.Zone, i.State, i.InContact)
 	}
 }
 
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -19,6 +19,7 @@
 type engine struct {
 	name    string
 	clock   clock
+	pauses  *pauses
 	clients *clients
 	metrics *Metrics
 	log     logr.Logger
@@ -63,9 +64,9 @@
 	attempts int
 }
 
-func newEngine(name string, policy core.Policy, ck clock, cl *clients, m *Metrics, log logr.Logger) *engine {
+func newEngine(name string, policy core.Policy, p *pauses, cl *clients, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: ck, clients: cl, metrics: m, log: log.WithValues("service", name),
+		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name),
 		service: core.NewService(policy), pending: make(map[core.RequestID]*exchange),
 	}
 	e.timer = time.AfterFunc(time.Hour, func() { e.dispatch(core.TimerFired{}) })
@@ -172,6 +173,12 @@
 
 // runAttempt sends one attempt and reports its end. When the answer is delivered, the caller's goroutine reports it.
 func (e *engine) runAttempt(ctx context.Context, c *target.Client, x *exchange, id core.AttemptID, f *flight, a target.Attempt) {
+	if e.pauses.stale() {
+		// The target was chosen on a view from before the pause; the reducer chooses again.
+		e.pauses.await(ctx)
+		e.end(x, id, attemptFailed(x.id, id, &target.Error{Outcome: core.OutcomeNotSent, Reason: ReasonResumed}))
+		return
+	}
 	answer, err := c.Send(ctx, a)
 	if err == nil {
 		buffered := bufferAnswer(answer)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,8 +25,6 @@
 	Target target.Config
 	// WriteStall bounds each write to a caller; zero means DefaultWriteStall.
 	WriteStall time.Duration
-	// OnResume is called after a pause of the process was reported to all services; it may be nil.
-	OnResume func(gap time.Duration)
 }
 
 // DefaultWriteStall is long enough for a congested network and short enough to free the slot of a target whose answer
@@ -37,6 +35,7 @@
 type Gateway struct {
 	cfg     Config
 	clock   clock
+	pauses  *pauses
 	clients *clients
 	metrics *Metrics
 	log     logr.Logger
@@ -53,8 +52,9 @@
 	if cfg.WriteStall == 0 {
 		cfg.WriteStall = DefaultWriteStall
 	}
+	ck := newClock()
 	g := &Gateway{
-		cfg: cfg, clock: newClock(), clients: newClients(cfg.Target), metrics: m, log: log,
+		cfg: cfg, clock: ck, pauses: &pauses{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
 		engines: make(map[string]*engine),
 	}
 	g.table.Store(rules.NewTable(nil))
@@ -99,7 +99,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg.Policy, g.clock, g.clients, g.metrics, g.log)
+		e = newEngine(name, g.cfg.Policy, g.pauses, g.clients, g.metrics, g.log)
 		g.engines[name] = e
 	}
 	return e
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -12,6 +13,8 @@
 	pauseTick = 200 * time.Millisecond
 	// pauseLimit is the gap between ticks that counts as a pause of the process (design page, section 2.1).
 	pauseLimit = time.Second
+	// freshPoll is the interval at which a request looks whether the view was read again.
+	freshPoll = 5 * time.Millisecond
 )
 
 // reading is a time on both clocks.
@@ -28,29 +31,57 @@
 	return max(r.monotonic-earlier.monotonic, r.wall.Sub(earlier.wall))
 }
 
-// WatchPauses reports each pause of the process to all services until ctx ends.
-func (g *Gateway) WatchPauses(ctx context.Context) {
+// pauses tells whether the view of targets and rules dates from before a pause of the process. It is safe for
+// concurrent use.
+type pauses struct {
+	clock clock
+	last  atomic.Pointer[reading] // the last tick; nil while nothing watches for pauses
+}
+
+// stale reports whether the process has just resumed and the view was not read again yet.
+func (p *pauses) stale() bool {
+	last := p.last.Load()
+	return last != nil && p.clock.reading().gap(*last) > pauseLimit
+}
+
+// await returns once the view is not stale or ctx ends.
+func (p *pauses) await(ctx context.Context) {
+	for p.stale() {
+		select {
+		case <-time.After(freshPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *pauses) mark() {
+	now := p.clock.reading()
+	p.last.Store(&now)
+}
+
+// WatchPauses finds pauses of the process until ctx ends. After each it calls refresh, which reads the view again in
+// bounded time, and then reports the pause to all services. Requests wait until refresh has returned.
+func (g *Gateway) WatchPauses(ctx context.Context, refresh func()) {
 	ticker := time.NewTicker(pauseTick)
 	defer ticker.Stop()
-	last := g.clock.reading()
+	g.pauses.mark()
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		g.tick(g.clock.reading().gap(last))
-		last = g.clock.reading() // the time that OnResume took is no pause
+		g.tick(g.clock.reading().gap(*g.pauses.last.Load()), refresh)
+		g.pauses.mark() // the time that refresh took is no pause
 	}
 }
 
-func (g *Gateway) tick(gap time.Duration) {
+func (g *Gateway) tick(gap time.Duration, refresh func()) {
 	if gap <= pauseLimit {
 		return
 	}
 	g.log.Info("process resumed after a pause", "gap", gap.String())
+	refresh()
 	g.broadcast(core.Resumed{Gap: gap})
-	if g.cfg.OnResume != nil {
-		g.cfg.OnResume(gap)
-	}
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -64,6 +64,7 @@
 	if g.drains.Load() {
 		c.Header().Set("Connection", "close")
 	}
+	g.pauses.await(r.Context())
 	body, refusal := g.accept(c)
 	if refusal != nil {
 		g.reject(c, *refusal)
--- /dev/null
+++ b/pkg/platform/version.go
@@ -0,0 +1,10 @@
+package platform
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash returns the content hash used in the index.
+func Hash(text []byte) string { return strconv.FormatUint(xxhash.Sum64(text), 16) }
