core: look at all targets again when the service limit hid free room

While no target has room only the target of the ended attempt is looked at; when the service limit was reached in that step, its room was forgotten. Conclusion: the room of a freed target is never lost while requests wait.

--- a/pkg/core/queue_test.go
+++ b/pkg/core/queue_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,28 @@
 	require.True(t, rt.refusal().NotRun)
 }
 
+// TestRoomBehindServiceLimit guards against requests that wait until their deadline beside an idle target: t1 gets room
+// while the service limit is reached, and the next attempt to end frees no room on its own target.
+func TestRoomBehindServiceLimit(t *testing.T) {
+	rt := newTestRuntime(t, 2)
+	limits := func(limit float64) {
+		rt.s.setLimit(rt.s.order[0], limit)
+		rt.s.setLimit(rt.s.order[1], limit)
+	}
+	limits(1.9)
+	rt.fill(ClassLookup)
+	require.True(t, rt.s.full)
+	limits(0.9)
+	for _, a := range slices.Clone(rt.live) {
+		if a.target == targetID(1) {
+			rt.answer(a)
+		}
+	}
+	require.Equal(t, 1, rt.s.queue.length())
+	rt.end(rt.live[0], shedding)
+	require.Zero(t, rt.s.queue.length())
+}
+
 // TestRetryKeepsItsTurn guards against late refusals: a request that waited once is first when it has to wait again.
 func TestRetryKeepsItsTurn(t *testing.T) {
 	rt := newTestRuntime(t, 1, func(p *Policy) { p.SlotsPerTarget = 2 })
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -43,6 +43,7 @@
 // has tried; other attempts avoid these targets.
 func (s *Service) choose(now Instant, r *request, hedge bool) *targetState {
 	if s.inFlight >= s.serviceLimit() {
+		s.full = s.full && s.freed == nil // the freed target may have room once the limit allows it
 		return nil
 	}
 	if s.full {
