core: let the baseline methods ignore zones and trials

Cause: random and two-choices drew from the own zone first and took part in trials, so measurements would have credited the baselines with parts of the real method. Ruled out: keeping the preference in the baselines, since design.md compares whole methods. Before: TestBaselinesIgnoreZones fails, random sends 327 of 600 requests to a target whose fair share is 100. After: it passes. Conclusion: the baselines use the list, leaving signs and in-flight limits only.

--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -121,7 +121,7 @@
 
 // chooseTrial returns an ejected target that r may try, or nil. Trials are hedged early, so r must be idempotent.
 func (s *Service) chooseTrial(now Instant, r *request) *targetState {
-	if len(s.trials) == 0 || r.class == ClassOnce || r.started > 0 || s.sinceTrial < trialEvery {
+	if len(s.trials) == 0 || s.policy.Selection.baseline() || r.class == ClassOnce || r.started > 0 || s.sinceTrial < trialEvery {
 		return nil
 	}
 	for i, t := range s.trials {
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -68,28 +68,32 @@
 		return s.nextInTurn(now, r, hedge)
 	}
 	var best pick
-	s.draw(now, s.local, s.draws(localDraws), r, false, &best)
-	s.draw(now, s.all, s.draws(anyDraws), r, false, &best)
+	local, anywhere := s.draws()
+	s.draw(now, s.local, local, r, false, &best)
+	s.draw(now, s.all, anywhere, r, false, &best)
 	if best.target == nil && !hedge {
 		s.draw(now, s.all, 1, r, true, &best)
 	}
 	return best.target
 }
 
-// draws returns the number of candidates to compare; wanted applies to the methods that prefer a zone.
-func (s *Service) draws(wanted int) int {
+// draws returns the numbers of candidates from the own zone and from everywhere.
+func (s *Service) draws() (local, anywhere int) {
 	switch s.policy.Selection {
 	case SelectRandom:
-		return 1
+		return 0, 1
 	case SelectTwoChoices:
-		return 2
+		return 0, 2
 	}
-	return wanted
+	return localDraws, anyDraws
 }
 
 // draw considers count random targets of list that have room. It shuffles the list as far as it looks, so each target
 // is looked at once, and all are if none has room. Relaxed admits targets that r has tried and ignores slow start.
 func (s *Service) draw(now Instant, list []*targetState, count int, r *request, relaxed bool, best *pick) {
+	if count == 0 {
+		return
+	}
 	for i := range list {
 		j := i + s.random(len(list)-i)
 		list[i], list[j] = list[j], list[i]
--- a/pkg/core/selection_test.go
+++ b/pkg/core/selection_test.go
@@ -90,6 +90,16 @@
 	require.Less(t, local(), 50)
 }
 
+// TestBaselinesIgnoreZones guards against baselines that owe a part of their figures to the zone preference.
+func TestBaselinesIgnoreZones(t *testing.T) {
+	for _, method := range []Selection{SelectRandom, SelectRoundRobin, SelectTwoChoices} {
+		rt := newTestRuntime(t, 6, func(p *Policy) { p.Selection, p.Zone = method, "a" })
+		for id, n := range rt.spread(600, ClassLookup) {
+			require.InDelta(t, 100, n, 40, "%s, %s", method, id)
+		}
+	}
+}
+
 // TestOnceAvoidsDoubt guards against non-idempotent work on a target whose last answer was slow.
 func TestOnceAvoidsDoubt(t *testing.T) {
 	rt := newTestRuntime(t, 3)
