core: document what the baseline methods leave out

Cause: the comment on Selection did not say which evidence random, round-robin and two-choices ignore. Ruled out: a note on each method, which would repeat itself. Before: to be read from the code. After: stated on the type; no change of behaviour, tests pass. Conclusion: measurements can name what they compare.

--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// Selection names a method of choosing a target. Baselines are kept for measurements.
+// Selection names a method of choosing a target. SelectRandom, SelectRoundRobin and SelectTwoChoices are baselines for
+// measurements: they observe leaving signs and in-flight limits, but no zones, load reports, backoff, slow start or
+// ejections. Retries, hedges and queues are the same with all methods.
 type Selection string
 
 // The selection methods.
