--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -160,6 +160,7 @@
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
 
 	<-ctx.Done()
+	i.fleet.node.Leave(context.Background())
 	i.stop(callerServer)
 	_ = adminServer.Close()
 	return group.Wait()
@@ -179,7 +180,6 @@
 	i.stopping.Store(true)
 	i.gateway.Drain()
 	i.log.Info("instance stopping")
-	i.fleet.node.Leave(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
 	defer cancel()
 	select {
