platform: give the test of an oversized reply time to read it

Ruled out: a fault of the reader; the reply was refused in both cases, for another reason. Only the row "silent", which needs the deadline, keeps 200 ms. Conclusion: the check of the reason is as strict as before.

--- a/pkg/platform/reader_test.go
+++ b/pkg/platform/reader_test.go
@@ -208,7 +208,10 @@
 			bad := httptest.NewServer(c.handler)
 			defer bad.Close()
 			cfg := platform.DefaultReaderConfig(bad.URL, "r2")
-			cfg.Timeout = 200 * time.Millisecond
+			cfg.Timeout = limit // long enough for 9 MiB on a busy machine
+			if c.name == "silent" {
+				cfg.Timeout = 200 * time.Millisecond
+			}
 			reg := prometheus.NewRegistry()
 			r := platform.NewReader(cfg, f, platform.NewMetrics(reg), logr.Discard())
 			f.registry = reg
