standin: print how state, messages and steps grow

The design scale needs the cost of each role, and the repository measured only choices, requests and a fleet with documents of 200 bytes. The subcommand "capacity" prints memory, message sizes and times for three or more numbers of targets, connections, documents, leaving signs and entry instances. "make bench" prints them after the benchmarks; "make capacity" also runs fleets of 2, 7 and 14 entry instances for 20 s per case.

Ruled out: a fleet with 1,100 targets as processes, which the shared machine does not carry. Sizes and times of single steps come from one process instead.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers and CI. "make test" is what CI runs.
 GO ?= go
 
-.PHONY: build test lint unit models known-red demo measure bench
+.PHONY: build test lint unit models known-red demo measure bench capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -40,3 +40,9 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
+	$(GO) run ./cmd/standin capacity
+
+# The figures of docs/CAPACITY.md: slopes and times from bench, control cost from fleets of at most 15 processes.
+capacity: build bench
+	for n in 2 7 14; do bin/standin fleet --mode cost --binaries bin --entries $$n --services 36 --duration 20s || exit 1; done
+	for n in 1 18; do bin/standin fleet --mode cost --binaries bin --entries 7 --services $$n --duration 20s || exit 1; done
--- /dev/null
+++ b/internal/capacity/documents.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"compress/gzip"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+)
+
+// document returns a document of at most size bytes and its number of rules.
+func document(service string, size int) (string, int) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service = %q\nepoch = 3\nrevision = 20000\n[rules]\n", service)
+	for i := 0; ; i++ {
+		line := fmt.Sprintf("rule-%d = { path = \"/%s/%d/*\", methods = [\"POST\"], class = \"once\", deadline = \"2s\", body = \"64KiB\" } # asked by team %d\n",
+			i, service, i, i%17)
+		if b.Len()+len(line) > size {
+			return b.String(), i
+		}
+		b.WriteString(line)
+	}
+}
+
+// documents measures one document: checking it, the memory of its rules and how far gzip shrinks it.
+func documents(w io.Writer) error {
+	head(w, "One document", "size", "rules", "check", "memory of its rules", "compressed by gzip")
+	for _, size := range []int{64 << 10, 256 << 10, 512 << 10, 1 << 20} {
+		text, count := document("service-00", size)
+		if _, err := rules.Parse("capacity", []byte(text)); err != nil {
+			return err
+		}
+		check := median(func() { _, _ = rules.Parse("capacity", []byte(text)) })
+		bytes := heap(func() any {
+			d, _ := rules.Parse("capacity", []byte(text))
+			return d
+		})
+		compressed, err := gzipSize([]byte(text))
+		if err != nil {
+			return err
+		}
+		row(w, cells(fmt.Sprintf("%d B", len(text)), count, millis(check), fmt.Sprintf("%.1f MB", float64(bytes)/1e6),
+			fmt.Sprintf("%d B", compressed)))
+	}
+	return nil
+}
+
+// gzipSize returns the size of text after compression at the default level.
+func gzipSize(text []byte) (int, error) {
+	size := counter(0)
+	z := gzip.NewWriter(&size)
+	if _, err := z.Write(text); err != nil {
+		return 0, err
+	}
+	err := z.Close()
+	return int(size), err
+}
+
+// tables measures the routing table, which each change of a document builds anew from all documents.
+func tables(w io.Writer) error {
+	head(w, "Routing table", "documents of 1 MiB", "build", "texts, rules and table in memory")
+	for _, n := range []int{12, 24, services} {
+		var docs []*rules.Document
+		bytes := heap(func() any {
+			var texts []string
+			for i := range n {
+				text, _ := document(fmt.Sprintf("service-%02d", i), 1<<20)
+				d, err := rules.Parse("capacity", []byte(text))
+				if err != nil {
+					return err
+				}
+				texts, docs = append(texts, text), append(docs, d)
+			}
+			return []any{texts, rules.NewTable(docs)}
+		})
+		if len(docs) != n {
+			return fmt.Errorf("%d of %d documents are valid", len(docs), n)
+		}
+		build := median(func() { rules.NewTable(docs) })
+		row(w, cells(n, millis(build), fmt.Sprintf("%.0f MB", float64(bytes)/1e6)))
+	}
+	return nil
+}
