core, gateway: benchmark the full service and processor time

Choices of other sizes get a third point.

Ruled out: time per operation as a measure, since a call runs in several goroutines on several cores.

--- a/pkg/core/bench_test.go
+++ b/pkg/core/bench_test.go
@@ -27,7 +27,7 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{15, 1100} {
+	for _, n := range []int{15, 275, 1100} {
 		for _, method := range []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices} {
 			b.Run(fmt.Sprintf("targets=%d/%s", n, method), func(b *testing.B) {
 				s := benchService(n, method)
@@ -44,24 +44,32 @@
 	}
 }
 
-// BenchmarkChooseWithoutRoom measures the worst case: no target has room, so all are looked at.
+// BenchmarkChooseWithoutRoom measures the worst case: no target has room. The first choice looks at all targets, the
+// next ones only know that it failed.
 func BenchmarkChooseWithoutRoom(b *testing.B) {
-	s := benchService(1100, SelectLoad)
-	for _, t := range s.order {
-		t.backoffUntil = time.Hour
-	}
-	r := &request{class: ClassLookup}
-	b.ReportAllocs()
-	for b.Loop() {
-		if s.choose(10*time.Millisecond, r, false) != nil {
-			b.Fatal("unexpected target")
+	for _, n := range []int{15, 275, 1100} {
+		for _, name := range []string{"first", "next"} {
+			b.Run(fmt.Sprintf("targets=%d/%s", n, name), func(b *testing.B) {
+				s := benchService(n, SelectLoad)
+				for _, t := range s.order {
+					t.backoffUntil = time.Hour
+				}
+				r := &request{class: ClassLookup}
+				b.ReportAllocs()
+				for b.Loop() {
+					s.full = s.full && name == "next"
+					if s.choose(10*time.Millisecond, r, false) != nil {
+						b.Fatal("unexpected target")
+					}
+				}
+			})
 		}
 	}
 }
 
 // BenchmarkRequest measures the three steps of a request that is answered at once; step-ns is the mean of one step.
 func BenchmarkRequest(b *testing.B) {
-	for _, n := range []int{15, 1100} {
+	for _, n := range []int{15, 31, 275, 1100} {
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			s := benchService(n, SelectLoad)
 			out := make([]Effect, 0, 16)
--- /dev/null
+++ b/pkg/gateway/capacity_bench_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+)
+
+// BenchmarkCallProcessorTime reports the processor time of a call, that of the kernel included. The target runs in the
+// same process; its server side costs about what the caller side of an entry instance costs, which the handler skips.
+func BenchmarkCallProcessorTime(b *testing.B) {
+	for _, size := range []int{0, 16 << 10, 32 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			body := bytes.Repeat([]byte("x"), size)
+			serve := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", strconv.Itoa(size))
+				_, _ = w.Write(body)
+			}
+			var targets []string
+			for range 8 { // enough slots that no call waits
+				targets = append(targets, handlerTarget(b, serve))
+			}
+			h := newFixture(b, logr.Discard(), Config{}, targets...).Handler()
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := processorTime(b)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					w := httptest.NewRecorder()
+					h.ServeHTTP(w, httptest.NewRequest("GET", "/r/1", nil))
+					if w.Code != http.StatusOK {
+						b.Error(w.Code)
+					}
+				}
+			})
+			b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkProbeProcessorTime reports the processor time of an exchange with a target alone, both ends included.
+func BenchmarkProbeProcessorTime(b *testing.B) {
+	addr := handlerTarget(b, func(http.ResponseWriter, *http.Request) {})
+	client := target.NewClient(addr, target.DefaultConfig())
+	defer client.Close()
+	before := processorTime(b)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			a, err := client.Send(b.Context(), target.Attempt{
+				Method: "GET", URL: &url.URL{Path: "/"}, Header: http.Header{}, Deadline: time.Now().Add(time.Minute),
+			})
+			if err != nil {
+				b.Error(err)
+				continue
+			}
+			_, _ = io.Copy(io.Discard, a.Body) // otherwise the connection is not used again
+			a.Body.Close()
+		}
+	})
+	b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
