standin: measure a fleet whose changing document is large

Cause: the code lets several contacts pull the same version at once and the platform reader fetch it too, and only documents of 200 bytes had been measured.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 capacity: build bench
 	for n in 2 7 14; do bin/standin fleet --mode cost --binaries bin --entries $$n --services 36 --duration 20s || exit 1; done
 	for n in 1 18; do bin/standin fleet --mode cost --binaries bin --entries 7 --services $$n --duration 20s || exit 1; done
+	for n in 10000 100000 500000 1000000; do bin/standin fleet --mode cost --binaries bin --entries 7 --services 36 --duration 8s --padding $$n || exit 1; done
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -29,6 +29,8 @@
 
 const maxSeeds = 3
 
+const paddingLine = "# a comment that only makes the document longer\n"
+
 // Fleet is a platform stand-in with entry instances in three zones that know each other. It is used by one goroutine.
 type Fleet struct {
 	*Cluster
@@ -40,6 +42,8 @@
 	// the settings. Between groups, instances know each other from the platform's list only, so that a list without a
 	// group separates it.
 	Groups int
+	// Padding is the size of the comments that Publish adds to a document, in bytes.
+	Padding int
 
 	client http.Client
 	net    string   // loopback network of the entry instances
@@ -147,7 +151,9 @@
 }
 
 // Publish publishes a document of the version.
-func (f *Fleet) Publish(v rules.Version) error { return PublishDocument(f.Platform, FleetDocument(v)) }
+func (f *Fleet) Publish(v rules.Version) error {
+	return PublishDocument(f.Platform, FleetDocument(v)+strings.Repeat(paddingLine, f.Padding/len(paddingLine)))
+}
 
 // SetFaults replaces the faults of the platform.
 func (f *Fleet) SetFaults(faults standin.PlatformFaults) error {
--- a/internal/e2e/measure_fleet.go
+++ b/internal/e2e/measure_fleet.go
@@ -26,6 +26,8 @@
 	Rounds int
 	// Services is the number of documents; all but one never change.
 	Services int
+	// Padding is the size of the comments in the document that changes, in bytes.
+	Padding int
 	// Duration is the time of each case in mode "cost".
 	Duration time.Duration
 	// Partition is how long a half of the fleet is separated from the other in mode "spread".
@@ -72,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	f.Groups = 2
+	f.Groups, f.Padding = 2, m.Padding
 	v := rules.Version{Epoch: 1, Revision: 1}
 	if err := f.Publish(v); err != nil {
 		return err
