standin: record the time of each run in the target's ledger

A ledger line was the work id alone, so no test could tell when a target started its last run. It is now the start in nanoseconds and the id, still one write before the run starts; Run and ReadRuns read it in order. ReadLedgerFile gives the same counts as before.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -37,7 +37,7 @@
 	ColdFactor float64
 	// Start identifies this start of the target.
 	Start string
-	// LedgerLog, if set, receives one line with the work id for each run.
+	// LedgerLog, if set, receives one line for each run: its start in nanoseconds since 1970, and the work id.
 	LedgerLog io.Writer
 }
 
--- a/internal/standin/target_ledger.go
+++ b/internal/standin/target_ledger.go
@@ -1,13 +1,15 @@
 package standin
 
 import (
-	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -25,19 +27,47 @@
 // LedgerFileName returns the name of the ledger file of the target at addr.
 func LedgerFileName(addr string) string { return strings.ReplaceAll(addr, ":", "-") + ".ledger" }
 
+// Run is one run of a work id.
+type Run struct {
+	ID string
+	// At is the time at which the run took its slot, by the clock of the target's machine.
+	At time.Time
+}
+
 // ReadLedgerFile reads the log of a target, also after the target was killed.
 func ReadLedgerFile(path string) (Ledger, error) {
-	file, err := os.Open(path)
+	runs, err := ReadRuns(path)
 	if err != nil {
-		return nil, eris.Wrap(err, "open ledger")
+		return nil, err
 	}
-	defer file.Close()
 	l := make(Ledger)
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		l[strings.TrimSpace(lines.Text())]++
+	for _, run := range runs {
+		l[run.ID]++
+	}
+	return l, nil
+}
+
+// ReadRuns reads the runs of a target from its log, in the order of their start. A line that is being written is left
+// out: its run has not started.
+func ReadRuns(path string) ([]Run, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read ledger")
+	}
+	var runs []Run
+	for line := range strings.Lines(string(text)) {
+		line, whole := strings.CutSuffix(line, "\n")
+		if !whole {
+			break
+		}
+		at, id, _ := strings.Cut(line, " ")
+		ns, err := strconv.ParseInt(at, 10, 64)
+		if err != nil {
+			return nil, eris.Wrapf(err, "ledger %s", path)
+		}
+		runs = append(runs, Run{ID: id, At: time.Unix(0, ns)})
 	}
-	return l, eris.Wrap(lines.Err(), "read ledger")
+	return runs, nil
 }
 
 // OpenLedgerFile opens a log that targets append to. Each run is one write, so a killed target loses none.
@@ -58,7 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.log != nil {
-		if _, err := io.WriteString(l.log, id+"\n"); err != nil {
+		if _, err := fmt.Fprintf(l.log, "%d %s\n", time.Now().UnixNano(), id); err != nil {
 			return eris.Wrap(err, "write ledger")
 		}
 	}
