e2e: give deployments addresses that stay free, and platform faults

Cause: in a trial, six deployments side by side took ports that were free a moment ago from the range of outgoing connections; an entry instance ended before it was ready (1 of 6 subtests). A target that is started again on its address has the same problem for longer.

Also: Deployment keeps the published instance list and switches platform faults, which the test of leaving targets needs. SetFaults of Fleet uses the same function.

--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -74,8 +74,9 @@
 	// Entries run the entry instances.
 	Entries []*Process
 
-	cfg     DeploymentConfig
-	ledgers string // directory of the ledger files
+	cfg       DeploymentConfig
+	ledgers   string              // directory of the ledger files
+	instances []platform.Instance // the list at the start; the targets come first
 }
 
 // StartDeployment starts everything and waits until every entry instance is ready. On failure nothing keeps running.
@@ -92,10 +93,7 @@
 	if err := os.MkdirAll(d.ledgers, 0o700); err != nil {
 		return eris.Wrap(err, "make ledger directory")
 	}
-	addrs, err := FreeAddresses(1 + d.cfg.Targets + 3*d.cfg.Entries)
-	if err != nil {
-		return err
-	}
+	addrs := ownAddresses(1 + d.cfg.Targets + 3*d.cfg.Entries)
 	d.Platform, addrs = addrs[0], addrs[1:]
 	d.Targets, addrs = addrs[:d.cfg.Targets], addrs[d.cfg.Targets:]
 	d.Callers, addrs = addrs[:d.cfg.Entries], addrs[d.cfg.Entries:]
@@ -156,6 +154,7 @@
 		e := platform.Instance{Service: platform.ServiceEntry, Address: addr, Zone: zone(i), State: platform.StateLive}
 		list = append(list, e)
 	}
+	d.instances = list
 	if err := PublishInstances(d.Platform, list); err != nil {
 		return err
 	}
@@ -229,6 +228,11 @@
 	return all, nil
 }
 
+// SetPlatformFaults replaces the faults of the platform.
+func (d *Deployment) SetPlatformFaults(faults standin.PlatformFaults) error {
+	return setPlatformFaults(d.Platform, faults)
+}
+
 // SetFault switches a fault on at a target.
 func (d *Deployment) SetFault(target int, fault standin.Fault) error {
 	return SetFault(d.Targets[target], fault)
@@ -272,20 +276,20 @@
 	return sum
 }
 
-// FreeAddresses returns n different loopback addresses with ports that were free a moment ago.
-func FreeAddresses(n int) ([]string, error) {
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "find a free port")
-		}
-		defer l.Close() // all stay open until the last is found, so that none is found twice
-		list = append(list, l.Addr().String())
+// ownAddresses returns n addresses on a random loopback network, with ports that no outgoing connection takes. They stay
+// free while a process is started again.
+func ownAddresses(n int) []string {
+	network := loopbackNetwork()
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s.1:%d", network, firstPort+i)
 	}
-	return list, nil
+	return list
 }
 
+// loopbackNetwork returns the first three numbers of a random loopback network.
+func loopbackNetwork() string { return fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256)) }
+
 // SetFault switches a fault on at the target at addr.
 func SetFault(addr string, fault standin.Fault) error {
 	text, err := json.Marshal(fault)
@@ -302,3 +306,25 @@
 	}
 	return nil
 }
+
+// clearFaults switches all faults of the target at addr off.
+func clearFaults(addr string) error {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/control/faults", nil)
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	resp, err := control.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "clear faults")
+	}
+	resp.Body.Close()
+	return nil
+}
+
+func setPlatformFaults(addr string, faults standin.PlatformFaults) error {
+	text, err := json.Marshal(faults)
+	if err != nil {
+		return eris.Wrap(err, "encode faults")
+	}
+	return put("http://"+addr+"/control/faults", strings.NewReader(string(text)))
+}
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -1,11 +1,9 @@
 package e2e
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -70,8 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
-	f := &Fleet{Cluster: c, Platform: addr, Groups: 1, net: network, client: http.Client{Timeout: requestLimit}}
+	f := &Fleet{Cluster: c, Platform: addr, Groups: 1, net: loopbackNetwork(), client: http.Client{Timeout: requestLimit}}
 	if _, err := c.Start("standin", "platform", "--listen", addr); err != nil {
 		return nil, err
 	}
@@ -151,11 +148,7 @@
 
 // SetFaults replaces the faults of the platform.
 func (f *Fleet) SetFaults(faults standin.PlatformFaults) error {
-	text, err := json.Marshal(faults)
-	if err != nil {
-		return eris.Wrap(err, "encode faults")
-	}
-	return put("http://"+f.Platform+"/control/faults", bytes.NewReader(text))
+	return setPlatformFaults(f.Platform, faults)
 }
 
 // Counts returns how much the platform was read.
