gateway: judge attempts and bodies that span a pause by the new view

Two races between the handling of a pause and requests in progress, found by reading:

An attempt asked once, before it was sent, whether the view was stale. It could be chosen before the re-read and ask after it, or be paused between the question and its first byte (dial, wait for a connection), and was then sent on the old view. Each choice now carries the number of its view, and the number is compared immediately before the first byte, where the deadline is checked too. A request found its rule, and only then read its body. A pause during the read left it with the rule from before, also when that rule was gone or allowed less. The rule is now looked up again.

Ruled out: requests that arrive after the pause; they wait for the re-read before the rule is looked up. Deadlines; they are checked on both clocks immediately before the first byte.

Seen: with the second look-up switched off, 4 of the 6 subtests of TestBodyReadDuringAPauseIsJudgedByTheNewRules fail (the other two have an unchanged rule); without the comparison of views, TestChoiceOfAnOutdatedViewDoesNotHold fails. go test -race -count=3 of pkg/gateway and pkg/target passes. The reason of such an attempt is still "resumed"; it moved to pkg/target.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -131,6 +132,8 @@
 	if at := e.clock.time(effect.At); at.Before(a.Deadline) {
 		a.Deadline = at
 	}
+	view := e.pauses.view()
+	a.Current = func() bool { return e.pauses.holds(view) }
 	client := e.clients.get(effect.Target)
 	e.starting.Add(1)
 	go func() {
@@ -173,13 +176,10 @@
 
 // runAttempt sends one attempt and reports its end. When the answer is delivered, the caller's goroutine reports it.
 func (e *engine) runAttempt(ctx context.Context, c *target.Client, x *exchange, id core.AttemptID, f *flight, a target.Attempt) {
-	if e.pauses.stale() {
-		// The target was chosen on a view from before the pause; the reducer chooses again.
-		e.pauses.await(ctx)
-		e.end(x, id, attemptFailed(x.id, id, &target.Error{Outcome: core.OutcomeNotSent, Reason: ReasonResumed}))
-		return
-	}
 	answer, err := c.Send(ctx, a)
+	if failure := (*target.Error)(nil); errors.As(err, &failure) && failure.Reason == target.ReasonResumed {
+		e.pauses.await(ctx) // the reducer chooses again, on the new view
+	}
 	if err == nil {
 		buffered := bufferAnswer(answer)
 		err = buffered.err
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -23,6 +23,12 @@
 	monotonic time.Duration
 }
 
+// tick is the last time at which the process was known to run and its view to be usable.
+type tick struct {
+	reading
+	view uint64 // number of pauses before it
+}
+
 func (c clock) reading() reading { return reading{wall: time.Now().Round(0), monotonic: c.now()} }
 
 // gap returns the time since an earlier reading by the clock that advanced further: the monotonic clock stands still
@@ -35,13 +41,28 @@
 // concurrent use.
 type pauses struct {
 	clock clock
-	last  atomic.Pointer[reading] // the last tick; nil while nothing watches for pauses
+	last  atomic.Pointer[tick] // nil while nothing watches for pauses
 }
 
 // stale reports whether the process has just resumed and the view was not read again yet.
 func (p *pauses) stale() bool {
 	last := p.last.Load()
-	return last != nil && p.clock.reading().gap(*last) > pauseLimit
+	return last != nil && p.clock.reading().gap(last.reading) > pauseLimit
+}
+
+// view numbers the views between pauses. A choice made on one view must not be acted on once holds reports false for it.
+func (p *pauses) view() uint64 {
+	if last := p.last.Load(); last != nil {
+		return last.view
+	}
+	return 0
+}
+
+// holds reports whether the process was not paused since view was returned. A choice made after the pause but before
+// the view was read again has the old number too, so it fails even if it is looked at only afterwards.
+func (p *pauses) holds(view uint64) bool {
+	last := p.last.Load()
+	return last == nil || last.view == view && p.clock.reading().gap(last.reading) <= pauseLimit
 }
 
 // await returns once the view is not stale or ctx ends.
@@ -55,9 +76,13 @@
 	}
 }
 
-func (p *pauses) mark() {
-	now := p.clock.reading()
-	p.last.Store(&now)
+// mark records that the process runs. With resumed, the view was read again after a pause. Only one goroutine calls it.
+func (p *pauses) mark(resumed bool) {
+	view := p.view()
+	if resumed {
+		view++
+	}
+	p.last.Store(&tick{reading: p.clock.reading(), view: view})
 }
 
 // WatchPauses finds pauses of the process until ctx ends. After each it calls refresh, which reads the view again in
@@ -65,23 +90,25 @@
 func (g *Gateway) WatchPauses(ctx context.Context, refresh func()) {
 	ticker := time.NewTicker(pauseTick)
 	defer ticker.Stop()
-	g.pauses.mark()
+	g.pauses.mark(false)
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		g.tick(g.clock.reading().gap(*g.pauses.last.Load()), refresh)
-		g.pauses.mark() // the time that refresh took is no pause
+		resumed := g.tick(g.clock.reading().gap(g.pauses.last.Load().reading), refresh)
+		g.pauses.mark(resumed) // the time that refresh took is no pause
 	}
 }
 
-func (g *Gateway) tick(gap time.Duration, refresh func()) {
+// tick handles the gap since the last tick and reports whether it was a pause.
+func (g *Gateway) tick(gap time.Duration, refresh func()) bool {
 	if gap <= pauseLimit {
-		return
+		return false
 	}
 	g.log.Info("process resumed after a pause", "gap", gap.String())
 	refresh()
 	g.broadcast(core.Resumed{Gap: gap})
+	return true
 }
--- /dev/null
+++ b/pkg/gateway/pause_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// setGap makes the last tick as old as after a pause.
+func (p *pauses) setGap(gap time.Duration) {
+	now := p.clock.reading()
+	p.last.Store(&tick{reading: reading{wall: now.wall.Add(-gap), monotonic: now.monotonic - gap}, view: p.view()})
+}
+
+// Guards against a choice made on the view from before a pause that is acted on after it, also when it is looked at only
+// once the view was read again.
+func TestChoiceOfAnOutdatedViewDoesNotHold(t *testing.T) {
+	p := &pauses{clock: newClock()}
+	require.True(t, p.holds(p.view()), "nothing watches for pauses")
+	p.mark(false)
+	before := p.view()
+	require.True(t, p.holds(before))
+	p.setGap(2 * pauseLimit)
+	during := p.view()
+	require.False(t, p.holds(before), "chosen before the pause, resumed")
+	require.False(t, p.holds(during), "chosen before the view was read again")
+	p.mark(true)
+	require.False(t, p.holds(before), "chosen before the pause, view read again")
+	require.False(t, p.holds(during), "chosen before the view was read again, looked at after")
+	require.True(t, p.holds(p.view()))
+	p.mark(false)
+	require.True(t, p.holds(p.view()))
+}
+
+// Guards against a request whose body was read during a pause and that is sent under a rule from before it.
+func TestBodyReadDuringAPauseIsJudgedByTheNewRules(t *testing.T) {
+	for name, tc := range map[string]struct {
+		old, new string // part of the rules that changes during the pause
+		status   int
+	}{
+		"same rule":     {"/b/*", "/b/*", http.StatusOK},
+		"rule is gone":  {"/b/*", "/c/*", http.StatusNotFound},
+		"smaller limit": {`class = "once", deadline = "10s", body = "16B"`, `class = "once", deadline = "10s", body = "4B"`, http.StatusRequestEntityTooLarge},
+	} {
+		for moment, late := range map[string]bool{"body ends before the re-read": false, "body ends after it": true} {
+			t.Run(name+", "+moment, func(t *testing.T) {
+				addr := handlerTarget(t, func(http.ResponseWriter, *http.Request) {})
+				f := newFixture(t, logr.Discard(), Config{}, addr)
+				f.pauses.mark(false)
+				c, err := net.Dial("tcp", f.addr)
+				require.NoError(t, err)
+				defer c.Close()
+				_, err = io.WriteString(c, "POST /b/1 HTTP/1.1\r\nHost: registry\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n")
+				require.NoError(t, err)
+				r := bufio.NewReader(c)
+				line, err := r.ReadString('\n') // the rule was found and the body is being read
+				require.NoError(t, err)
+				require.Contains(t, line, "100")
+				_, err = r.ReadString('\n')
+				require.NoError(t, err)
+
+				f.pauses.setGap(2 * pauseLimit)
+				refresh := func() {
+					doc, err := rules.Parse("test", []byte(strings.Replace(testRules, tc.old, tc.new, 1)))
+					require.NoError(t, err)
+					f.SetDocuments([]*rules.Document{doc})
+					f.pauses.mark(true)
+				}
+				if late {
+					refresh()
+				}
+				_, err = io.WriteString(c, "horse 7 8")
+				require.NoError(t, err)
+				if !late {
+					refresh()
+				}
+				resp, err := http.ReadResponse(r, nil)
+				require.NoError(t, err)
+				require.Equal(t, tc.status, resp.StatusCode, resp.Header.Get(wire.HeaderReason))
+			})
+		}
+	}
+}
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -17,10 +17,6 @@
 	ReasonConnect      core.Reason = "connect"
 )
 
-// ReasonResumed is the reason of an attempt that was not sent, because its target was chosen before a pause of the
-// process.
-const ReasonResumed core.Reason = "resumed"
-
 // rejection is the answer to a request that is refused before it reaches the reducer.
 type rejection struct {
 	reason core.Reason
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -64,8 +64,7 @@
 	if g.drains.Load() {
 		c.Header().Set("Connection", "close")
 	}
-	g.pauses.await(r.Context())
-	body, refusal := g.accept(c)
+	body, refusal := g.acceptOnCurrentView(c)
 	if refusal != nil {
 		g.reject(c, *refusal)
 		return
@@ -75,6 +74,32 @@
 	g.await(c, e, x)
 }
 
+// acceptOnCurrentView accepts a request under rules that were read since the last pause. If the process was paused while
+// the body was read, the rule is looked up again.
+func (g *Gateway) acceptOnCurrentView(c *call) ([]byte, *rejection) {
+	g.pauses.await(c.r.Context())
+	view := g.pauses.view()
+	body, refusal := g.accept(c)
+	for refusal == nil && !g.pauses.holds(view) && c.r.Context().Err() == nil {
+		g.pauses.await(c.r.Context())
+		view = g.pauses.view()
+		refusal = g.matchAgain(c, len(body))
+	}
+	return body, refusal
+}
+
+// matchAgain finds the rule of a request whose body of the given length was read under an earlier rule.
+func (g *Gateway) matchAgain(c *call, length int) *rejection {
+	c.rule = g.table.Load().Match(c.r.Method, c.r.URL.Path)
+	switch {
+	case c.rule == nil:
+		return &rejectNoRule
+	case int64(length) > c.rule.BodyLimit:
+		return &rejectBodyTooLarge
+	}
+	return nil
+}
+
 // accept finds the rule and reads the body.
 func (g *Gateway) accept(c *call) ([]byte, *rejection) {
 	switch {
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -54,6 +54,9 @@
 	Deadline time.Time
 	// Fresh asks for a connection that is new or received a byte within Config.FreshWithin.
 	Fresh bool
+	// Current, if set, is asked immediately before the first byte is written. If it returns false, the target was chosen
+	// on an outdated view and the attempt ends with ReasonResumed. It must not block.
+	Current func() bool
 }
 
 // Answer is the head of a target's answer and its body. The body must be closed.
@@ -78,6 +81,8 @@
 	ReasonCancelled core.Reason = "cancelled"
 	// ReasonNoConnection: all connections to the target were in use.
 	ReasonNoConnection core.Reason = "no-connection"
+	// ReasonResumed: Attempt.Current returned false, because the process was paused since the target was chosen.
+	ReasonResumed core.Reason = "resumed"
 )
 
 // Error is the end of an attempt without a usable answer.
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -19,6 +19,7 @@
 // Errors of a connection, returned to the HTTP client that reads and writes on it.
 var (
 	errExpired     = eris.New("deadline passed before the first byte was written")
+	errOutdated    = eris.New("target was chosen on an outdated view")
 	errDead        = eris.New("connection was closed by the target before the first byte was written")
 	errSealed      = eris.New("attempt has ended")
 	errUnsolicited = eris.New("target sent bytes without a request")
@@ -53,6 +54,7 @@
 // sending is the write side of one attempt.
 type sending struct {
 	deadline time.Time
+	current  func() bool // Attempt.Current; may be nil
 	began    time.Time
 	written  atomic.Int64
 	sealed   atomic.Bool
@@ -66,8 +68,8 @@
 	return s.written.Load() > 0
 }
 
-func (c *conn) begin(deadline time.Time) *sending {
-	s := &sending{deadline: deadline, began: time.Now()}
+func (c *conn) begin(deadline time.Time, current func() bool) *sending {
+	s := &sending{deadline: deadline, current: current, began: time.Now()}
 	c.sending.Store(s)
 	return s
 }
@@ -79,8 +81,8 @@
 	c.sending.Store(nil)
 }
 
-// Write counts and writes bytes of the current attempt. Before the first byte it checks the deadline on both clocks
-// and that the target has not closed the connection.
+// Write counts and writes bytes of the current attempt. Before the first byte it checks the deadline on both clocks,
+// that the target was not chosen on an outdated view, and that it has not closed the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	s := c.sending.Load()
 	if s == nil {
@@ -116,6 +118,9 @@
 	if expired(s.deadline) {
 		return errExpired
 	}
+	if s.current != nil && !s.current() {
+		return errOutdated
+	}
 	if c.stray || sockets.Peek(c.raw) != sockets.Quiet {
 		return errDead
 	}
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -48,9 +48,9 @@
 	detach func() bool
 }
 
-func (c *Client) newFlight(ctx context.Context, conn *conn, deadline time.Time) *flight {
-	f := &flight{pool: c.pool, conn: conn, caller: ctx, sent: conn.begin(deadline)}
-	f.ctx, f.end = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+func (c *Client) newFlight(ctx context.Context, conn *conn, a Attempt) *flight {
+	f := &flight{pool: c.pool, conn: conn, caller: ctx, sent: conn.begin(a.Deadline, a.Current)}
+	f.ctx, f.end = context.WithDeadline(context.WithoutCancel(ctx), a.Deadline)
 	f.detach = context.AfterFunc(ctx, f.end)
 	return f
 }
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := c.newFlight(ctx, conn, a.Deadline)
+	f := c.newFlight(ctx, conn, a)
 	resp, err := conn.http.RoundTrip(c.request(f.ctx, a))
 	if err != nil {
 		return nil, f.fail(err)
@@ -85,6 +85,9 @@
 	if remaining <= 0 || expired(a.Deadline) {
 		return nil, notSent(core.ReasonDeadline, false, errExpired)
 	}
+	if a.Current != nil && !a.Current() {
+		return nil, notSent(ReasonResumed, false, errOutdated)
+	}
 	limited, cancel := context.WithTimeout(ctx, remaining/2)
 	defer cancel()
 	conn, err := c.pool.get(limited, a.Fresh)
@@ -160,6 +163,8 @@
 	switch {
 	case cancelled:
 		return notSent(ReasonCancelled, false, err)
+	case errors.Is(err, errOutdated):
+		return notSent(ReasonResumed, false, err)
 	case expired || errors.Is(err, errExpired):
 		return notSent(core.ReasonDeadline, false, err)
 	}
--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -270,13 +270,16 @@
 func TestFirstWriteIsChecked(t *testing.T) {
 	cases := map[string]struct {
 		deadline time.Time
+		current  func() bool
 		closed   bool
 		want     error
 	}{
-		"in time":            {time.Now().Add(time.Hour), false, nil},
-		"monotonic and wall": {time.Now().Add(-time.Second), false, errExpired},
-		"wall clock only":    {time.Now().Add(-time.Second).Round(0), false, errExpired},
-		"closed by target":   {time.Now().Add(time.Hour), true, errDead},
+		"in time":            {time.Now().Add(time.Hour), nil, false, nil},
+		"monotonic and wall": {time.Now().Add(-time.Second), nil, false, errExpired},
+		"wall clock only":    {time.Now().Add(-time.Second).Round(0), nil, false, errExpired},
+		"current view":       {time.Now().Add(time.Hour), func() bool { return true }, false, nil},
+		"outdated view":      {time.Now().Add(time.Hour), func() bool { return false }, false, errOutdated},
+		"closed by target":   {time.Now().Add(time.Hour), nil, true, errDead},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -293,7 +296,7 @@
 			if tc.closed {
 				require.Eventually(t, func() bool { return sockets.Peek(c.raw) == sockets.Closed }, waitEnd, time.Millisecond)
 			}
-			sent := c.begin(tc.deadline)
+			sent := c.begin(tc.deadline, tc.current)
 			_, err = c.Write([]byte("GET"))
 			require.ErrorIs(t, err, tc.want)
 			require.Equal(t, tc.want == nil, sent.seal())
