platform: never let a late instance list replace a later one

Found by reading: while an instance is stopped, the platform answers its open watch, and the reply lies unread. After the pause, Refresh reads the current list while the watch still passes on the earlier one; whichever came last was in force, so a target that the list had dropped could get requests again until the next reply.

Each read now has a number, and a list is dropped if one that was asked for later was passed on; the watch then asks again at once. Ruled out: ordering by the sequence number, which may become lower when a platform is restored. Documents have versions and are not affected.

Seen: TestLateListDoesNotReplaceALaterOne fails without the comparison; go test -race -count=2 ./pkg/platform passes.

--- a/pkg/platform/reader.go
+++ b/pkg/platform/reader.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -76,6 +77,10 @@
 
 	mu   sync.Mutex
 	seen map[string]IndexEntry // entries whose documents were fetched
+
+	asks    atomic.Uint64 // reads of the instance list that were begun
+	shownMu sync.Mutex
+	shown   uint64 // the read whose list was passed on last; guarded by shownMu, which is held while it is passed on
 }
 
 // NewReader returns a reader that passes what it learns to sink.
@@ -122,18 +127,31 @@
 func (r *Reader) WatchInstances(ctx context.Context) {
 	var after uint64
 	r.watchLoop(ctx, "instances", func() error {
+		ask := r.asks.Add(1)
 		var list InstanceList
 		if err := r.watch(ctx, PathInstances, after, r.cfg.Wait, &list); err != nil {
 			return err
 		}
-		if list.Sequence != after {
-			r.sink.SetInstances(list)
+		if list.Sequence == after || r.show(ask, list) {
+			after = list.Sequence
 		}
-		after = list.Sequence
 		return nil
 	})
 }
 
+// show passes a list on, unless one that was asked for later was passed on before: a reply to an earlier read can lie
+// unread for the length of a pause and be older. Sequence numbers do not tell, because they may become lower.
+func (r *Reader) show(ask uint64, list InstanceList) bool {
+	r.shownMu.Lock()
+	defer r.shownMu.Unlock()
+	if ask < r.shown {
+		return false
+	}
+	r.shown = ask
+	r.sink.SetInstances(list)
+	return true
+}
+
 // Refresh reads the index, its changed documents and the instance list once, without waiting for a change. It serves an
 // instance that was paused and cannot trust its view. It returns the first error.
 func (r *Reader) Refresh(ctx context.Context) error {
@@ -142,10 +160,11 @@
 	if err == nil {
 		err = r.fetchChanged(ctx, index)
 	}
+	ask := r.asks.Add(1)
 	var list InstanceList
 	errList := r.watch(ctx, PathInstances, 0, 0, &list)
 	if errList == nil {
-		r.sink.SetInstances(list)
+		r.show(ask, list)
 	}
 	if err != nil {
 		return err
--- a/pkg/platform/reader_test.go
+++ b/pkg/platform/reader_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -235,3 +236,37 @@
 	require.Equal(t, float64(1), f.count("configuration_offers_total", "base-mismatch"))
 	require.Empty(t, f.store.LastRefused())
 }
+
+// Guards against a list from before a pause that replaces the one read after it, because its reply was read late.
+func TestLateListDoesNotReplaceALaterOne(t *testing.T) {
+	began, release, again := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var watches atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sequence := 2
+		if r.URL.Path == platform.PathInstances && r.URL.Query().Get("wait") != "0s" {
+			switch watches.Add(1) {
+			case 1:
+				close(began)
+				<-release
+				sequence = 1
+			case 2:
+				close(again)
+				<-r.Context().Done()
+			}
+		}
+		_, _ = fmt.Fprintf(w, "{\"sequence\": %d}", sequence)
+	}))
+	defer server.Close()
+	f := &fixture{}
+	r := platform.NewReader(platform.DefaultReaderConfig(server.URL, "r1"), f, platform.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go r.WatchInstances(ctx)
+	<-began
+	require.NoError(t, r.Refresh(ctx))
+	close(release)
+	<-again
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Equal(t, []platform.InstanceList{{Sequence: 2}}, f.lists)
+}
