core: probe targets without evidence within a budget

Cause: SendProbe was declared but never emitted. Now a token bucket per service counts slot time. It holds one probe, starts empty and refills at (share * slots * 10 s / instances - cost) / (10 s + 250 ms), so the full bucket and the refill add up to the share in every window, also when a probe is sent up to 250 ms late, after a pause, and when an instance is replaced. The bound assumes Policy.Instances >= the true number of entry instances. Reported slots above SlotsPerTarget do not raise it. A target is probed when it is idle and its latest evidence is 1 s old, oldest first, one probe at a time. A good probe lets an ejected target have a trial, once per series of ejections. A failed probe does not count when traffic since its start, or a pause, outweighs it. A denial is counted at most once per second and service. Ruled out: counting the plain rate without the reserve of one probe (TestFleetProbeBudget exceeds the share); counting each look as denied (grows with the rate of the looks). Limits: an allowance of at most one probe per 10 s and instance gives no probes. When the number of slots falls or that of instances rises, what was spent in the last window before cannot be taken back. TestFleetProbeBudget runs 14 reducers with views of 14 to 17. The gateway does not perform them yet, so DefaultPolicy leaves them off.

--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -42,6 +42,7 @@
 	wakeAt     Instant
 	ready      bool // waits for a trial
 	trying     bool // a trial is in flight
+	probed     bool // a probe has led to a trial since step was last 0
 	returnedAt Instant
 }
 
@@ -57,7 +58,7 @@
 		return out
 	}
 	if now-t.ejection.returnedAt > ejectMemory {
-		t.ejection.step = 0
+		t.ejection.step, t.ejection.probed = 0, false
 	}
 	t.ejection.active = true
 	s.ejected++
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -5,6 +5,7 @@
 // learn takes the evidence of an ended attempt.
 func (s *Service) learn(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
+	t.evidenceAt, t.trafficAt = now, now
 	s.learnStart(now, t, a.start, ev.Start, ev.Leaving || ev.Reason == ReasonDraining)
 	s.noteLoad(now, t, ev.Load, 0)
 	good := false
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -54,11 +54,17 @@
 	hedges   []Instant
 	told     map[TargetID]int // newest start that a list, an answer or a probe named
 	left     map[string]bool  // starts that a leaving sign named
+	probing  map[TargetID]bool
+	probes   []Instant // times of all probes
+	denied   int       // probes that were counted as denied
+	listed   map[TargetID]bool
+	most     int // targets on the longest list
 }
 
 func newRuntime(t fataler, p Policy) *runtime {
 	return &runtime{
 		fataler: t, s: NewService(p), armed: never, rand: 1, told: make(map[TargetID]int), left: make(map[string]bool),
+		probing: make(map[TargetID]bool),
 	}
 }
 
@@ -70,9 +76,7 @@
 	before := rt.s.budget.total.retries
 	rt.s.budget.advance(rt.now)
 	before = min(before, rt.s.budget.total.retries)
-	if _, ok := ev.(TimerFired); ok {
-		rt.armed = never
-	}
+	rt.note(ev)
 	rt.last = rt.s.Reduce(Input{Now: rt.now, Rand: rt.rand, Event: ev}, nil)
 	for range rt.s.budget.total.retries - before {
 		rt.retries = append(rt.retries, rt.now)
@@ -85,8 +89,53 @@
 	return rt.last
 }
 
+// note takes from an event what the checks need.
+func (rt *runtime) note(ev Event) {
+	switch ev := ev.(type) {
+	case TimerFired:
+		rt.armed = never
+	case ProbeEnded:
+		delete(rt.probing, ev.Target)
+	case TargetsChanged:
+		rt.listed = make(map[TargetID]bool)
+		for _, t := range ev.Targets {
+			rt.listed[t.ID] = true
+		}
+		rt.most = max(rt.most, len(rt.listed))
+		for id := range rt.probing {
+			if !rt.listed[id] {
+				delete(rt.probing, id)
+			}
+		}
+	}
+}
+
+// checkProbe compares the probes with the share of this instance in the longest window that the runtime can make of one.
+func (rt *runtime) checkProbe(e Effect) {
+	p := rt.s.policy
+	if rt.probing[e.Target] || !rt.listed[e.Target] || rt.left[startID(e.Target, rt.told[e.Target])] {
+		rt.Fatalf("probe of %s, which is unlisted, leaving or probed already", e.Target)
+	}
+	rt.probing[e.Target] = true
+	rt.probes = append(rt.probes, rt.now)
+	n := 0
+	for n < len(rt.probes) && rt.now-rt.probes[len(rt.probes)-1-n] <= BudgetWindow+ProbeLimit {
+		n++
+	}
+	slots := float64(rt.most * p.SlotsPerTarget)
+	if limit := p.ProbeShare * slots * float64(BudgetWindow) / float64(p.Instances); float64(n)*float64(p.ProbeCost) > limit {
+		rt.Fatalf("%d probes in the window cost more than %v", n, time.Duration(limit))
+	}
+}
+
 func (rt *runtime) check(e Effect) {
 	switch e.Kind {
+	case SendProbe:
+		rt.checkProbe(e)
+	case CountDenied:
+		if e.Reason == ReasonProbe {
+			rt.denied++
+		}
 	case SendAttempt:
 		rt.checkSend(e)
 	case CancelAttempt:
--- a/pkg/core/outcome_test.go
+++ b/pkg/core/outcome_test.go
@@ -11,6 +11,7 @@
 func newTestRuntime(t *testing.T, n int, change ...func(*Policy)) *runtime {
 	t.Helper()
 	p := DefaultPolicy()
+	p.ProbeShare = 0.005
 	for _, f := range change {
 		f(&p)
 	}
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -45,9 +45,15 @@
 	HedgeFloor int
 	// HedgeQuantile is the quantile of recent latency after which an idempotent attempt is hedged.
 	HedgeQuantile float64
+	// ProbeShare is the share of the targets' slot time that all entry instances together spend on probes over
+	// BudgetWindow. 0, the default, turns probes off; a runtime that performs SendProbe sets it. The bound holds if
+	// Instances is at least the true number of entry instances.
+	ProbeShare float64
+	// ProbeCost is the slot time that one probe takes.
+	ProbeCost time.Duration
 }
 
-// BudgetWindow is the span over which retry and hedge budgets are counted.
+// BudgetWindow is the span over which retry, hedge and probe budgets are counted.
 const BudgetWindow = 10 * time.Second
 
 // DefaultPolicy returns the policy that applies without settings.
@@ -63,5 +69,6 @@
 		HedgeRatio:     0.05,
 		HedgeFloor:     5,
 		HedgeQuantile:  0.95,
+		ProbeCost:      5 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/pkg/core/probe_test.go
@@ -0,0 +1,205 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// idle lets time pass and ends the probes in flight every interval.
+func (rt *runtime) idle(d, interval time.Duration) {
+	for end := rt.now + d; rt.now < end; {
+		rt.advance(min(interval, end-rt.now))
+		for i := range rt.most {
+			if id := targetID(i); rt.probing[id] {
+				rt.step(ProbeEnded{Target: id, OK: true, Start: startID(id, 0), Latency: time.Millisecond})
+			}
+		}
+	}
+}
+
+// TestFleetProbeBudget guards against probes of all instances together that cost more than their share in any window,
+// with late sending, pauses, replaced instances and views of the fleet that differ but are never below its true size.
+func TestFleetProbeBudget(t *testing.T) {
+	const instances, targets = 14, 15
+	fixRun(t)
+	setFlag(t, "rapid.checks", "30")
+	rapid.Check(t, func(rt *rapid.T) {
+		p := DefaultPolicy()
+		p.SlotsPerTarget = rapid.IntRange(3, 4).Draw(rt, "slots")
+		p.ProbeShare = rapid.SampledFrom([]float64{0.001, 0.005}).Draw(rt, "share")
+		var sent []Instant
+		for i := range instances {
+			sent = append(sent, probeTimes(rt, p, i, instances, targets)...)
+		}
+		slices.Sort(sent)
+		limit := p.ProbeShare * float64(targets*p.SlotsPerTarget) * float64(BudgetWindow) / float64(p.ProbeCost)
+		first := 0
+		for last, at := range sent {
+			for at-sent[first] > BudgetWindow {
+				first++
+			}
+			if n := last - first + 1; float64(n) > limit {
+				rt.Fatalf("%d probes in the window up to %v, limit %v", n, at, limit)
+			}
+		}
+	})
+}
+
+// probeTimes returns the times at which an instance and its replacements send probes.
+func probeTimes(t *rapid.T, p Policy, number, instances, targets int) (sent []Instant) {
+	now := Instant(0)
+	for now < 25*time.Second {
+		p.Instances = rapid.IntRange(instances, instances+3).Draw(t, "view")
+		w := newRuntime(t, p)
+		w.now, w.rand = now, uint64(number)
+		w.list(targets)
+		for range rapid.IntRange(1, 6).Draw(t, "parts") {
+			w.idle(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms"))*time.Millisecond, 250*time.Millisecond)
+			if rapid.Bool().Draw(t, "pause") {
+				w.now += time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second
+				w.step(Resumed{Gap: time.Second})
+			}
+		}
+		late := time.Duration(rapid.IntRange(0, 1).Draw(t, "late")) * ProbeLimit
+		for _, at := range w.probes {
+			sent = append(sent, at+late*time.Duration(len(sent)%2))
+		}
+		now = w.now + time.Millisecond
+	}
+	return sent
+}
+
+// TestProbeRate guards against a budget that is not used, or used although it is off, too small or replaced by a smaller
+// view of the fleet, and against a counter of denied probes that grows with the number of looks.
+func TestProbeRate(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change              func(*Policy)
+		least, most, denied int
+	}{
+		"default":         {func(p *Policy) {}, 77, 80, 20},
+		"small share":     {func(p *Policy) { p.ProbeShare = 0.001 }, 13, 15, 20},
+		"off":             {func(p *Policy) { p.ProbeShare = 0 }, 0, 0, 0},
+		"baseline":        {func(p *Policy) { p.Selection = SelectRandom }, 0, 0, 0},
+		"below one probe": {func(p *Policy) { p.ProbeShare = 0.0001 }, 0, 0, 20},
+		"one instance":    {func(p *Policy) { p.Instances = 1 }, 270, 300, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rt := newTestRuntime(t, 15, tt.change)
+			rt.idle(20*time.Second, 10*time.Millisecond)
+			require.GreaterOrEqual(t, len(rt.probes), tt.least)
+			require.LessOrEqual(t, len(rt.probes), tt.most)
+			require.LessOrEqual(t, rt.denied, tt.denied)
+			require.Equal(t, tt.denied > 0, rt.denied > 0)
+		})
+	}
+}
+
+// TestProbeOrder guards against probing a target that traffic tells enough about, and against starving one by another.
+func TestProbeOrder(t *testing.T) {
+	rt := newTestRuntime(t, 5)
+	rt.usual()
+	rt.play(3*time.Second, 10*time.Millisecond, ClassLookup, func(TargetID) time.Duration { return fast })
+	for len(rt.live) > 0 {
+		rt.answer(rt.live[0])
+	}
+	require.Empty(t, rt.probes, "all targets answer")
+	seen := make(map[TargetID]bool)
+	for n := 0; n < 5; {
+		rt.advance(10 * time.Millisecond)
+		for id := range rt.probing {
+			require.False(t, seen[id], "each target once before any twice")
+			seen[id] = true
+			n++
+			rt.step(ProbeEnded{Target: id, OK: true, Start: startID(id, 0)})
+		}
+	}
+}
+
+// ejectedProbe ejects t0 and ends a probe of it as ev says.
+func ejectedProbe(t *testing.T, ev ProbeEnded) *runtime {
+	rt := newTestRuntime(t, 6)
+	rt.usual()
+	rt.ejectFirst()
+	rt.s.targets[targetID(0)].ejection.wakeAt = rt.now + time.Hour // no trial without a probe
+	rt.s.scheduleTarget(rt.now, rt.s.targets[targetID(0)])
+	for n := 0; !rt.probing[targetID(0)]; n++ {
+		if n > 1000 {
+			rt.Fatalf("t0 is not probed")
+		}
+		rt.advance(10 * time.Millisecond)
+	}
+	ev.Target = targetID(0)
+	rt.step(ev)
+	return rt
+}
+
+// TestProbeOffersTrial guards against a target that stays without trials although it answers probes, against probes that
+// restore a target without traffic, and against good probes that outweigh a failed trial.
+func TestProbeOffersTrial(t *testing.T) {
+	for name, tt := range map[string]struct {
+		ev    ProbeEnded
+		trial bool
+	}{
+		"good": {ProbeEnded{OK: true, Latency: time.Millisecond}, true},
+		"slow": {ProbeEnded{OK: true, Latency: slow}, false},
+		"bad":  {ProbeEnded{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rt := ejectedProbe(t, tt.ev)
+			require.Equal(t, TargetEjected, rt.state(0), "only traffic restores")
+			trial := func() *sent {
+				for range 2 * trialEvery {
+					rt.arrive(ClassLookup, time.Second)
+					if a := rt.live[len(rt.live)-1]; a.target == targetID(0) {
+						return a
+					}
+					rt.answer(rt.live[len(rt.live)-1])
+				}
+				return nil
+			}
+			a := trial()
+			require.Equal(t, tt.trial, a != nil)
+			if a == nil {
+				return
+			}
+			rt.end(a, broken)
+			rt.step(ProbeEnded{Target: targetID(0), OK: true, Latency: time.Millisecond})
+			require.Nil(t, trial())
+		})
+	}
+}
+
+// TestFailedProbe guards against an ejection by probes alone when traffic since their start, or a pause, explains them.
+func TestFailedProbe(t *testing.T) {
+	for name, tt := range map[string]struct {
+		between func(*runtime)
+		counts  bool
+	}{
+		"idle":  {func(*runtime) {}, true},
+		"pause": {func(rt *runtime) { rt.now += time.Second; rt.step(Resumed{Gap: time.Second}) }, false},
+		"traffic": {func(rt *runtime) {
+			for range 20 {
+				rt.arrive(ClassLookup, time.Second)
+				rt.answer(rt.live[len(rt.live)-1])
+			}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rt := newTestRuntime(t, 3)
+			rt.usual()
+			for len(rt.probing) == 0 {
+				rt.advance(10 * time.Millisecond)
+			}
+			for id := range rt.probing {
+				before := rt.s.slowness(rt.s.targets[id], rt.now)
+				tt.between(rt)
+				rt.step(ProbeEnded{Target: id})
+				require.Equal(t, tt.counts, rt.s.slowness(rt.s.targets[id], rt.now) > 2*before)
+			}
+		})
+	}
+}
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -19,15 +19,19 @@
 		"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true",
 	}
 	for name, value := range values {
-		if given[name] {
-			continue
-		}
-		if err := flag.Lookup(name).Value.Set(value); err != nil {
-			t.Fatal(err)
+		if !given[name] {
+			setFlag(t, name, value)
 		}
 	}
 }
 
+func setFlag(t *testing.T, name, value string) {
+	t.Helper()
+	if err := flag.Lookup(name).Value.Set(value); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // world is the truth behind the events of the random test.
 type world struct {
 	*runtime
@@ -37,7 +41,7 @@
 
 func targetID(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
 
-// TestRandomEvents guards the outcome accounting, the budgets, the decision by the deadline, the bound on ejections and
+// TestRandomEvents guards the outcome accounting, the budgets, the decision by the deadline, the bound on ejections, the cost of probes and
 // the exclusion of leaving targets against any order of events. The checks are in runtime.
 func TestRandomEvents(t *testing.T) {
 	fixRun(t)
@@ -70,6 +74,8 @@
 	p.QueueLimit = rapid.IntRange(0, 8).Draw(t, "queueLimit")
 	p.SlotsPerTarget = rapid.IntRange(1, 4).Draw(t, "slots")
 	p.RetryFloor = rapid.IntRange(0, 6).Draw(t, "retryFloor")
+	p.Instances = rapid.IntRange(1, 14).Draw(t, "instances")
+	p.ProbeShare = rapid.SampledFrom([]float64{0, 0.001, 0.005, 0.1}).Draw(t, "probeShare")
 	p.HedgeFloor = rapid.IntRange(0, 3).Draw(t, "hedgeFloor")
 	w := &world{runtime: newRuntime(t, p)}
 	n := rapid.IntRange(1, 9).Draw(t, "targets")
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -29,6 +29,7 @@
 	lastID   AttemptID
 	queue    queue
 	budget   budget
+	probes   probeBudget
 	drained  drainRate
 
 	targets  map[TargetID]*targetState
@@ -116,6 +117,7 @@
 		s.hedgeDelay[i].p = p.HedgeQuantile
 	}
 	s.refreshTargets(now)
+	s.planProbe(now)
 }
 
 // resume discards the load reports: they are older than they look.
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -34,6 +34,11 @@
 	rampUntil    Instant
 
 	ejection ejection
+
+	evidenceAt Instant // time of the latest evidence from attempts or probes; at first the time of listing
+	trafficAt  Instant // time of the latest evidence from attempts
+	probing    bool    // a probe is in flight
+	probedAt   Instant // start of the latest probe
 }
 
 // usable reports whether t may get new attempts at all.
@@ -52,6 +57,7 @@
 	s.forgetTargets()
 	s.forgetLineages(now)
 	s.refreshTargets(now)
+	s.planProbe(now)
 }
 
 // listTarget adds one entry of the list. There is no slow start for the first list: no other target could take the load.
@@ -80,7 +86,7 @@
 }
 
 func (s *Service) newTarget(now Instant, id TargetID) *targetState {
-	t := &targetState{id: id, starts: s.lineage(now, id)}
+	t := &targetState{id: id, starts: s.lineage(now, id), evidenceAt: now, trafficAt: -1}
 	t.due.target = t
 	t.limit = float64(s.slots(t))
 	s.targets[id] = t
@@ -170,20 +176,3 @@
 	t.othersInUse = max(load.InUse-t.inFlight, 0)
 	s.meanOthers += (float64(t.othersInUse) - s.meanOthers) * meanGain
 }
-
-// probeEnded takes note of a probe. Its latency is not that of a request, so it gives no latency sample.
-func (s *Service) probeEnded(now Instant, ev ProbeEnded, out []Effect) []Effect {
-	t := s.targets[ev.Target]
-	if t == nil {
-		if ev.Leaving {
-			s.lineage(now, ev.Target).leave(ev.Start)
-		}
-		return out
-	}
-	s.learnStart(now, t, t.starts.current, ev.Start, ev.Leaving)
-	if !ev.OK {
-		return s.failed(now, t, failureRatio*s.usual(), out)
-	}
-	s.noteLoad(now, t, ev.Load, 0)
-	return s.dispatch(now, nil, out)
-}
--- a/pkg/core/timers.go
+++ b/pkg/core/timers.go
@@ -8,7 +8,8 @@
 // never is the due time of an item that is not scheduled.
 const never = Instant(math.MaxInt64)
 
-// due is an entry of the timer heap. Exactly one of request and target is set.
+// due is an entry of the timer heap. At most one of request and target is set; without them it is the
+// look for targets to probe.
 type due struct {
 	at      Instant
 	slot    int // position in the heap plus one; 0 when not scheduled
@@ -70,10 +71,13 @@
 func (s *Service) expire(now Instant, out []Effect) []Effect {
 	for len(s.timers) > 0 && s.timers[0].at <= now {
 		d := heap.Pop(&s.timers).(*due)
-		if d.request != nil {
+		switch {
+		case d.request != nil:
 			out = s.requestDue(now, d.request, out)
-		} else {
+		case d.target != nil:
 			out = s.targetDue(now, d.target, out)
+		default:
+			out = s.probeDue(now, out)
 		}
 	}
 	return out
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -112,6 +112,9 @@
 	ReasonSlow     Reason = "slow"
 )
 
+// ReasonProbe is the reason of a denied probe.
+const ReasonProbe Reason = "probe"
+
 // LoadReport is a target's own report of its load at the time it was sent.
 type LoadReport struct {
 	// InUse is the number of requests that the target holds.
@@ -250,7 +253,7 @@
 	Deliver
 	// Refuse: tell the caller at once that the request was given up.
 	Refuse
-	// SendProbe: measure Target.
+	// SendProbe: measure Target; ProbeEnded follows soon after At.
 	SendProbe
 	// SetTimer: send TimerFired at At. It replaces the earlier timer of the service.
 	SetTimer
@@ -272,7 +275,7 @@
 	Target  TargetID
 	// Fresh asks for a connection that is new or answered recently (ClassOnce).
 	Fresh bool
-	// At is the time of a timer or the deadline of an attempt.
+	// At is the time of a timer or the deadline of an attempt or probe.
 	At Instant
 	// NotRun is set on Refuse when every attempt is proved not to have run.
 	NotRun bool
