gateway: perform probes within the reducer's budget

Cause: the reducer planned probes but nobody sent them, so probe.share and probe.cost had no effect and a target without traffic gave no evidence. Ruled out: probes beside the target client; the client already gives connection limits, deadlines and declarations. Also left out: splitting the connections by the fleet size, which needs an adjustable limit in the pool. Before: TestIdleTargetIsProbed waits for ever (seen when the test's policy was not applied). After: it passes; six kinds of results are tested in TestProbeResults. The fleet size from peers, at least the setting, divides the budget. Conclusion: probe.path (default /health) is new; a status below 500 or a declaration shows that the target is alive.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -59,7 +59,7 @@
 }
 
 func newGatewayConfig(s settings.Settings) gateway.Config {
-	return gateway.Config{Policy: s.Policy(), Target: s.Target()}
+	return gateway.Config{Policy: s.Policy(), Target: s.Target(), ProbePath: s.Probe.Path}
 }
 
 // instance is one running entry instance.
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -160,6 +160,7 @@
 		select {
 		case <-ticker.C:
 			f.node.Observe(ctx, f.targets())
+			f.gateway.SetFleetSize(f.node.FleetSize())
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -138,7 +138,7 @@
 	case a.gaveUp:
 		ev.Outcome, ev.Reason = core.OutcomeUnknown, core.ReasonNested
 	}
-	readReports(&ev, a.Header)
+	ev.Load, ev.Start, ev.Leaving = readReports(a.Header)
 	return ev
 }
 
@@ -147,18 +147,17 @@
 	var failure *target.Error
 	if errors.As(err, &failure) {
 		ev.Outcome, ev.Reason, ev.Failed = failure.Outcome, failure.Reason, failure.Failed
-		readReports(&ev, failure.Header)
+		ev.Load, ev.Start, ev.Leaving = readReports(failure.Header)
 	}
 	return ev
 }
 
-func readReports(ev *core.AttemptEnded, h http.Header) {
-	if h == nil {
-		return
+// readReports returns what a target's headers tell about its load, its start id and whether it leaves. A nil header
+// tells nothing.
+func readReports(h http.Header) (load core.LoadReport, start string, leaving bool) {
+	if l, ok := wire.ParseLoad(h); ok {
+		load = core.LoadReport{InUse: l.InUse, Slots: l.Slots}
 	}
-	if load, ok := wire.ParseLoad(h); ok {
-		ev.Load = core.LoadReport{InUse: load.InUse, Slots: load.Slots}
-	}
-	ev.Start = h.Get(wire.HeaderStart)
-	ev.Leaving = h.Get(wire.HeaderLeaving) != "" || h.Get(wire.HeaderDeclare) == string(wire.DeclareDraining)
+	leaving = h.Get(wire.HeaderLeaving) != "" || h.Get(wire.HeaderDeclare) == string(wire.DeclareDraining)
+	return load, h.Get(wire.HeaderStart), leaving
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -24,6 +24,8 @@
 	clients *clients
 	metrics *Metrics
 	log     logr.Logger
+	// probePath is the path of probes.
+	probePath string
 
 	mu       sync.Mutex
 	service  *core.Service
@@ -65,10 +67,10 @@
 	attempts int
 }
 
-func newEngine(name string, policy core.Policy, p *pauses, cl *clients, m *Metrics, log logr.Logger) *engine {
+func newEngine(name string, cfg Config, p *pauses, cl *clients, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name),
-		service: core.NewService(policy), pending: make(map[core.RequestID]*exchange),
+		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name), probePath: cfg.ProbePath,
+		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*exchange),
 	}
 	e.timer = time.AfterFunc(time.Hour, func() { e.dispatch(core.TimerFired{}) })
 	return e
@@ -113,6 +115,8 @@
 		e.deliver(effect)
 	case core.Refuse:
 		e.refuse(effect)
+	case core.SendProbe:
+		e.probe(effect)
 	case core.SetTimer:
 		e.timer.Reset(max(effect.At-e.clock.now(), 0))
 	default:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,8 @@
 	Policy core.Policy
 	// Target configures the connections to targets.
 	Target target.Config
+	// ProbePath is the path of probes on targets; probes are off while Policy.ProbeShare is 0.
+	ProbePath string
 	// WriteStall bounds each write to a caller; zero means DefaultWriteStall.
 	WriteStall time.Duration
 }
@@ -43,6 +45,8 @@
 	drains  atomic.Bool
 	active  atomic.Int64 // requests of callers
 
+	configured int // entry instances by the settings
+
 	mu      sync.Mutex
 	engines map[string]*engine
 }
@@ -55,7 +59,7 @@
 	ck := newClock()
 	g := &Gateway{
 		cfg: cfg, clock: ck, pauses: &pauses{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
-		engines: make(map[string]*engine),
+		configured: cfg.Policy.Instances, engines: make(map[string]*engine),
 	}
 	g.table.Store(rules.NewTable(nil))
 	return g
@@ -90,6 +94,20 @@
 	g.clients.retain(keep)
 }
 
+// SetFleetSize tells how many entry instances share the targets; it is never taken as smaller than configured.
+func (g *Gateway) SetFleetSize(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n = max(n, g.configured)
+	if n == g.cfg.Policy.Instances {
+		return
+	}
+	g.cfg.Policy.Instances = n
+	for _, e := range g.engines {
+		e.dispatch(core.PolicyChanged{Policy: g.cfg.Policy})
+	}
+}
+
 func (g *Gateway) engine(name string) *engine {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -99,7 +117,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg.Policy, g.pauses, g.clients, g.metrics, g.log)
+		e = newEngine(name, g.cfg, g.pauses, g.clients, g.metrics, g.log)
 		g.engines[name] = e
 	}
 	return e
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -46,7 +46,10 @@
 	t.Helper()
 	doc, err := rules.Parse("test", []byte(testRules))
 	require.NoError(t, err)
-	cfg.Policy, cfg.Target = core.DefaultPolicy(), target.DefaultConfig()
+	if cfg.Policy.Instances == 0 {
+		cfg.Policy = core.DefaultPolicy()
+	}
+	cfg.Target = target.DefaultConfig()
 	g := New(cfg, NewMetrics(prometheus.NewRegistry()), log)
 	g.SetDocuments([]*rules.Document{doc})
 	var list platform.InstanceList
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,6 +14,7 @@
 	retries   *prometheus.CounterVec
 	hedges    *prometheus.CounterVec
 	ejections *prometheus.CounterVec
+	probes    *prometheus.CounterVec
 	denied    *prometheus.CounterVec
 	aborted   prometheus.Counter
 }
@@ -31,6 +32,7 @@
 		attempts:  counter("attempts_total", "Attempts by outcome and reason.", "service", "outcome", "reason"),
 		retries:   counter("retries_total", "Attempts after the first by reason.", "service", "reason"),
 		hedges:    counter("hedges_total", "Hedged attempts by reason.", "service", "reason"),
+		probes:    counter("probes_total", "Probes of targets by result.", "service", "result"),
 		ejections: counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		denied:    counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
--- /dev/null
+++ b/pkg/gateway/probe_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// Guards against a probe that takes a failing target for a good one, or loses what the target tells about itself.
+func TestProbeResults(t *testing.T) {
+	reply := func(status int, declaration string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.HeaderLoad, "2/4")
+			w.Header().Set(wire.HeaderStart, "s1")
+			if declaration != "" {
+				w.Header().Set(wire.HeaderDeclare, declaration)
+			}
+			w.WriteHeader(status)
+		}
+	}
+	told := core.ProbeEnded{OK: true, Load: core.LoadReport{InUse: 2, Slots: 4}, Start: "s1"}
+	failing, leaving := told, told
+	failing.OK = false
+	leaving.Leaving = true
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		want    core.ProbeEnded
+	}{
+		"good":         {reply(200, ""), told},
+		"no such path": {reply(404, ""), told},
+		"failing":      {reply(500, ""), failing},
+		"sheds load":   {reply(503, "shed"), told},
+		"drains":       {reply(503, "draining"), leaving},
+		"broken":       {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, core.ProbeEnded{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(tc.handler)
+			defer server.Close()
+			id := core.TargetID(server.Listener.Addr().String())
+			client := target.NewClient(string(id), target.DefaultConfig())
+			defer client.Close()
+			got := runProbe(client, id, "/health", time.Now().Add(10*time.Second))
+			got.Latency = 0
+			tc.want.Target = id
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// Guards against a budget that nobody spends: a target without traffic has to be probed on the configured path.
+func TestIdleTargetIsProbed(t *testing.T) {
+	probed := make(chan string, 100)
+	addr := handlerTarget(t, func(_ http.ResponseWriter, r *http.Request) { probed <- r.URL.Path })
+	policy := core.DefaultPolicy()
+	policy.ProbeShare, policy.Instances = 0.1, 1
+	f := newFixture(t, logr.Discard(), Config{Policy: policy, ProbePath: "/alive"}, addr)
+	require.Equal(t, "/alive", <-probed)
+	f.SetFleetSize(1000) // the share of one instance in 1,000 is less than a probe
+	require.Equal(t, 1000, f.cfg.Policy.Instances)
+	f.SetFleetSize(0)
+	require.Equal(t, 1, f.cfg.Policy.Instances)
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -79,6 +79,7 @@
 		"connections.fresh_within is longer than connections.idle_timeout", "connections.fresh_within", "connections.idle_timeout")
 	c.require(s.Connections.DialTimeout <= s.Deadline.Max, "a dial_timeout of at most deadline.max",
 		"connections.dial_timeout is longer than every deadline", "connections.dial_timeout", "deadline.max")
+	c.require(strings.HasPrefix(s.Probe.Path, "/"), `a path such as "/health"`, "probe.path does not begin with a slash", "probe.path")
 	c.require(s.Retry.MaxAttempts > 1 || s.Hedge.Ratio == 0 && s.Hedge.Floor == 0 && s.Retry.Ratio == 0 && s.Retry.Floor == 0,
 		"ratios and floors of 0 with one attempt, or more attempts",
 		"retries or hedges are allowed, but retry.max_attempts allows one attempt", "retry.max_attempts", "hedge.ratio", "hedge.floor", "retry.ratio", "retry.floor")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -137,6 +137,8 @@
 	Share float64 `toml:"share"`
 	// Cost is the slot time that one probe takes. Default 5ms.
 	Cost Duration `toml:"cost"`
+	// Path is the path that a probe asks a target for. Default "/health".
+	Path string `toml:"path"`
 }
 
 // Queue configures waiting requests.
@@ -179,7 +181,7 @@
 		},
 		Retry:    Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
 		Hedge:    Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
-		Probe:    Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond)},
+		Probe:    Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
 		Queue:    Queue{Limit: p.QueueLimit},
 		Limits:   Limits{Body: rules.MaxBody, Header: 64 << 10, HeaderTimeout: Duration(10 * time.Second)},
 		Deadline: Deadline{Max: Duration(rules.MaxDeadline)},
@@ -208,6 +210,7 @@
 	p.MaxAttempts = s.Retry.MaxAttempts
 	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
 	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
+	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
 	return p
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -41,6 +41,7 @@
 		{`hedge.ratio = nan`, `4:15: hedge.ratio is out of range`},
 		{`retry.ratio = -0.1`, `4:15: retry.ratio is out of range`},
 		{`probe.share = 0.5`, `4:15: probe.share is out of range`},
+		{`probe.path = "health"`, `4:14: probe.path does not begin with a slash`},
 		{`queue.limit = 0`, `4:15: queue.limit is out of range`},
 		{`deadline.max = "51s"`, `4:16: deadline.max is out of range`},
 		{`stop_limit = "0s"`, `4:14: stop_limit is out of range`},
@@ -98,6 +99,10 @@
 ratio = 0.2
 floor = 2
 max_attempts = 3
+[probe]
+share = 0.001
+cost = "2ms"
+path = "/alive"
 [queue]
 limit = 9
 [limits]
@@ -109,6 +114,8 @@
 	want := core.DefaultPolicy()
 	want.Selection, want.Zone, want.SlotsPerTarget, want.Instances, want.QueueLimit = core.SelectRandom, "a", 3, 7, 9
 	want.MaxAttempts, want.RetryRatio, want.RetryFloor = 3, 0.2, 2
+	want.ProbeShare, want.ProbeCost = 0.001, 2*time.Millisecond
+	require.Equal(t, "/alive", s.Probe.Path)
 	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
 	require.Equal(t, want, s.Policy())
 	require.Equal(t, target.Config{
@@ -119,7 +126,9 @@
 // Guards against defaults that differ from those of the packages they configure.
 func TestDefaults(t *testing.T) {
 	s := Default()
-	require.Equal(t, core.DefaultPolicy(), s.Policy())
+	want := core.DefaultPolicy()
+	want.ProbeShare = 0.005 // off in pkg/core, which has nobody to perform probes
+	require.Equal(t, want, s.Policy())
 	require.Equal(t, target.DefaultConfig(), s.Target())
 }
 
