core, gateway: use standard names for latency evidence and draining

Cause: names such as judge, doubt, usual, slowInRow and drains needed explaining. Ruled out: renaming trials and slow start, which are terms of the field. Conclusion: typicalLatency, suspect, consecutiveSlow, updateEjection, patientShare and draining say what they are.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -49,13 +49,13 @@
 }
 
 // requestsPerSecond returns the rate at which requests leave the queue. Ended attempts show it once the queue has been
-// busy for the whole window; before that the attempts in flight and their usual latency do.
+// busy for the whole window; before that the attempts in flight and their typical latency do.
 func (s *Service) requestsPerSecond(now Instant) float64 {
 	s.drained.advance(now)
 	if s.drained.busy && now-s.drained.busySince >= drainWindow && s.drained.total > 0 {
 		return float64(s.drained.total) / drainWindow.Seconds()
 	}
-	return float64(max(s.inFlight, 1)) / s.usual().Seconds()
+	return float64(max(s.inFlight, 1)) / s.typicalLatency().Seconds()
 }
 
 // expectedWait returns how long a new request of the class would wait in the queue.
@@ -65,12 +65,12 @@
 	patient := s.queue.classes[ClassPatient].length
 	switch {
 	case class == ClassPatient && ahead > 0:
-		rate /= patientTurn // the guaranteed share
+		rate /= patientShare // the guaranteed share
 		ahead = patient
 	case class == ClassPatient:
 		ahead = patient
 	case patient > 0:
-		rate *= (patientTurn - 1.0) / patientTurn
+		rate *= (patientShare - 1.0) / patientShare
 	}
 	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
@@ -88,7 +88,7 @@
 		return s.refuse(now, r, ReasonQueueFull, out)
 	}
 	wait := time.Duration(waitMargin * float64(s.expectedWait(now, r.class)))
-	if r.started == 0 && now+wait+s.usual() > r.deadline {
+	if r.started == 0 && now+wait+s.typicalLatency() > r.deadline {
 		return s.refuse(now, r, ReasonInfeasible, out)
 	}
 	r.phase = phaseQueued
@@ -110,7 +110,7 @@
 func (s *Service) dispatchQueue(now Instant, out []Effect) []Effect {
 	for s.queue.length() > 0 {
 		r := s.queue.head()
-		if now+s.usual() > r.deadline {
+		if now+s.typicalLatency() > r.deadline {
 			s.dequeue(now, r)
 			out = s.refuse(now, r, ReasonDeadline, out)
 			continue
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -39,7 +39,7 @@
 func (s *Service) sendTrial(now Instant, r *request, t *targetState, out []Effect) []Effect {
 	out = s.send(now, r, t, out)
 	r.attempts[0].trial = true
-	r.hedgeAt = now + trialHedgeRatio*s.usual()
+	r.hedgeAt = now + trialHedgeRatio*s.typicalLatency()
 	s.scheduleRequest(r)
 	return out
 }
--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -7,17 +7,17 @@
 
 const (
 	// ejectRatio is the ratio of the latency estimate against the service at which a target is ejected. One answer 20
-	// times slower than usual reaches it.
+	// times slower than typical reaches it.
 	ejectRatio = 6
 	// ejectSlow is the number of slow answers in a row at which a target is ejected. One in twenty answers of a healthy
 	// target is slow, so three in a row are one in 8,000.
 	ejectSlow = 3
-	// suspectRatio is the ratio at which an outstanding attempt makes a target a last choice.
-	suspectRatio = 4
-	// doubtRatio is the ratio of the latency estimate at which a target becomes a last choice.
-	doubtRatio = 2.5
-	// onceDoubtTime is how long a single slow answer makes a target a last choice for non-idempotent requests.
-	onceDoubtTime = time.Second
+	// suspectOutstandingRatio is the ratio at which an outstanding attempt makes a target a last choice.
+	suspectOutstandingRatio = 4
+	// suspectLatencyRatio is the ratio of the latency estimate at which a target becomes a last choice.
+	suspectLatencyRatio = 2.5
+	// onceSuspectTime is how long a single slow answer makes a target a last choice for non-idempotent requests.
+	onceSuspectTime = time.Second
 	// maxEjectedShare is one over the share of a service that may be ejected: when more targets look unhealthy, the
 	// network is the likelier cause.
 	maxEjectedShare = 3
@@ -49,9 +49,9 @@
 // maxEjected returns the number of targets that may be ejected.
 func (s *Service) maxEjected() int { return s.usable / maxEjectedShare }
 
-// judge ejects t when its latency estimate is too high or too many answers in a row were slow.
-func (s *Service) judge(now Instant, t *targetState, why Reason, out []Effect) []Effect {
-	if t.slowInRow < ejectSlow && s.slowness(t, now) < ejectRatio {
+// updateEjection ejects t when its latency estimate is too high or too many answers in a row were slow.
+func (s *Service) updateEjection(now Instant, t *targetState, why Reason, out []Effect) []Effect {
+	if t.consecutiveSlow < ejectSlow && s.slowness(t, now) < ejectRatio {
 		return out
 	}
 	if !t.usable() || t.ejection.active || s.ejected >= s.maxEjected() {
@@ -90,7 +90,7 @@
 func (s *Service) restore(now Instant, t *targetState) {
 	s.release(t)
 	t.ejection.returnedAt = now
-	t.hasLatency, t.slowInRow = false, 0
+	t.hasLatency, t.consecutiveSlow = false, 0
 	s.startRamp(now, t)
 }
 
--- a/pkg/core/ejection_test.go
+++ b/pkg/core/ejection_test.go
@@ -45,7 +45,7 @@
 		for class, most := range map[Class]int{ClassOnce: 5, ClassLookup: 9} {
 			t.Run(string(method)+" "+class.String(), func(t *testing.T) {
 				rt := newTestRuntime(t, 15, func(p *Policy) { p.Selection = method })
-				rt.usual()
+				rt.settleLatency()
 				sends := rt.play(3*time.Second, 3333*time.Microsecond, class, oneSlow)
 				require.LessOrEqual(t, sends[targetID(0)], most)
 				require.Positive(t, sends[targetID(0)])
@@ -60,10 +60,10 @@
 // TestOutstandingAttempt guards against sending more work to a target that does not answer the first.
 func TestOutstandingAttempt(t *testing.T) {
 	rt := newTestRuntime(t, 2)
-	rt.usual()
+	rt.settleLatency()
 	rt.arrive(ClassOnce, 10*time.Second)
 	hung := rt.live[0].target
-	rt.advance(2 * suspectRatio * fast)
+	rt.advance(2 * suspectOutstandingRatio * fast)
 	for range 4 {
 		rt.arrive(ClassOnce, 10*time.Second)
 		require.NotEqual(t, hung, rt.live[len(rt.live)-1].target)
@@ -73,24 +73,24 @@
 // TestPauseIsNoEvidence guards against blaming targets for a time in which this process did not run.
 func TestPauseIsNoEvidence(t *testing.T) {
 	rt := newTestRuntime(t, 3)
-	rt.usual()
+	rt.settleLatency()
 	for range 3 {
 		rt.arrive(ClassOnce, 10*time.Second)
 	}
 	rt.now += 5 * time.Second
 	rt.step(Resumed{Gap: 5 * time.Second})
 	for len(rt.live) > 0 {
-		require.False(t, rt.s.doubtful(rt.s.targets[rt.live[0].target], rt.now))
+		require.False(t, rt.s.suspect(rt.s.targets[rt.live[0].target], rt.now))
 		rt.answer(rt.live[0])
 	}
-	require.Less(t, rt.s.usual(), 2*fast)
+	require.Less(t, rt.s.typicalLatency(), 2*fast)
 	require.Zero(t, rt.s.ejected)
 }
 
 // TestFailFast guards against a target that fails at once and therefore looks idle and quick.
 func TestFailFast(t *testing.T) {
 	rt := newTestRuntime(t, 15)
-	rt.usual()
+	rt.settleLatency()
 	failures := 0
 	for range 600 {
 		rt.arrive(ClassLookup, time.Second)
@@ -114,7 +114,7 @@
 // target that never returns.
 func TestTrials(t *testing.T) {
 	rt := newTestRuntime(t, 6)
-	rt.usual()
+	rt.settleLatency()
 	rt.ejectFirst()
 	sends := rt.play(5*time.Second, 5*time.Millisecond, ClassOnce, oneSlow)
 	require.Zero(t, sends[targetID(0)], "once requests try no ejected target")
@@ -131,7 +131,7 @@
 // not return although its trial was good.
 func TestTrialBound(t *testing.T) {
 	rt := newTestRuntime(t, 15)
-	rt.usual()
+	rt.settleLatency()
 	for range 300 {
 		rt.arrive(ClassOnce, time.Second)
 		rt.end(rt.live[len(rt.live)-1], broken)
@@ -154,7 +154,7 @@
 // TestReturnWithoutTrial guards against a target that stays ejected because all requests are non-idempotent.
 func TestReturnWithoutTrial(t *testing.T) {
 	rt := newTestRuntime(t, 6)
-	rt.usual()
+	rt.settleLatency()
 	rt.ejectFirst()
 	rt.play(ejectFirst+trialPatience+time.Second, 5*time.Millisecond, ClassOnce, func(TargetID) time.Duration { return fast })
 	require.NotEqual(t, TargetEjected, rt.state(0))
@@ -164,7 +164,7 @@
 // the list shrinks.
 func TestEjectionCap(t *testing.T) {
 	rt := newTestRuntime(t, 9, func(p *Policy) { p.RetryFloor = 0 })
-	rt.usual()
+	rt.settleLatency()
 	for range 300 {
 		rt.arrive(ClassOnce, time.Second)
 		rt.end(rt.live[len(rt.live)-1], broken)
@@ -179,7 +179,7 @@
 func TestSlowStart(t *testing.T) {
 	rt := newTestRuntime(t, 4)
 	require.Equal(t, TargetActive, rt.state(0))
-	rt.usual()
+	rt.settleLatency()
 	rt.list(5)
 	require.Equal(t, TargetRamping, rt.state(4))
 	all := func(TargetID) time.Duration { return fast }
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -6,21 +6,21 @@
 	// quantileStep is the relative step of a quantile estimate once it has settled.
 	quantileStep = 0.05
 	// latencyGain is the weight of one sample. An instance sends each target only a few requests per second, so that
-	// one answer 20 times slower than usual has to show.
+	// one answer 20 times slower than typical has to show.
 	latencyGain = 0.3
 	// latencyMemory is the age at which half of a target's deviation from the service is forgotten. A target that looks
 	// slow gets few requests, so the estimate has to recover without them.
 	latencyMemory = 500 * time.Millisecond
-	// usualFloor keeps scheduling noise on very fast services from looking like slowness.
-	usualFloor = 500 * time.Microsecond
-	// usualDefault stands in for the usual latency before the first answer.
-	usualDefault = 10 * time.Millisecond
-	// maxSampleRatio bounds a sample in multiples of the usual latency.
+	// typicalFloor keeps scheduling noise on very fast services from looking like slowness.
+	typicalFloor = 500 * time.Microsecond
+	// typicalDefault stands in for the typical latency before the first answer.
+	typicalDefault = 10 * time.Millisecond
+	// maxSampleRatio bounds a sample in multiples of the typical latency.
 	maxSampleRatio = 20
-	// failureRatio is the weight of a failure as a latency, in multiples of the usual one: two in a row lead to
+	// failureRatio is the weight of a failure as a latency, in multiples of the typical one: two in a row lead to
 	// ejection, a single one does not.
 	failureRatio = 16
-	// tailQuantile and tailRatio define a slow answer: later than this quantile and this multiple of the usual latency.
+	// tailQuantile and tailRatio define a slow answer: later than this quantile and this multiple of the typical latency.
 	tailQuantile = 0.95
 	tailRatio    = 2
 )
@@ -48,31 +48,31 @@
 	q.value = max(q.value, time.Microsecond)
 }
 
-// usual returns the median latency of the service.
-func (s *Service) usual() time.Duration {
+// typicalLatency returns the median latency of the service.
+func (s *Service) typicalLatency() time.Duration {
 	if s.median.samples == 0 {
-		return usualDefault
+		return typicalDefault
 	}
-	return max(s.median.value, usualFloor)
+	return max(s.median.value, typicalFloor)
 }
 
 // slowAfter returns the time from which an answer counts as slow. The quantile adapts it to services with widely spread
 // latencies, where a multiple of the median alone is exceeded all the time.
-func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.usual()) }
+func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.typicalLatency()) }
 
 // expected returns the latency estimate of t, drawn towards that of the service as its evidence ages.
 func (s *Service) expected(t *targetState, now Instant) time.Duration {
-	usual := s.usual()
+	typical := s.typicalLatency()
 	if !t.hasLatency {
-		return usual
+		return typical
 	}
 	weight := float64(latencyMemory) / float64(latencyMemory+now-t.latencyAt)
-	return usual + time.Duration(weight*float64(t.latency-usual))
+	return typical + time.Duration(weight*float64(t.latency-typical))
 }
 
-// slowness returns the latency estimate of t in multiples of the usual latency.
+// slowness returns the latency estimate of t in multiples of the typical latency.
 func (s *Service) slowness(t *targetState, now Instant) float64 {
-	return float64(s.expected(t, now)) / float64(s.usual())
+	return float64(s.expected(t, now)) / float64(s.typicalLatency())
 }
 
 // outstanding returns how long the oldest attempt on t has been in flight. Time during which this process was paused
@@ -86,7 +86,7 @@
 
 // observe adds a latency sample of t.
 func (s *Service) observe(now Instant, t *targetState, sample time.Duration) {
-	sample = min(sample, maxSampleRatio*s.usual())
+	sample = min(sample, maxSampleRatio*s.typicalLatency())
 	before := s.expected(t, now)
 	t.latency = before + time.Duration(latencyGain*float64(sample-before))
 	t.latencyAt = now
@@ -97,10 +97,10 @@
 // service are spread.
 func (s *Service) countSlow(now Instant, t *targetState, slow bool) {
 	if !slow {
-		t.slowInRow = 0
+		t.consecutiveSlow = 0
 		return
 	}
-	t.slowInRow++
+	t.consecutiveSlow++
 	t.slowAt = now
 }
 
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -37,7 +37,7 @@
 	case !ev.Failed && (ev.Outcome == OutcomeAnswered || a.answered != never):
 		return s.succeeded(now, a, elapsed, out)
 	}
-	return false, s.failed(now, t, max(elapsed, failureRatio*s.usual()), out)
+	return false, s.failed(now, t, max(elapsed, failureRatio*s.typicalLatency()), out)
 }
 
 // learnCancelled takes the evidence of an attempt that was ended early: it would have taken longer than it was given.
@@ -46,7 +46,7 @@
 		s.countSlow(now, a.target, true)
 	}
 	s.observeAtLeast(now, a.target, elapsed)
-	return s.judge(now, a.target, ReasonSlow, out)
+	return s.updateEjection(now, a.target, ReasonSlow, out)
 }
 
 func (s *Service) succeeded(now Instant, a *attempt, elapsed time.Duration, out []Effect) (bool, []Effect) {
@@ -64,11 +64,11 @@
 	}
 	s.countSlow(now, t, !good)
 	s.observe(now, t, elapsed)
-	return good, s.judge(now, t, ReasonSlow, out)
+	return good, s.updateEjection(now, t, ReasonSlow, out)
 }
 
 // failed takes a failure as a slow answer. A target that fails fast would otherwise look like the best one.
 func (s *Service) failed(now Instant, t *targetState, sample time.Duration, out []Effect) []Effect {
 	s.observe(now, t, sample)
-	return s.judge(now, t, ReasonFailed, out)
+	return s.updateEjection(now, t, ReasonFailed, out)
 }
--- a/pkg/core/hedge_test.go
+++ b/pkg/core/hedge_test.go
@@ -11,7 +11,7 @@
 // loser being delivered.
 func TestHedge(t *testing.T) {
 	rt := newTestRuntime(t, 2, func(p *Policy) { p.Selection, p.HedgeFloor = SelectRandom, 20 })
-	rt.usual()
+	rt.settleLatency()
 	for range 8 {
 		r := rt.arrive(ClassLookup, time.Second)
 		rt.advance(2 * rt.s.hedgeDelay[ClassLookup].value)
@@ -34,7 +34,7 @@
 // TestNoHedge guards against hedging work that must run once and against adding load when requests wait.
 func TestNoHedge(t *testing.T) {
 	rt := newTestRuntime(t, 15)
-	rt.usual()
+	rt.settleLatency()
 	rt.arrive(ClassOnce, time.Second)
 	rt.advance(500 * time.Millisecond)
 	require.Len(t, rt.live, 1)
@@ -49,7 +49,7 @@
 // that hangs.
 func TestHedgeReserve(t *testing.T) {
 	rt := newTestRuntime(t, 15, func(p *Policy) { p.HedgeRatio, p.HedgeFloor = 0, 5 })
-	rt.usual()
+	rt.settleLatency()
 	delay := rt.s.hedgeDelay[ClassLookup].value
 	for range 10 {
 		rt.arrive(ClassLookup, time.Second)
--- a/pkg/core/leaving_test.go
+++ b/pkg/core/leaving_test.go
@@ -77,10 +77,10 @@
 // TestRestartForgetsEvidence guards against judging a new process by its predecessor.
 func TestRestartForgetsEvidence(t *testing.T) {
 	rt := newTestRuntime(t, 6)
-	rt.usual()
+	rt.settleLatency()
 	rt.ejectFirst()
 	rt.step(ProbeEnded{Target: targetID(0), OK: true, Start: "second"})
 	view := rt.s.View(rt.now).Targets[0]
 	require.Equal(t, TargetRamping, view.State)
-	require.Equal(t, rt.s.usual(), view.Latency)
+	require.Equal(t, rt.s.typicalLatency(), view.Latency)
 }
--- a/pkg/core/outcome_test.go
+++ b/pkg/core/outcome_test.go
@@ -20,8 +20,8 @@
 	return rt
 }
 
-// usual makes 5 ms the usual latency of the service, with enough answers to hedge.
-func (rt *runtime) usual() {
+// settleLatency makes 5 ms the typical latency of the service, with enough answers to hedge.
+func (rt *runtime) settleLatency() {
 	rt.Helper()
 	rt.play(400*time.Millisecond, 5*time.Millisecond, ClassLookup, func(TargetID) time.Duration { return 5 * time.Millisecond })
 	for len(rt.live) > 0 {
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -138,7 +138,7 @@
 		if overtaken {
 			return out // newer traffic, or a pause of this process, outweighs the probe
 		}
-		return s.failed(now, t, failureRatio*s.usual(), out)
+		return s.failed(now, t, failureRatio*s.typicalLatency(), out)
 	}
 	s.noteLoad(now, t, ev.Load, 0)
 	if !overtaken && ev.Latency <= s.slowAfter() {
--- a/pkg/core/probe_test.go
+++ b/pkg/core/probe_test.go
@@ -101,7 +101,7 @@
 // TestProbeOrder guards against probing a target that traffic tells enough about, and against starving one by another.
 func TestProbeOrder(t *testing.T) {
 	rt := newTestRuntime(t, 5)
-	rt.usual()
+	rt.settleLatency()
 	rt.play(3*time.Second, 10*time.Millisecond, ClassLookup, func(TargetID) time.Duration { return fast })
 	for len(rt.live) > 0 {
 		rt.answer(rt.live[0])
@@ -122,7 +122,7 @@
 // ejectedProbe ejects t0 and ends a probe of it as ev says.
 func ejectedProbe(t *testing.T, ev ProbeEnded) *runtime {
 	rt := newTestRuntime(t, 6)
-	rt.usual()
+	rt.settleLatency()
 	rt.ejectFirst()
 	rt.s.targets[targetID(0)].ejection.wakeAt = rt.now + time.Hour // no trial without a probe
 	rt.s.scheduleTarget(rt.now, rt.s.targets[targetID(0)])
@@ -190,7 +190,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			rt := newTestRuntime(t, 3)
-			rt.usual()
+			rt.settleLatency()
 			for len(rt.probing) == 0 {
 				rt.advance(10 * time.Millisecond)
 			}
--- a/pkg/core/queue.go
+++ b/pkg/core/queue.go
@@ -1,8 +1,8 @@
 package core
 
-// patientTurn is the share of queue departures that patient requests get while others wait: one in ten. Without a
+// patientShare is the share of queue departures that patient requests get while others wait: one in ten. Without a
 // share a steady excess of short requests would let every patient request expire.
-const patientTurn = 10
+const patientShare = 10
 
 // requestList is a queue of requests, linked through the requests so that removal from the middle is cheap.
 type requestList struct {
@@ -64,7 +64,7 @@
 func (q *queue) head() *request {
 	patient := q.classes[ClassPatient].head
 	urgent := q.urgentHead()
-	if urgent == nil || patient != nil && q.urgent >= patientTurn-1 {
+	if urgent == nil || patient != nil && q.urgent >= patientShare-1 {
 		return patient
 	}
 	return urgent
--- a/pkg/core/queue_test.go
+++ b/pkg/core/queue_test.go
@@ -23,7 +23,7 @@
 // TestQueueOrder guards against patient requests that hold up short ones, and against short ones that starve them.
 func TestQueueOrder(t *testing.T) {
 	rt := newTestRuntime(t, 1)
-	rt.usual()
+	rt.settleLatency()
 	rt.fill(ClassPatient)
 	for range 20 {
 		rt.arrive(ClassPatient, 10*time.Second)
@@ -50,14 +50,14 @@
 		}
 		require.Equal(t, (i-patient)%2 == 0, class == ClassLookup, "urgent requests leave in order of arrival")
 	}
-	require.Equal(t, len(order)/patientTurn, patient)
+	require.Equal(t, len(order)/patientShare, patient)
 }
 
 // TestQueueRefusals guards against unbounded queues, against waiting without a chance and against a Retry-After that
 // does not reflect the queue.
 func TestQueueRefusals(t *testing.T) {
 	rt := newTestRuntime(t, 1, func(p *Policy) { p.QueueLimit = 50 })
-	rt.usual()
+	rt.settleLatency()
 	rt.fill(ClassLookup)
 	began := rt.now
 	require.Equal(t, 1, rt.arrive(ClassLookup, 6*time.Millisecond).decided)
@@ -73,7 +73,7 @@
 	require.Zero(t, rt.arrive(ClassOnce, 10*time.Second).decided, "the queues of other classes are not full")
 
 	slower := newTestRuntime(t, 1, func(p *Policy) { p.QueueLimit = 500 })
-	slower.usual()
+	slower.settleLatency()
 	slower.fill(ClassLookup)
 	for range 400 {
 		slower.arrive(ClassLookup, 10*time.Second)
@@ -158,7 +158,7 @@
 // the quick refusal for a quick answer.
 func TestShed(t *testing.T) {
 	rt := newTestRuntime(t, 2)
-	rt.usual()
+	rt.settleLatency()
 	target := rt.s.order[0]
 	limit := target.limit
 	var last time.Duration
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -11,7 +11,7 @@
 	// hedgeReserve is the share of the hedge budget open to attempts just past the delay. The rest is kept for attempts
 	// that stay slow: a delay at the 95 % quantile alone would spend a budget of 5 %.
 	hedgeReserve = 0.8
-	// trialHedgeRatio is the time, in multiples of the usual latency, after which a trial is hedged.
+	// trialHedgeRatio is the time, in multiples of the typical latency, after which a trial is hedged.
 	trialHedgeRatio = 2
 )
 
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -11,13 +11,13 @@
 	nearEqual = 0.9
 	// zonePenalty is the load per slot by which a target in the own zone may exceed a remote one.
 	zonePenalty = 0.25
-	// doubtPenalty is the load per slot at which a healthy target is as bad as one that looks slow.
-	doubtPenalty = 2
-	// onceDoubtPenalty is higher because a non-idempotent attempt on a slow target cannot be hedged.
-	onceDoubtPenalty = 8
+	// suspectPenalty is the load per slot at which a healthy target is as bad as one that looks slow.
+	suspectPenalty = 2
+	// onceSuspectPenalty is higher because a non-idempotent attempt on a slow target cannot be hedged.
+	onceSuspectPenalty = 8
 	// meanGain is the weight of one report in the mean load of the service.
 	meanGain = 0.1
-	// reportMemoryMin bounds the age at which a load report counts half, which otherwise is the usual latency.
+	// reportMemoryMin bounds the age at which a load report counts half, which otherwise is the typical latency.
 	reportMemoryMin = time.Millisecond
 )
 
@@ -151,16 +151,16 @@
 	if s.policy.Zone != "" && t.zone != s.policy.Zone {
 		score += zonePenalty
 	}
-	return score + s.doubt(t, now, r)
+	return score + s.suspectCost(t, now, r)
 }
 
-// doubt returns the penalty for a target that looks slow.
-func (s *Service) doubt(t *targetState, now Instant, r *request) float64 {
-	doubtful := s.doubtful(t, now)
+// suspectCost returns the penalty for a target that looks slow.
+func (s *Service) suspectCost(t *targetState, now Instant, r *request) float64 {
+	suspect := s.suspect(t, now)
 	if r.class != ClassOnce {
-		return doubtPenalty * indicator(doubtful)
+		return suspectPenalty * indicator(suspect)
 	}
-	return onceDoubtPenalty * indicator(doubtful || t.slowInRow > 0 && now-t.slowAt < onceDoubtTime)
+	return onceSuspectPenalty * indicator(suspect || t.consecutiveSlow > 0 && now-t.slowAt < onceSuspectTime)
 }
 
 func indicator(condition bool) float64 {
@@ -175,18 +175,18 @@
 func (s *Service) load(t *targetState, now Instant) float64 {
 	others := s.meanOthers
 	if t.hasReport {
-		memory := max(s.usual(), reportMemoryMin)
+		memory := max(s.typicalLatency(), reportMemoryMin)
 		weight := float64(memory) / float64(memory+now-t.reportedAt)
 		others += weight * (float64(t.othersInUse) - others)
 	}
 	return float64(t.inFlight) + others
 }
 
-// doubtful reports whether t looks slow: by its estimate, or by an attempt that is outstanding for too long. The latter
+// suspect reports whether t looks slow: by its estimate, or by an attempt that is outstanding for too long. The latter
 // is known before any answer, which matters when an instance sends a target only a few requests per second.
-func (s *Service) doubtful(t *targetState, now Instant) bool {
-	if s.outstanding(t, now) > suspectRatio*s.usual() {
+func (s *Service) suspect(t *targetState, now Instant) bool {
+	if s.outstanding(t, now) > suspectOutstandingRatio*s.typicalLatency() {
 		return true
 	}
-	return t.hasLatency && s.slowness(t, now) > doubtRatio
+	return t.hasLatency && s.slowness(t, now) > suspectLatencyRatio
 }
--- a/pkg/core/selection_test.go
+++ b/pkg/core/selection_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// TestOnceAvoidsDoubt guards against non-idempotent work on a target whose last answer was slow.
-func TestOnceAvoidsDoubt(t *testing.T) {
+// TestOnceAvoidsSuspects guards against non-idempotent work on a target whose last answer was slow.
+func TestOnceAvoidsSuspects(t *testing.T) {
 	rt := newTestRuntime(t, 3)
 	rt.s.countSlow(rt.now, rt.s.order[0], true)
 	require.Zero(t, rt.spread(100, ClassOnce)[targetID(0)])
@@ -122,7 +122,7 @@
 // TestView guards against status output that hides why a target gets no requests.
 func TestView(t *testing.T) {
 	rt := newTestRuntime(t, 6)
-	rt.usual()
+	rt.settleLatency()
 	rt.ejectFirst()
 	rt.step(TargetLeaving{Target: targetID(1)})
 	rt.s.targets[targetID(2)].backoffUntil = rt.now + time.Second
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -21,11 +21,11 @@
 	reportedAt    Instant
 	hasReport     bool
 
-	latency    time.Duration
-	latencyAt  Instant
-	hasLatency bool
-	slowInRow  int // slow answers without another one between them
-	slowAt     Instant
+	latency         time.Duration
+	latencyAt       Instant
+	hasLatency      bool
+	consecutiveSlow int // slow answers without another one between them
+	slowAt          Instant
 
 	limit        float64
 	sheds        int // sheds in a row
@@ -98,7 +98,7 @@
 	s.release(t)
 	s.full = false
 	t.slots, t.reportedInUse, t.hasReport = 0, 0, false
-	t.hasLatency, t.slowInRow = false, 0
+	t.hasLatency, t.consecutiveSlow = false, 0
 	t.sheds, t.backoffUntil = 0, 0
 	t.ejection = ejection{}
 	s.setLimit(t, float64(s.slots(t)))
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -80,7 +80,7 @@
 		return TargetBackoff, ReasonShed
 	case now < t.rampUntil:
 		return TargetRamping, ""
-	case s.doubtful(t, now):
+	case s.suspect(t, now):
 		return TargetActive, ReasonSlow
 	}
 	return TargetActive, ""
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,15 +35,15 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	cfg     Config
-	clock   clock
-	pauses  *pauses
-	clients *clients
-	metrics *Metrics
-	log     logr.Logger
-	table   atomic.Pointer[rules.Table]
-	drains  atomic.Bool
-	active  atomic.Int64 // requests of callers
+	cfg      Config
+	clock    clock
+	pauses   *pauses
+	clients  *clients
+	metrics  *Metrics
+	log      logr.Logger
+	table    atomic.Pointer[rules.Table]
+	draining atomic.Bool
+	active   atomic.Int64 // requests of callers
 
 	configured int // entry instances by the settings
 
@@ -126,7 +126,7 @@
 // Drain begins the graceful stop: each answer from now on closes its connection, and the reducers are told. Requests
 // are still served.
 func (g *Gateway) Drain() {
-	g.drains.Store(true)
+	g.draining.Store(true)
 	g.broadcast(core.StopRequested{})
 }
 
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -61,7 +61,7 @@
 		c.id = rand.Text() // 128 random bits: unique over all entry instances
 	}
 	c.Header().Set(wire.HeaderRequestID, c.id)
-	if g.drains.Load() {
+	if g.draining.Load() {
 		c.Header().Set("Connection", "close")
 	}
 	body, refusal := g.acceptOnCurrentView(c)
