gateway: drop a wait group that nobody waited for

Cause: engine.starting counted attempts in flight, but no code waited on it since the graceful stop counts requests. Ruled out: waiting on it in the stop; http.Server.Shutdown and Gateway.Active already cover requests in flight. Before and after: no change of behaviour. make test passed without the wait group (50 s); after the closure around runAttempt was removed too, vet, staticcheck and the race tests of pkg/gateway, pkg/app and internal/e2e passed. Conclusion: one piece of state and two operations less per attempt.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -27,13 +27,12 @@
 	// probePath is the path of probes.
 	probePath string
 
-	mu       sync.Mutex
-	service  *core.Service
-	pending  map[core.RequestID]*exchange
-	lastID   core.RequestID
-	timer    *time.Timer
-	effects  []core.Effect
-	starting sync.WaitGroup // attempts in flight
+	mu      sync.Mutex
+	service *core.Service
+	pending map[core.RequestID]*exchange
+	lastID  core.RequestID
+	timer   *time.Timer
+	effects []core.Effect
 }
 
 // exchange is one request of a caller with its attempts.
@@ -139,11 +138,7 @@
 	view := e.pauses.view()
 	a.Current = func() bool { return e.pauses.holds(view) }
 	client := e.clients.get(effect.Target)
-	e.starting.Add(1)
-	go func() {
-		defer e.starting.Done()
-		e.runAttempt(ctx, client, x, effect.Attempt, f, a)
-	}()
+	go e.runAttempt(ctx, client, x, effect.Attempt, f, a)
 }
 
 func (e *engine) cancel(effect core.Effect) {
