discovery: rename pkg/platform for its job

The users' platform gets an adapter in platform/, so the product's reader of configuration documents and target lists needs a name of its own. No change of behaviour.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
 
@@ -135,7 +135,7 @@
 		if err != nil {
 			return err
 		}
-		decode := median(func() { _ = json.Unmarshal(text, &platform.InstanceList{}) })
+		decode := median(func() { _ = json.Unmarshal(text, &discovery.InstanceList{}) })
 		var g *gateway.Gateway
 		bytes := heap(func() any {
 			cfg := gateway.Config{Policy: core.DefaultPolicy(), Target: target.DefaultConfig()}
@@ -150,9 +150,9 @@
 	}
 	head(w, "Index", "documents", "size")
 	for _, n := range []int{12, 24, services} {
-		index := platform.Index{Sequence: 20000}
+		index := discovery.Index{Sequence: 20000}
 		for i := range n {
-			e := platform.IndexEntry{Service: fmt.Sprintf("service-%02d", i), Epoch: 3, Revision: 20000, Hash: "0123456789abcdef"}
+			e := discovery.IndexEntry{Service: fmt.Sprintf("service-%02d", i), Epoch: 3, Revision: 20000, Hash: "0123456789abcdef"}
 			index.Entries = append(index.Entries, e)
 		}
 		text, err := json.Marshal(index)
@@ -164,12 +164,12 @@
 	return nil
 }
 
-func instances(n int) platform.InstanceList {
-	list := platform.InstanceList{Sequence: 20000}
+func instances(n int) discovery.InstanceList {
+	list := discovery.InstanceList{Sequence: 20000}
 	for i := range n {
-		list.Instances = append(list.Instances, platform.Instance{
+		list.Instances = append(list.Instances, discovery.Instance{
 			Service: fmt.Sprintf("service-%02d", i%services), Address: address(i), Zone: zone(i),
-			Start: startID, State: platform.StateLive,
+			Start: startID, State: discovery.StateLive,
 		})
 	}
 	return list
--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -19,7 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 )
 
 const pollInterval = 10 * time.Millisecond
@@ -182,7 +182,7 @@
 }
 
 // PublishInstances replaces the instance list of the platform stand-in at addr.
-func PublishInstances(addr string, list []platform.Instance) error {
+func PublishInstances(addr string, list []discovery.Instance) error {
 	text, err := json.Marshal(list)
 	if err != nil {
 		return eris.Wrap(err, "encode instance list")
--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/internal/standin"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 )
 
 // Document routes the paths of the load generator to the service "registry".
@@ -76,7 +76,7 @@
 
 	cfg       DeploymentConfig
 	ledgers   string              // directory of the ledger files
-	instances []platform.Instance // the list at the start; the targets come first
+	instances []discovery.Instance // the list at the start; the targets come first
 }
 
 // StartDeployment starts everything and waits until every entry instance is ready. On failure nothing keeps running.
@@ -142,16 +142,16 @@
 }
 
 func (d *Deployment) publish(ctx context.Context, peers []string) error {
-	if err := WaitStatus(ctx, "http://"+d.Platform+platform.PathIndex, http.StatusOK); err != nil {
+	if err := WaitStatus(ctx, "http://"+d.Platform+discovery.PathIndex, http.StatusOK); err != nil {
 		return err
 	}
-	var list []platform.Instance
+	var list []discovery.Instance
 	for i, addr := range d.Targets {
-		t := platform.Instance{Service: "registry", Address: addr, Zone: zone(i), Start: "1", State: platform.StateLive}
+		t := discovery.Instance{Service: "registry", Address: addr, Zone: zone(i), Start: "1", State: discovery.StateLive}
 		list = append(list, t)
 	}
 	for i, addr := range peers {
-		e := platform.Instance{Service: platform.ServiceEntry, Address: addr, Zone: zone(i), State: platform.StateLive}
+		e := discovery.Instance{Service: discovery.ServiceEntry, Address: addr, Zone: zone(i), State: discovery.StateLive}
 		list = append(list, e)
 	}
 	d.instances = list
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -14,7 +14,7 @@
 
 	"github.com/burdockpitch/burdockpitch/internal/standin"
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -76,7 +76,7 @@
 	if _, err := c.Start("standin", "platform", "--listen", addr); err != nil {
 		return nil, err
 	}
-	return f, WaitStatus(ctx, "http://"+addr+platform.PathIndex, http.StatusOK)
+	return f, WaitStatus(ctx, "http://"+addr+discovery.PathIndex, http.StatusOK)
 }
 
 // Add starts n entry instances, with the running ones as seeds, and lists them on the platform.
@@ -126,10 +126,10 @@
 
 // ListOnly puts the given entry instances on the platform's list.
 func (f *Fleet) ListOnly(entries []*Entry) error {
-	var list []platform.Instance
+	var list []discovery.Instance
 	for _, e := range entries {
-		list = append(list, platform.Instance{
-			Service: platform.ServiceEntry, Address: e.Peer, Zone: e.zone, State: platform.StateLive,
+		list = append(list, discovery.Instance{
+			Service: discovery.ServiceEntry, Address: e.Peer, Zone: e.zone, State: discovery.StateLive,
 		})
 	}
 	return PublishInstances(f.Platform, list)
--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -19,7 +19,7 @@
 	"github.com/burdockpitch/burdockpitch/internal/standin"
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -141,16 +141,16 @@
 }
 
 // listFirst puts the first target on the instance list with the given start and state.
-func (d *Deployment) listFirst(start string, state platform.InstanceState, more ...platform.Instance) error {
-	list := append([]platform.Instance(nil), d.instances...)
+func (d *Deployment) listFirst(start string, state discovery.InstanceState, more ...discovery.Instance) error {
+	list := append([]discovery.Instance(nil), d.instances...)
 	list[0].Start, list[0].State = start, state
 	return PublishInstances(d.Platform, append(list, more...))
 }
 
 // listMarked does the same with a target of another service, and waits until every entry instance knows that service, so
 // that it has read this list.
-func (d *Deployment) listMarked(ctx context.Context, start string, state platform.InstanceState, marker string) error {
-	mark := platform.Instance{Service: marker, Address: "127.0.0.1:1", State: platform.StateLive}
+func (d *Deployment) listMarked(ctx context.Context, start string, state discovery.InstanceState, marker string) error {
+	mark := discovery.Instance{Service: marker, Address: "127.0.0.1:1", State: discovery.StateLive}
 	if err := d.listFirst(start, state, mark); err != nil {
 		return err
 	}
@@ -184,7 +184,7 @@
 // that is lost before the target was started anew or holds longer; and against cut requests.
 func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
 	declaration, header := targetFault(standin.Fault{Kind: standin.FaultDrain}), targetFault(standin.Fault{Kind: standin.FaultLeaving})
-	list := func(d *Deployment) error { return d.listFirst("1", platform.StateLeaving) }
+	list := func(d *Deployment) error { return d.listFirst("1", discovery.StateLeaving) }
 	cases := []struct {
 		name string
 		sign func(*Deployment) error
@@ -212,7 +212,7 @@
 			defer d.Stop()
 			if c.degraded {
 				require.NoError(t, d.SetPlatformFaults(standin.PlatformFaults{InstanceLagMs: int(listLag.Milliseconds())}))
-				require.NoError(t, d.listFirst("1", platform.StateLeaving)) // too late to help
+				require.NoError(t, d.listFirst("1", discovery.StateLeaving)) // too late to help
 				require.NoError(t, d.SetPlatformFaults(standin.PlatformFaults{Down: true}))
 			}
 			callers := d.Callers
@@ -243,13 +243,13 @@
 			}
 
 			require.NoError(t, d.SetPlatformFaults(standin.PlatformFaults{}))
-			require.NoError(t, d.listMarked(ctx, "1", platform.StateLive, "outdated"))
+			require.NoError(t, d.listMarked(ctx, "1", discovery.StateLive, "outdated"))
 			for range 2 * len(d.Targets) {
 				d.nextRun(ctx, t, 1)
 			}
 			require.Len(t, d.runs(t, 0), len(runs), "the sign holds while the start id is the same")
 			d.restartFirst(ctx, t, "2")
-			require.NoError(t, d.listMarked(ctx, "2", platform.StateLive, "restarted"))
+			require.NoError(t, d.listMarked(ctx, "2", discovery.StateLive, "restarted"))
 			d.nextRun(ctx, t, 0)
 			require.Empty(t, load.end(), "every booking is answered")
 		})
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -69,16 +69,16 @@
 	t.Cleanup(d.Stop)
 	_, err := d.Start("standin", "platform", "--listen", d.platform)
 	require.NoError(t, err)
-	var list []platform.Instance
+	var list []discovery.Instance
 	for i := range targets {
 		addr := freeAddress(t)
 		_, err := d.Start("standin", "target", "--listen", addr, "--service-time", "2ms")
 		require.NoError(t, err)
 		d.targets = append(d.targets, addr)
 		zone := string(rune('a' + i%3))
-		list = append(list, platform.Instance{Service: "registry", Address: addr, Zone: zone, Start: "1", State: platform.StateLive})
+		list = append(list, discovery.Instance{Service: "registry", Address: addr, Zone: zone, Start: "1", State: discovery.StateLive})
 	}
-	require.NoError(t, WaitStatus(ctx, "http://"+d.platform+platform.PathIndex, http.StatusOK))
+	require.NoError(t, WaitStatus(ctx, "http://"+d.platform+discovery.PathIndex, http.StatusOK))
 	require.NoError(t, PublishInstances(d.platform, list))
 	require.NoError(t, PublishDocument(d.platform, testDocument))
 	for range entries {
--- a/internal/e2e/pause_test.go
+++ b/internal/e2e/pause_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/internal/standin"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -126,8 +126,8 @@
 	resume := time.After(pause)
 	require.NoError(t, PublishDocument(d.Platform, pausedDocument))
 	// The first change answers the watch that the instance left open; only the second drops a target.
-	list := append([]platform.Instance(nil), d.instances...)
-	list[leaving].State = platform.StateLeaving
+	list := append([]discovery.Instance(nil), d.instances...)
+	list[leaving].State = discovery.StateLeaving
 	require.NoError(t, PublishInstances(d.Platform, list))
 	require.NoError(t, PublishInstances(d.Platform, list[1:]))
 	bookings := connect(t, d.Callers[0], "booking", http.MethodPost, "/bookings/1", time.Minute, "")
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -15,7 +15,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -26,14 +26,14 @@
 	current snapshot
 	history []snapshot // earlier states, oldest first, for the fault "stale"
 	pinned  *snapshot  // served in place of current while the fault "stale" is on
-	list    platform.InstanceList
+	list    discovery.InstanceList
 	faults  PlatformFaults
 	meter   meter
 }
 
 // snapshot is the published state of the configuration service. It is not modified once stored.
 type snapshot struct {
-	index     platform.Index
+	index     discovery.Index
 	documents map[string][]byte
 }
 
@@ -43,11 +43,11 @@
 }
 
 // Publish stores a document under its service. It does not check the text, as the real service does not either.
-func (p *Platform) Publish(entry platform.IndexEntry, text []byte) {
+func (p *Platform) Publish(entry discovery.IndexEntry, text []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := snapshot{documents: map[string][]byte{entry.Service: text}}
-	next.index = platform.Index{Sequence: p.current.index.Sequence + 1, Entries: []platform.IndexEntry{entry}}
+	next.index = discovery.Index{Sequence: p.current.index.Sequence + 1, Entries: []discovery.IndexEntry{entry}}
 	for _, e := range p.current.index.Entries {
 		if e.Service != entry.Service {
 			next.index.Entries = append(next.index.Entries, e)
@@ -64,7 +64,7 @@
 }
 
 // SetInstances replaces the instance list; readers see it after the lag that is set as a fault.
-func (p *Platform) SetInstances(instances []platform.Instance) {
+func (p *Platform) SetInstances(instances []discovery.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if lag := p.faults.instanceLag(); lag > 0 {
@@ -78,8 +78,8 @@
 	p.replaceList(instances)
 }
 
-func (p *Platform) replaceList(instances []platform.Instance) {
-	p.list = platform.InstanceList{Sequence: p.list.Sequence + 1, Instances: instances}
+func (p *Platform) replaceList(instances []discovery.Instance) {
+	p.list = discovery.InstanceList{Sequence: p.list.Sequence + 1, Instances: instances}
 	p.announce()
 }
 
@@ -101,9 +101,9 @@
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
 		r.Use(p.admit)
-		r.Get(platform.PathIndex, p.watch(func() (uint64, any) { return p.served().index.Sequence, p.served().index }))
-		r.Get(platform.PathInstances, p.watch(func() (uint64, any) { return p.list.Sequence, p.list }))
-		r.Get(platform.PathDocuments+"{service}", p.document)
+		r.Get(discovery.PathIndex, p.watch(func() (uint64, any) { return p.served().index.Sequence, p.served().index }))
+		r.Get(discovery.PathInstances, p.watch(func() (uint64, any) { return p.list.Sequence, p.list }))
+		r.Get(discovery.PathDocuments+"{service}", p.document)
 	})
 	r.Put("/control/documents", p.putDocument)
 	r.Put("/control/instances", p.putInstances)
@@ -164,7 +164,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	entry := platform.IndexEntry{Hash: platform.Hash(text)}
+	entry := discovery.IndexEntry{Hash: discovery.Hash(text)}
 	query := r.URL.Query()
 	if query.Get("service") != "" {
 		entry.Service = query.Get("service")
@@ -185,7 +185,7 @@
 }
 
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
-	var instances []platform.Instance
+	var instances []discovery.Instance
 	if err := json.NewDecoder(r.Body).Decode(&instances); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -219,12 +219,12 @@
 
 // cuts reports whether a call is broken by a fault.
 func (f PlatformFaults) cuts(r *http.Request) bool {
-	return f.Down || slices.Contains(f.Cut, r.Header.Get(platform.HeaderReader))
+	return f.Down || slices.Contains(f.Cut, r.Header.Get(discovery.HeaderReader))
 }
 
 func operation(path string) string {
-	if strings.HasPrefix(path, platform.PathDocuments) {
-		return platform.PathDocuments
+	if strings.HasPrefix(path, discovery.PathDocuments) {
+		return discovery.PathDocuments
 	}
 	return path
 }
--- a/internal/standin/platform_faults.go
+++ b/internal/standin/platform_faults.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 )
 
 // ReadLimit is the number of reads per second that the platform serves over all readers. A waiting watch counts as
@@ -27,7 +27,7 @@
 	InstanceLagMs int `json:"instance_lag_ms"`
 	// DelayMs delays each read, in milliseconds.
 	DelayMs int `json:"delay_ms"`
-	// Cut lists readers (platform.HeaderReader) whose calls are broken.
+	// Cut lists readers (discovery.HeaderReader) whose calls are broken.
 	Cut []string `json:"cut"`
 }
 
@@ -114,7 +114,7 @@
 	m.counts.Reads++
 	m.counts.Peak = max(m.counts.Peak, m.used)
 	m.counts.ByOperation[operation(r.URL.Path)]++
-	m.counts.ByReader[r.Header.Get(platform.HeaderReader)]++
+	m.counts.ByReader[r.Header.Get(discovery.HeaderReader)]++
 	return true
 }
 
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -11,17 +11,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 )
 
 func publish(p *Platform, revision uint64) {
 	text := []byte(fmt.Sprint("revision ", revision))
-	p.Publish(platform.IndexEntry{Service: "s", Epoch: 1, Revision: revision, Hash: platform.Hash(text)}, text)
+	p.Publish(discovery.IndexEntry{Service: "s", Epoch: 1, Revision: revision, Hash: discovery.Hash(text)}, text)
 }
 
 func read(server *httptest.Server, path, reader string) (int, string, error) {
 	req, _ := http.NewRequest(http.MethodGet, server.URL+path, nil)
-	req.Header.Set(platform.HeaderReader, reader)
+	req.Header.Set(discovery.HeaderReader, reader)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -57,7 +57,7 @@
 			publish(p, 2)
 			p.SetFaults(c.faults)
 			publish(p, 3)
-			_, text, err := read(server, platform.PathDocuments+"s", c.reader)
+			_, text, err := read(server, discovery.PathDocuments+"s", c.reader)
 			require.Equal(t, c.broken, err != nil)
 			require.Equal(t, c.text, text)
 		})
@@ -70,11 +70,11 @@
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
 	p.SetFaults(PlatformFaults{InstanceLagMs: 50})
-	p.SetInstances([]platform.Instance{{Service: "s", Address: "127.0.0.1:1"}})
-	_, text, err := read(server, platform.PathInstances, "a")
+	p.SetInstances([]discovery.Instance{{Service: "s", Address: "127.0.0.1:1"}})
+	_, text, err := read(server, discovery.PathInstances, "a")
 	require.NoError(t, err)
 	require.NotContains(t, text, "127.0.0.1:1")
-	_, text, err = read(server, platform.PathInstances+"?after=0&wait=1m", "a")
+	_, text, err = read(server, discovery.PathInstances+"?after=0&wait=1m", "a")
 	require.NoError(t, err)
 	require.Contains(t, text, "127.0.0.1:1")
 }
@@ -98,7 +98,7 @@
 			publish(p, 1)
 			ended := make(chan error, 1)
 			go func() {
-				_, _, err := read(server, platform.PathIndex+"?after=1&wait=1m", "a")
+				_, _, err := read(server, discovery.PathIndex+"?after=1&wait=1m", "a")
 				ended <- err
 			}()
 			require.Eventually(t, func() bool { return p.Counts().Pending == 1 }, 10*time.Second, time.Millisecond)
@@ -111,7 +111,7 @@
 // Guards against a limit that does not count a pending watch, or that a burst of readers can exceed.
 func TestReadLimitCountsPendingWatches(t *testing.T) {
 	m := newMeter(3)
-	r := httptest.NewRequest(http.MethodGet, platform.PathIndex, nil)
+	r := httptest.NewRequest(http.MethodGet, discovery.PathIndex, nil)
 	now := time.Unix(100, 0)
 	require.True(t, m.begin(r, now)) // stays pending
 	require.True(t, m.begin(r, now))
@@ -130,12 +130,12 @@
 func TestCountsAreServed(t *testing.T) {
 	server := httptest.NewServer(NewPlatform().Handler())
 	defer server.Close()
-	_, _, err := read(server, platform.PathDocuments+"missing", "a")
+	_, _, err := read(server, discovery.PathDocuments+"missing", "a")
 	require.NoError(t, err)
 	_, text, err := read(server, "/control/counts", "a")
 	require.NoError(t, err)
 	var counts PlatformCounts
 	require.NoError(t, json.Unmarshal([]byte(text), &counts))
 	require.Equal(t, map[string]int{"a": 1}, counts.ByReader)
-	require.Equal(t, map[string]int{platform.PathDocuments: 1}, counts.ByOperation)
+	require.Equal(t, map[string]int{discovery.PathDocuments: 1}, counts.ByOperation)
 }
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -21,7 +21,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
@@ -31,7 +31,7 @@
 	c := dig.New()
 	constructors := []any{
 		func() settings.Settings { return s },
-		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, platform.NewMetrics, peer.NewMetrics,
+		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
 		newStore, newNode, newReader, newFleet, newInstance,
 	}
 	for _, constructor := range constructors {
@@ -68,13 +68,13 @@
 	log      logr.Logger
 	registry *prometheus.Registry
 	gateway  *gateway.Gateway
-	store    *platform.Store
+	store    *discovery.Store
 	fleet    *fleet
 	stopping atomic.Bool
 }
 
 func newInstance(
-	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *platform.Store, f *fleet,
+	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, st *discovery.Store, f *fleet,
 ) *instance {
 	return &instance{settings: s, log: log, registry: reg, gateway: g, store: st, fleet: f}
 }
@@ -124,9 +124,9 @@
 func (i *instance) Instances() []admin.Instance {
 	var list []admin.Instance
 	for _, m := range i.fleet.node.Members() {
-		state := platform.StateLive
+		state := discovery.StateLive
 		if m.Leaving {
-			state = platform.StateLeaving
+			state = discovery.StateLeaving
 		}
 		list = append(list, admin.Instance{
 			Address: m.Address, Zone: m.Zone, Start: m.Start, State: string(state), InContact: m.InContact,
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -14,7 +14,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
@@ -34,41 +34,41 @@
 	settings settings.Settings
 	log      logr.Logger
 	gateway  *gateway.Gateway
-	store    *platform.Store
-	reader   *platform.Reader
+	store    *discovery.Store
+	reader   *discovery.Reader
 	node     *peer.Node
 	started  time.Time
 }
 
 func newFleet(
-	s settings.Settings, log logr.Logger, g *gateway.Gateway, st *platform.Store, r *platform.Reader, n *peer.Node,
+	s settings.Settings, log logr.Logger, g *gateway.Gateway, st *discovery.Store, r *discovery.Reader, n *peer.Node,
 ) *fleet {
 	return &fleet{settings: s, log: log, gateway: g, store: st, reader: r, node: n, started: time.Now()}
 }
 
-func newStore(s settings.Settings, g *gateway.Gateway, m *platform.Metrics, log logr.Logger) *platform.Store {
-	return platform.NewStore(log, m, func(docs []*rules.Document) {
+func newStore(s settings.Settings, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger) *discovery.Store {
+	return discovery.NewStore(log, m, func(docs []*rules.Document) {
 		g.SetDocuments(rules.Capped(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
 	})
 }
 
-func newNode(s settings.Settings, store *platform.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
+func newNode(s settings.Settings, store *discovery.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
 	mark := func(sign membership.Sign) { g.MarkLeaving(core.TargetID(sign.Target), sign.Start) }
 	return peer.NewNode(peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers), documents{store}, m, mark, log)
 }
 
 func newReader(
-	s settings.Settings, store *platform.Store, g *gateway.Gateway, n *peer.Node, m *platform.Metrics, log logr.Logger,
-) *platform.Reader {
+	s settings.Settings, store *discovery.Store, g *gateway.Gateway, n *peer.Node, m *discovery.Metrics, log logr.Logger,
+) *discovery.Reader {
 	id := s.PeerListen
 	if id == "" {
 		id = s.Listen
 	}
-	return platform.NewReader(platform.DefaultReaderConfig(s.Platform, id), sink{store, g, n}, m, log)
+	return discovery.NewReader(discovery.DefaultReaderConfig(s.Platform, id), sink{store, g, n}, m, log)
 }
 
 // documents gives the peer exchange its view of the store.
-type documents struct{ store *platform.Store }
+type documents struct{ store *discovery.Store }
 
 // Digest implements peer.Documents.
 func (d documents) Digest() []peer.Entry {
@@ -95,29 +95,29 @@
 
 // sink passes what the platform reader learns to its consumers.
 type sink struct {
-	store   *platform.Store
+	store   *discovery.Store
 	gateway *gateway.Gateway
 	node    *peer.Node
 }
 
-// OfferDocument implements platform.Sink.
+// OfferDocument implements discovery.Sink.
 func (s sink) OfferDocument(source, service string, text []byte) {
 	s.store.Offer(source, service, text)
 }
 
-// HoldsDocument implements platform.Sink.
-func (s sink) HoldsDocument(e platform.IndexEntry) bool { return s.store.Holds(e) }
+// HoldsDocument implements discovery.Sink.
+func (s sink) HoldsDocument(e discovery.IndexEntry) bool { return s.store.Holds(e) }
 
-// SetInstances implements platform.Sink. Signs that hold are passed on again, because the list may bring targets that
+// SetInstances implements discovery.Sink. Signs that hold are passed on again, because the list may bring targets that
 // the gateway did not know when the sign arrived.
-func (s sink) SetInstances(list platform.InstanceList) {
+func (s sink) SetInstances(list discovery.InstanceList) {
 	s.gateway.SetInstances(list)
 	var l membership.Listed
 	for _, i := range list.Instances {
 		listing := membership.Listing{
-			Address: i.Address, Zone: i.Zone, Start: i.Start, Leaving: i.State == platform.StateLeaving,
+			Address: i.Address, Zone: i.Zone, Start: i.Start, Leaving: i.State == discovery.StateLeaving,
 		}
-		if i.Service == platform.ServiceEntry {
+		if i.Service == discovery.ServiceEntry {
 			l.Entries = append(l.Entries, listing)
 		} else {
 			l.Targets = append(l.Targets, listing)
--- a/pkg/app/fleet_test.go
+++ b/pkg/app/fleet_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
 
@@ -38,7 +38,7 @@
 			s := settings.Default()
 			s.PeerListen, s.Peers, s.Platform = "127.0.0.1:1", []string{"127.0.0.1:2"}, "http://127.0.0.1:3"
 			g := gateway.New(gateway.Config{}, gateway.NewMetrics(reg), log)
-			m := platform.NewMetrics(reg)
+			m := discovery.NewMetrics(reg)
 			store := newStore(s, g, m, log)
 			node := newNode(s, store, g, peer.NewMetrics(reg), log)
 			f := newFleet(s, log, g, store, newReader(s, store, g, node, m, log), node)
--- a/pkg/app/stop_test.go
+++ b/pkg/app/stop_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
@@ -31,8 +31,8 @@
 	reg := prometheus.NewRegistry()
 	g := gateway.New(newGatewayConfig(s), gateway.NewMetrics(reg), logr.Discard())
 	g.SetDocuments([]*rules.Document{doc})
-	g.SetInstances(platform.InstanceList{Instances: []platform.Instance{
-		{Service: "registry", Address: silent.Addr().String(), State: platform.StateLive},
+	g.SetInstances(discovery.InstanceList{Instances: []discovery.Instance{
+		{Service: "registry", Address: silent.Addr().String(), State: discovery.StateLive},
 	}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/pkg/platform/confstate/confstate.go
+++ b/pkg/discovery/confstate/confstate.go
@@ -22,7 +22,7 @@
 	*rules.Document
 	// Text is not modified.
 	Text []byte
-	// Hash is the content hash as platform.Hash gives it.
+	// Hash is the content hash as discovery.Hash gives it.
 	Hash string
 }
 
--- a/pkg/platform/protocol.go
+++ b/pkg/discovery/protocol.go
@@ -1,8 +1,8 @@
-// Package platform reads the configuration service and the instance list.
+// Package discovery reads the configuration service and the instance list.
 //
 // Both can only be read and watched. The package writes nothing outside the process. docs/platform-protocol.md
 // describes the protocol.
-package platform
+package discovery
 
 // Paths of the platform's HTTP protocol. Query parameters "after" and "wait" turn a read into a long poll that is
 // answered when the sequence number differs from "after" or the wait ends. It may become lower: a platform that was
--- a/pkg/platform/reader_test.go
+++ b/pkg/discovery/reader_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package discovery_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/internal/standin"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -27,8 +27,8 @@
 		"a = { path = \"/a\", methods = [\"GET\"], class = \"lookup\", deadline = \"1s\" } # asked by the test\n", revision, extra)
 }
 
-func entry(revision uint64, text string) platform.IndexEntry {
-	return platform.IndexEntry{Service: "s", Epoch: 1, Revision: revision, Hash: platform.Hash([]byte(text))}
+func entry(revision uint64, text string) discovery.IndexEntry {
+	return discovery.IndexEntry{Service: "s", Epoch: 1, Revision: revision, Hash: discovery.Hash([]byte(text))}
 }
 
 // fixture is a platform with a reader that fills a store.
@@ -36,18 +36,18 @@
 	platform *standin.Platform
 	server   *httptest.Server
 	registry *prometheus.Registry
-	store    *platform.Store
-	reader   *platform.Reader
+	store    *discovery.Store
+	reader   *discovery.Reader
 
 	mu    sync.Mutex
-	lists []platform.InstanceList
+	lists []discovery.InstanceList
 }
 
 func (f *fixture) OfferDocument(source, service string, text []byte) {
 	f.store.Offer(source, service, text)
 }
-func (f *fixture) HoldsDocument(e platform.IndexEntry) bool { return f.store.Holds(e) }
-func (f *fixture) SetInstances(l platform.InstanceList) {
+func (f *fixture) HoldsDocument(e discovery.IndexEntry) bool { return f.store.Holds(e) }
+func (f *fixture) SetInstances(l discovery.InstanceList) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists = append(f.lists, l)
@@ -57,12 +57,12 @@
 	f := &fixture{platform: standin.NewPlatform(), registry: prometheus.NewRegistry()}
 	f.server = httptest.NewServer(f.platform.Handler())
 	t.Cleanup(f.server.Close)
-	m := platform.NewMetrics(f.registry)
-	f.store = platform.NewStore(logr.Discard(), m, func([]*rules.Document) {})
-	cfg := platform.DefaultReaderConfig(f.server.URL, "r1")
+	m := discovery.NewMetrics(f.registry)
+	f.store = discovery.NewStore(logr.Discard(), m, func([]*rules.Document) {})
+	cfg := discovery.DefaultReaderConfig(f.server.URL, "r1")
 	cfg.Timeout, cfg.BackoffFirst, cfg.BackoffLimit, cfg.Spread = 300*time.Millisecond, time.Millisecond, 10*time.Millisecond, 0
 	cfg.Wait, cfg.Rate, cfg.Burst = 500*time.Millisecond, 1000, 1000
-	f.reader = platform.NewReader(cfg, f, m, logr.Discard())
+	f.reader = discovery.NewReader(cfg, f, m, logr.Discard())
 	return f
 }
 
@@ -150,7 +150,7 @@
 	defer cancel()
 	publishOther := func() {
 		text := strings.Replace(document(1, ""), `"s"`, `"other"`, 1)
-		f.platform.Publish(platform.IndexEntry{Service: "other", Epoch: 1, Revision: 1, Hash: platform.Hash([]byte(text))}, []byte(text))
+		f.platform.Publish(discovery.IndexEntry{Service: "other", Epoch: 1, Revision: 1, Hash: discovery.Hash([]byte(text))}, []byte(text))
 	}
 	steps := []struct {
 		name    string
@@ -169,9 +169,9 @@
 	}
 	for _, step := range steps {
 		step.change()
-		before := f.platform.Counts().ByOperation[platform.PathDocuments]
+		before := f.platform.Counts().ByOperation[discovery.PathDocuments]
 		require.NoError(t, f.reader.Refresh(ctx))
-		require.Equal(t, step.fetches, f.platform.Counts().ByOperation[platform.PathDocuments]-before, step.name)
+		require.Equal(t, step.fetches, f.platform.Counts().ByOperation[discovery.PathDocuments]-before, step.name)
 	}
 	require.Equal(t, uint64(3), f.revision())
 }
@@ -208,13 +208,13 @@
 			f := newFixture(t)
 			bad := httptest.NewServer(c.handler)
 			defer bad.Close()
-			cfg := platform.DefaultReaderConfig(bad.URL, "r2")
+			cfg := discovery.DefaultReaderConfig(bad.URL, "r2")
 			cfg.Timeout = limit // long enough for 9 MiB on a busy machine
 			if c.name == "silent" {
 				cfg.Timeout = 200 * time.Millisecond
 			}
 			reg := prometheus.NewRegistry()
-			r := platform.NewReader(cfg, f, platform.NewMetrics(reg), logr.Discard())
+			r := discovery.NewReader(cfg, f, discovery.NewMetrics(reg), logr.Discard())
 			f.registry = reg
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			defer cancel()
@@ -246,7 +246,7 @@
 	var watches atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		sequence := 2
-		if r.URL.Path == platform.PathInstances && r.URL.Query().Get("wait") != "0s" {
+		if r.URL.Path == discovery.PathInstances && r.URL.Query().Get("wait") != "0s" {
 			switch watches.Add(1) {
 			case 1:
 				close(began)
@@ -261,7 +261,7 @@
 	}))
 	defer server.Close()
 	f := &fixture{}
-	r := platform.NewReader(platform.DefaultReaderConfig(server.URL, "r1"), f, platform.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	r := discovery.NewReader(discovery.DefaultReaderConfig(server.URL, "r1"), f, discovery.NewMetrics(prometheus.NewRegistry()), logr.Discard())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	go r.WatchInstances(ctx)
@@ -271,5 +271,5 @@
 	<-again
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	require.Equal(t, []platform.InstanceList{{Sequence: 2}}, f.lists)
+	require.Equal(t, []discovery.InstanceList{{Sequence: 2}}, f.lists)
 }
--- a/pkg/platform/store.go
+++ b/pkg/discovery/store.go
@@ -1,4 +1,4 @@
-package platform
+package discovery
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/burdockpitch/burdockpitch/pkg/findings"
-	"github.com/burdockpitch/burdockpitch/pkg/platform/confstate"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery/confstate"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
--- a/pkg/platform/version.go
+++ b/pkg/discovery/version.go
@@ -1,4 +1,4 @@
-package platform
+package discovery
 
 import (
 	"strconv"
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,7 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
@@ -69,16 +69,16 @@
 func (g *Gateway) SetDocuments(docs []*rules.Document) { g.table.Store(rules.NewTable(docs)) }
 
 // SetInstances replaces the targets of each service.
-func (g *Gateway) SetInstances(list platform.InstanceList) {
+func (g *Gateway) SetInstances(list discovery.InstanceList) {
 	byService := make(map[string][]core.Target)
 	keep := make(map[core.TargetID]bool)
 	for _, i := range list.Instances {
-		if i.Service == platform.ServiceEntry {
+		if i.Service == discovery.ServiceEntry {
 			continue
 		}
 		t := core.Target{
 			ID: core.TargetID(i.Address), Zone: core.Zone(i.Zone), Start: i.Start,
-			Leaving: i.State == platform.StateLeaving,
+			Leaving: i.State == discovery.StateLeaving,
 		}
 		byService[i.Service] = append(byService[i.Service], t)
 		keep[t.ID] = true
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
-	"github.com/burdockpitch/burdockpitch/pkg/platform"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
@@ -52,9 +52,9 @@
 	cfg.Target = target.DefaultConfig()
 	g := New(cfg, NewMetrics(prometheus.NewRegistry()), log)
 	g.SetDocuments([]*rules.Document{doc})
-	var list platform.InstanceList
+	var list discovery.InstanceList
 	for _, addr := range targets {
-		list.Instances = append(list.Instances, platform.Instance{Service: "registry", Address: addr, State: platform.StateLive})
+		list.Instances = append(list.Instances, discovery.Instance{Service: "registry", Address: addr, State: discovery.StateLive})
 	}
 	g.SetInstances(list)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -2,7 +2,7 @@
  * Configuration: a configuration service that can be down or stale, three entry instances that read it and pull from
  * each other, and instances that are replaced.
  *
- * Names follow pkg/platform: Offer takes a document into force if it is valid and newer. A version stands for the pair
+ * Names follow pkg/discovery: Offer takes a document into force if it is valid and newer. A version stands for the pair
  * (epoch, revision), whose order is total. The content of a document is its version, or CONFLICT for other bytes under
  * the same version.
  *
