--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -12,10 +12,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
-	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
 
--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -75,7 +75,7 @@
 	Entries []*Process
 
 	cfg       DeploymentConfig
-	ledgers   string              // directory of the ledger files
+	ledgers   string               // directory of the ledger files
 	instances []discovery.Instance // the list at the start; the targets come first
 }
 
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -19,9 +19,9 @@
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
-	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -11,10 +11,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
-	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
--- a/pkg/app/fleet_test.go
+++ b/pkg/app/fleet_test.go
@@ -8,9 +8,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
-	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
 
--- a/pkg/app/stop_test.go
+++ b/pkg/app/stop_test.go
@@ -12,8 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -8,8 +8,8 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/burdockpitch/burdockpitch/pkg/findings"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery/confstate"
+	"github.com/burdockpitch/burdockpitch/pkg/findings"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
