--- a/cmd/burdockpitch/main.go
+++ b/cmd/burdockpitch/main.go
@@ -15,6 +15,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/app"
 	"github.com/burdockpitch/burdockpitch/pkg/cli"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
+	"github.com/burdockpitch/burdockpitch/platform"
 )
 
 // Exit codes.
@@ -30,6 +31,12 @@
 	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
+// platformAdapter is the name of the adapter to the users' platform in the settings.
+const platformAdapter = "platform"
+
+// adapters lists the platforms that an instance can run on. The empty name stands for the project's own protocols.
+var adapters = map[string]app.Adapter{"": {}, platformAdapter: platform.Adapter()}
+
 // failure marks an error of a command that was called correctly. All other errors are errors of usage.
 type failure struct{ error }
 
@@ -83,7 +90,7 @@
 		Use:   "serve --settings FILE",
 		Short: "Run an entry instance until SIGTERM",
 		Long: `Run an entry instance. SIGTERM or SIGINT starts a graceful stop: readiness fails, requests in flight are
-finished, and the process exits with 0. The log goes to standard error as JSON lines.`,
+finished, and the process exits with 0. The log goes to standard output as JSON lines.`,
 		Example: "  burdockpitch serve --settings instance.toml",
 		Args:    cobra.NoArgs,
 		RunE: action(func(cmd *cobra.Command, _ []string) error {
@@ -91,7 +98,11 @@
 			if err != nil {
 				return err
 			}
-			return app.Run(cmd.Context(), s)
+			adapter, ok := adapters[s.Adapter]
+			if !ok {
+				return fmt.Errorf("%s: unknown adapter %q (want none or %q)", file, s.Adapter, platformAdapter)
+			}
+			return app.Run(cmd.Context(), s, adapter)
 		}),
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (TOML)")
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -21,18 +21,27 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/logging"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
 
+// logFlush bounds the time for which a stopped instance waits until its last log lines are written.
+const logFlush = 200 * time.Millisecond
+
 // Run serves until ctx ends, then stops gracefully.
-func Run(ctx context.Context, s settings.Settings) error {
+func Run(ctx context.Context, s settings.Settings, a Adapter) error {
+	limitMemory(s.Memory)
+	lines := logging.NewWriter(os.Stdout, s.Log.LinesPerSecond)
+	defer lines.Close(logFlush)
 	c := dig.New()
 	constructors := []any{
 		func() settings.Settings { return s },
-		newLogger, newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
-		newStore, newNode, newReader, newFleet, newInstance,
+		func() Adapter { return a },
+		func() logr.Logger { return logging.New(lines, s.Log.Verbosity) },
+		newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
+		newStore, newNode, newPlatformReader, newFleet, newInstance,
 	}
 	for _, constructor := range constructors {
 		if err := c.Provide(constructor); err != nil {
@@ -46,11 +55,12 @@
 	return runErr
 }
 
-func newLogger(s settings.Settings) logr.Logger {
-	options := &slog.HandlerOptions{Level: slog.Level(-s.Log.Verbosity)} // logr's V(n) is slog's level -n
-	handler := slog.NewJSONHandler(os.Stderr, options)
-	slog.SetDefault(slog.New(handler)) // net/http writes to the default logger
-	return logr.FromSlogHandler(handler)
+// limitMemory makes the runtime collect memory as the settings ask.
+func limitMemory(m settings.Memory) {
+	debug.SetGCPercent(m.GCPercent)
+	if m.Limit > 0 {
+		debug.SetMemoryLimit(int64(m.Limit))
+	}
 }
 
 func newRegistry() (*prometheus.Registry, prometheus.Registerer) {
@@ -58,8 +68,8 @@
 	return reg, reg
 }
 
-func newGatewayConfig(s settings.Settings) gateway.Config {
-	return gateway.Config{Policy: s.Policy(), Target: s.Target(), ProbePath: s.Probe.Path}
+func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
+	return gateway.Config{Policy: s.Policy(), Target: s.Target(), ProbePath: s.Probe.Path, Dialect: a.Dialect}
 }
 
 // instance is one running entry instance.
@@ -148,6 +158,10 @@
 	if err != nil {
 		return err
 	}
+	ready, err := i.listenReady()
+	if err != nil {
+		return err
+	}
 	callerServer := i.limited(i.gateway.NewServer())
 	adminServer := i.limited(&http.Server{Handler: admin.NewHandler(i, i.registry)})
 	background, stopBackground := context.WithCancel(context.Background())
@@ -156,6 +170,10 @@
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(adminServer, administration) })
+	readyServer := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: readyTimeout}
+	if ready != nil {
+		group.Go(func() error { return serve(readyServer, ready) })
+	}
 	go i.fleet.run(background, peers)
 	i.log.Info("instance started", "callers", callers.Addr().String(), "admin", administration.Addr().String())
 
@@ -163,9 +181,31 @@
 	i.fleet.node.Leave(context.Background())
 	i.stop(callerServer)
 	_ = adminServer.Close()
+	_ = readyServer.Close()
 	return group.Wait()
 }
 
+// readyTimeout bounds the time for the head of a question for readiness.
+const readyTimeout = 5 * time.Second
+
+// listenReady opens the listener for questions for readiness; nil if the settings name none.
+func (i *instance) listenReady() (net.Listener, error) {
+	if i.settings.ReadyListen == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", i.settings.ReadyListen)
+	return l, eris.Wrap(err, "listen for questions for readiness")
+}
+
+// serveReady answers with the readiness: 200, or 503 with the reason.
+func (i *instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := i.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // limited applies the settings' limits on request heads.
 func (i *instance) limited(s *http.Server) *http.Server {
 	s.ReadHeaderTimeout = i.settings.Limits.HeaderTimeout.Std()
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -35,19 +35,31 @@
 	log      logr.Logger
 	gateway  *gateway.Gateway
 	store    *discovery.Store
-	reader   *discovery.Reader
+	reader   platformReader
 	node     *peer.Node
 	started  time.Time
 }
 
 func newFleet(
-	s settings.Settings, log logr.Logger, g *gateway.Gateway, st *discovery.Store, r *discovery.Reader, n *peer.Node,
+	s settings.Settings, log logr.Logger, g *gateway.Gateway, st *discovery.Store, r platformReader, n *peer.Node,
 ) *fleet {
 	return &fleet{settings: s, log: log, gateway: g, store: st, reader: r, node: n, started: time.Now()}
 }
 
-func newStore(s settings.Settings, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger) *discovery.Store {
-	return discovery.NewStore(log, m, func(docs []*rules.Document) {
+// platformReader follows the platform's configuration and targets.
+type platformReader interface {
+	// Run follows the platform until ctx ends.
+	Run(ctx context.Context)
+	// Refresh reads everything once, for an instance that was paused.
+	Refresh(ctx context.Context) error
+	// Asked is closed after everything was read once.
+	Asked() <-chan struct{}
+}
+
+func newStore(
+	s settings.Settings, a Adapter, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
+) *discovery.Store {
+	return discovery.NewStore(a.ParseDocument, log, m, func(docs []*rules.Document) {
 		g.SetDocuments(rules.Capped(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
 	})
 }
@@ -57,6 +69,20 @@
 	return peer.NewNode(peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers), documents{store}, m, mark, log)
 }
 
+// newPlatformReader returns the reader of the adapter's store, or of the project's own protocol without one.
+func newPlatformReader(
+	s settings.Settings, a Adapter, store *discovery.Store, g *gateway.Gateway, n *peer.Node, m *discovery.Metrics, log logr.Logger,
+) platformReader {
+	if a.NewSource == nil {
+		return newReader(s, store, g, n, m, log)
+	}
+	cfg := discovery.WatcherConfig{
+		Wait: s.Watch.Wait.Std(), Timeout: s.Watch.Timeout.Std(), Gather: s.Watch.Gather.Std(),
+		BackoffFirst: s.Watch.BackoffFirst.Std(), BackoffLimit: s.Watch.BackoffLimit.Std(),
+	}
+	return discovery.NewWatcher(cfg, a.NewSource(s.Platform, cfg.Timeout), sink{store, g, n}, m, log)
+}
+
 func newReader(
 	s settings.Settings, store *discovery.Store, g *gateway.Gateway, n *peer.Node, m *discovery.Metrics, log logr.Logger,
 ) *discovery.Reader {
@@ -115,7 +141,7 @@
 	var l membership.Listed
 	for _, i := range list.Instances {
 		listing := membership.Listing{
-			Address: i.Address, Zone: i.Zone, Start: i.Start, Leaving: i.State == discovery.StateLeaving,
+			Address: i.Identity(), Zone: i.Zone, Start: i.Start, Leaving: i.State == discovery.StateLeaving,
 		}
 		if i.Service == discovery.ServiceEntry {
 			l.Entries = append(l.Entries, listing)
@@ -144,8 +170,7 @@
 // run reads the platform and talks to other instances until ctx ends.
 func (f *fleet) run(ctx context.Context, peers net.Listener) {
 	go f.gateway.WatchPauses(ctx, func() { f.refresh(ctx) })
-	go f.reader.WatchIndex(ctx)
-	go f.reader.WatchInstances(ctx)
+	go f.reader.Run(ctx)
 	if peers != nil {
 		go f.node.Run(ctx, peers)
 	}
--- a/pkg/app/fleet_test.go
+++ b/pkg/app/fleet_test.go
@@ -39,7 +39,7 @@
 			s.PeerListen, s.Peers, s.Platform = "127.0.0.1:1", []string{"127.0.0.1:2"}, "http://127.0.0.1:3"
 			g := gateway.New(gateway.Config{}, gateway.NewMetrics(reg), log)
 			m := discovery.NewMetrics(reg)
-			store := newStore(s, g, m, log)
+			store := newStore(s, Adapter{}, g, m, log)
 			node := newNode(s, store, g, peer.NewMetrics(reg), log)
 			f := newFleet(s, log, g, store, newReader(s, store, g, node, m, log), node)
 			f.started = time.Now().Add(-c.age)
--- a/pkg/app/stop_test.go
+++ b/pkg/app/stop_test.go
@@ -29,7 +29,7 @@
 	s := settings.Default()
 	s.LameDuck, s.StopLimit = 0, settings.Duration(50*time.Millisecond)
 	reg := prometheus.NewRegistry()
-	g := gateway.New(newGatewayConfig(s), gateway.NewMetrics(reg), logr.Discard())
+	g := gateway.New(newGatewayConfig(s, Adapter{}), gateway.NewMetrics(reg), logr.Discard())
 	g.SetDocuments([]*rules.Document{doc})
 	g.SetInstances(discovery.InstanceList{Instances: []discovery.Instance{
 		{Service: "registry", Address: silent.Addr().String(), State: discovery.StateLive},
--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -100,6 +100,9 @@
 
 // dispatch sends queued requests while targets have room. Freed is the target that may have got room, or nil.
 func (s *Service) dispatch(now Instant, freed *targetState, out []Effect) []Effect {
+	if s.asks() {
+		return s.dispatchBacklog(now, out)
+	}
 	s.freed = freed
 	out = s.dispatchQueue(now, out)
 	s.full = s.full && (s.queue.length() > 0 || freed == nil)
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -64,6 +64,7 @@
 	}
 	t.newest = a
 	t.inFlight++
+	t.sentSince++
 	s.inFlight++
 	r.started++
 	r.attempts = append(r.attempts, a)
--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -51,11 +51,11 @@
 }
 
 func (b *budget) retryLimit(p *Policy) int {
-	return p.RetryFloor + int(p.RetryRatio*float64(b.requests()))
+	return p.RetryFloor + int(p.RetryRatio*float64(b.requests())+p.share(p.RetrySlack))
 }
 
 func (b *budget) hedgeLimit(p *Policy) int {
-	return p.HedgeFloor + int(p.HedgeRatio*float64(b.requests()))
+	return p.HedgeFloor + int(p.HedgeRatio*float64(b.requests())+p.share(p.HedgeSlack))
 }
 
 // takeRetry reports whether one more retry is allowed, and counts it.
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -39,6 +39,9 @@
 	RetryRatio float64
 	// RetryFloor is the number of retries always allowed per BudgetWindow.
 	RetryFloor int
+	// RetrySlack and HedgeSlack are retries and hedges allowed per BudgetWindow to all entry instances together, beside
+	// the ratios. An instance takes its share by Instances, so the bound holds if that is at least the true number.
+	RetrySlack, HedgeSlack float64
 	// HedgeRatio is the share of requests that may be hedged over BudgetWindow.
 	HedgeRatio float64
 	// HedgeFloor is the number of hedges always allowed per BudgetWindow.
@@ -51,8 +54,18 @@
 	ProbeShare float64
 	// ProbeCost is the slot time that one probe takes.
 	ProbeCost time.Duration
+	// AskLocal and AskRemote are the numbers of targets that SelectAsk asks in the own zone, and then anywhere if none of
+	// these is good.
+	AskLocal, AskRemote int
+	// AskPerTarget bounds the probes per second of each target, summed over all entry instances.
+	AskPerTarget float64
+	// Headroom is the share of a target's slots that SelectAsk fills.
+	Headroom float64
 }
 
+// share returns the part of a fleet-wide allowance that this instance may use.
+func (p *Policy) share(allowance float64) float64 { return allowance / float64(max(p.Instances, 1)) }
+
 // BudgetWindow is the span over which retry, hedge and probe budgets are counted.
 const BudgetWindow = 10 * time.Second
 
@@ -70,5 +83,9 @@
 		HedgeFloor:     5,
 		HedgeQuantile:  0.95,
 		ProbeCost:      5 * time.Millisecond,
+		AskLocal:       5,
+		AskRemote:      5,
+		AskPerTarget:   40,
+		Headroom:       0.8,
 	}
 }
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -58,6 +58,9 @@
 
 // probeDue sends at most one probe and sets the time of the next look.
 func (s *Service) probeDue(now Instant, out []Effect) []Effect {
+	if s.asks() {
+		return s.backlogDue(now, out)
+	}
 	p := &s.policy
 	if p.ProbeShare <= 0 || p.ProbeCost <= 0 || p.Selection.baseline() || s.stopping {
 		return out // a change of the policy plans the next look
@@ -130,6 +133,9 @@
 		}
 		return out
 	}
+	if s.asks() {
+		return s.askEnded(now, t, ev, out)
+	}
 	overtaken := t.probing && (t.trafficAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.evidenceAt = now
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -19,6 +19,7 @@
 const (
 	phaseActive    phase = iota // an attempt in flight
 	phaseBackoff                // the time of its next attempt
+	phaseAsking                 // the answers of targets that were asked for their load
 	phaseQueued                 // room on a target
 	phaseDecided                // the ends of its attempts, after Deliver or Refuse
 	phaseForgotten              // nothing; it may be used for another request
@@ -31,7 +32,15 @@
 	phase    phase
 	arrived  Instant
 	deadline Instant
-	due      due
+	// objective is the time until which an answer has its full value.
+	objective   Instant
+	priority    int
+	maxAttempts int
+	due         due
+
+	asked       []*targetState // targets whose answers it waits for
+	askUntil    Instant
+	askedRemote bool // targets outside the zone were asked too
 
 	attempts []*attempt // in flight
 	targets  []*targetState
@@ -87,10 +96,17 @@
 	if n := len(s.idle); n > 0 {
 		r, s.idle = s.idle[n-1], s.idle[:n-1]
 	}
-	attempts, targets := r.attempts[:0], r.targets[:0]
+	attempts, targets, asked := r.attempts[:0], r.targets[:0], r.asked[:0]
 	*r = request{
 		id: ev.Request, class: min(ev.Class, numClasses-1), arrived: now, deadline: ev.Deadline,
-		attempts: attempts, targets: targets, retryAt: never, hedgeAt: never,
+		objective: ev.Objective, priority: ev.Priority, maxAttempts: ev.MaxAttempts,
+		attempts: attempts, targets: targets, asked: asked, retryAt: never, hedgeAt: never, askUntil: never,
+	}
+	if r.objective == 0 {
+		r.objective = r.deadline
+	}
+	if r.maxAttempts == 0 {
+		r.maxAttempts = s.policy.MaxAttempts
 	}
 	r.due.request = r
 	s.requests[r.id] = r
@@ -100,7 +116,7 @@
 // scheduleRequest sets the next time at which something happens to r.
 func (s *Service) scheduleRequest(r *request) {
 	if r.phase < phaseDecided {
-		s.schedule(&r.due, min(r.decideAt(), r.retryAt, r.hedgeAt))
+		s.schedule(&r.due, min(r.decideAt(), r.retryAt, r.hedgeAt, r.askUntil))
 	}
 }
 
@@ -111,6 +127,8 @@
 	case now >= r.retryAt:
 		r.retryAt = never
 		return s.start(now, r, out)
+	case now >= r.askUntil:
+		return s.considerAnswers(now, r, out)
 	case now >= r.hedgeAt:
 		out = s.hedge(now, r, out)
 	}
@@ -139,6 +157,9 @@
 	if s.usable == 0 {
 		return s.refuse(now, r, ReasonNoTarget, out)
 	}
+	if s.asks() {
+		return s.startAsking(now, r, out)
+	}
 	if s.queue.length() > 0 {
 		out = s.admit(now, r, out)
 		return s.dispatch(now, nil, out)
@@ -166,7 +187,12 @@
 
 // abandon cancels the attempts of r and refuses it.
 func (s *Service) abandon(now Instant, r *request, why Reason, out []Effect) []Effect {
-	if r.phase == phaseQueued {
+	switch {
+	case r.phase == phaseAsking:
+		s.stopAsking(r)
+	case r.phase == phaseQueued && s.asks():
+		s.leaveBacklog(now, r)
+	case r.phase == phaseQueued:
 		s.dequeue(now, r)
 	}
 	out = s.cancelExcept(now, r, nil, out)
@@ -202,5 +228,6 @@
 	r.phase = phaseForgotten
 	delete(s.requests, r.id)
 	clear(r.targets[:cap(r.targets)])
+	clear(r.asked[:cap(r.asked)])
 	s.idle = append(s.idle, r)
 }
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -23,7 +23,7 @@
 		return ReasonCallerLeft, out
 	case r.class == ClassOnce && !r.notRun():
 		return ReasonMayHaveRun, out
-	case r.started >= s.policy.MaxAttempts:
+	case r.started >= r.maxAttempts:
 		return ReasonAttempts, out
 	case now+wait >= r.deadline:
 		return ReasonDeadline, out
@@ -53,7 +53,7 @@
 func (s *Service) hedge(now Instant, r *request, out []Effect) []Effect {
 	share := hedgeReserve
 	first := r.pending()
-	if now >= r.deadline || r.phase != phaseActive || first == nil || r.started >= s.policy.MaxAttempts {
+	if now >= r.deadline || r.phase != phaseActive || first == nil || r.started >= r.maxAttempts {
 		r.hedgeAt = never
 		return out
 	}
@@ -64,7 +64,7 @@
 	if !s.budget.hedgeAllowed(now, &s.policy, share) {
 		return s.denyHedge(r, out)
 	}
-	t := s.choose(now, r, true)
+	t, out := s.chooseHedge(now, r, out)
 	if t == nil {
 		return out
 	}
@@ -76,6 +76,23 @@
 	return s.emitSend(r, a, out)
 }
 
+// chooseHedge returns the target of a hedge, or nil. A service that asks its targets looks for a good report, and asks
+// so that there is one the next time.
+func (s *Service) chooseHedge(now Instant, r *request, out []Effect) (*targetState, []Effect) {
+	if !s.asks() {
+		return s.choose(now, r, true), out
+	}
+	if len(s.backlog.waiting) > 0 {
+		return nil, out
+	}
+	if t, estimate := s.bestReported(now, r, askReuse); t != nil && estimate <= askGood {
+		return t, out
+	}
+	r.hedgeAt = now + askLimit
+	accept := func(t *targetState) bool { return s.candidate(t, now, r) }
+	return nil, s.ask(now, s.all, s.policy.AskLocal, accept, func(*targetState) {}, out)
+}
+
 // denyHedge counts a denied hedge once per request.
 func (s *Service) denyHedge(r *request, out []Effect) []Effect {
 	if r.hedgeDenied {
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -32,6 +32,10 @@
 	probes   probeBudget
 	drained  drainRate
 
+	asking    []*request // requests that wait for answers about load
+	askBudget askBudget
+	backlog   backlog
+
 	targets  map[TargetID]*targetState
 	lineages map[TargetID]*lineage
 	order    []*targetState // in the order of the instance list
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -17,7 +17,11 @@
 
 	slots         int // reported; 0 when unknown
 	reportedInUse int
-	othersInUse   int // reported load without the requests of this instance
+	sentSince     int     // attempts of this instance since the report
+	pace          float64 // how long work takes, in multiples of the usual time
+	warmUntil     Instant
+	silentAt      Instant // time of the latest probe without an answer
+	othersInUse   int     // reported load without the requests of this instance
 	reportedAt    Instant
 	hasReport     bool
 
@@ -74,6 +78,7 @@
 	}
 	t.listed = true
 	t.zone = entry.Zone
+	t.warmUntil = now + entry.Warmup
 	starts := s.lineage(now, entry.ID)
 	if starts.learn(entry.Start) {
 		s.resetTarget(now, t)
@@ -86,7 +91,7 @@
 }
 
 func (s *Service) newTarget(now Instant, id TargetID) *targetState {
-	t := &targetState{id: id, starts: s.lineage(now, id), evidenceAt: now, trafficAt: -1}
+	t := &targetState{id: id, starts: s.lineage(now, id), evidenceAt: now, trafficAt: -1, pace: 1}
 	t.due.target = t
 	t.limit = float64(s.slots(t))
 	s.targets[id] = t
@@ -97,7 +102,7 @@
 func (s *Service) resetTarget(now Instant, t *targetState) {
 	s.release(t)
 	s.full = false
-	t.slots, t.reportedInUse, t.hasReport = 0, 0, false
+	t.slots, t.reportedInUse, t.sentSince, t.pace, t.hasReport = 0, 0, 0, 1, false
 	t.hasLatency, t.consecutiveSlow = false, 0
 	t.sheds, t.backoffUntil = 0, 0
 	t.ejection = ejection{}
@@ -173,6 +178,11 @@
 	t.hasReport = true
 	t.reportedAt = at
 	t.reportedInUse = load.InUse
+	t.sentSince = 0
+	t.pace = 1
+	if load.Pace > 0 {
+		t.pace = load.Pace
+	}
 	t.othersInUse = max(load.InUse-t.inFlight, 0)
 	s.meanOthers += (float64(t.othersInUse) - s.meanOthers) * meanGain
 }
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -11,7 +11,8 @@
 // AttemptID identifies one attempt within one entry instance.
 type AttemptID uint64
 
-// TargetID identifies one target within one service: its address.
+// TargetID identifies one target within one service: its address, or the identity of one start of it where addresses
+// pass from one target to another.
 type TargetID string
 
 // Zone is the name of an availability zone.
@@ -121,6 +122,8 @@
 	InUse int
 	// Slots is the number of requests that the target works on at once; 0 means that no report is present.
 	Slots int
+	// Pace is how long work takes there at the moment, in multiples of the usual time; 0 means that it is not stated.
+	Pace float64
 }
 
 // Input is one event with everything that makes a step deterministic.
@@ -142,6 +145,8 @@
 	Zone    Zone
 	Start   string // identifies one start of the target; empty when unknown
 	Leaving bool
+	// Warmup is how much longer the target is slow after its start.
+	Warmup time.Duration
 }
 
 // TargetsChanged replaces the list of targets. Targets that are gone get no new work.
@@ -156,6 +161,12 @@
 	Class   Class
 	// Deadline is the time at which the caller stops waiting.
 	Deadline Instant
+	// Objective is the time until which an answer has its full value; zero stands for Deadline.
+	Objective Instant
+	// Priority ranks requests that wait for room, 0 first.
+	Priority int
+	// MaxAttempts bounds the attempts of the request; zero stands for Policy.MaxAttempts.
+	MaxAttempts int
 	// Hops is the number of entry instances passed before this one.
 	Hops int
 }
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -55,6 +55,9 @@
 	for c := range numClasses {
 		v.Queued[c.String()] = s.queue.classes[c].length
 	}
+	for _, r := range s.backlog.waiting {
+		v.Queued[r.class.String()]++
+	}
 	for _, t := range s.order {
 		v.Targets = append(v.Targets, s.viewTarget(t, now))
 	}
--- a/pkg/discovery/protocol.go
+++ b/pkg/discovery/protocol.go
@@ -4,6 +4,8 @@
 // describes the protocol.
 package discovery
 
+import "time"
+
 // Paths of the platform's HTTP protocol. Query parameters "after" and "wait" turn a read into a long poll that is
 // answered when the sequence number differs from "after" or the wait ends. It may become lower: a platform that was
 // restored from an older state must not leave its readers waiting.
@@ -46,11 +48,23 @@
 // Instance is one process on the instance list.
 type Instance struct {
 	Service string `json:"service"`
+	// ID identifies the instance where addresses pass from one to another; empty where the address does.
+	ID string `json:"id,omitempty"`
 	// Address is "ip:port".
 	Address string        `json:"address"`
 	Zone    string        `json:"zone"`
 	Start   string        `json:"start,omitempty"`
 	State   InstanceState `json:"state"`
+	// Warmup is how much longer the instance is slow after its start, in nanoseconds in JSON.
+	Warmup time.Duration `json:"warmup_ns,omitempty"`
+}
+
+// Identity names one start of the instance. It is the address for an instance without an ID.
+func (i Instance) Identity() string {
+	if i.ID == "" {
+		return i.Address
+	}
+	return i.ID + "/" + i.Start
 }
 
 // InstanceList is a snapshot of live and leaving instances; it lags.
--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -103,6 +103,12 @@
 // Asked is closed after the platform's index and all its documents were read once.
 func (r *Reader) Asked() <-chan struct{} { return r.asked }
 
+// Run follows the index and the instance list until ctx ends.
+func (r *Reader) Run(ctx context.Context) {
+	go r.WatchInstances(ctx)
+	r.WatchIndex(ctx)
+}
+
 // WatchIndex fetches changed documents until ctx ends.
 func (r *Reader) WatchIndex(ctx context.Context) {
 	var after uint64
--- a/pkg/discovery/reader_test.go
+++ b/pkg/discovery/reader_test.go
@@ -58,7 +58,7 @@
 	f.server = httptest.NewServer(f.platform.Handler())
 	t.Cleanup(f.server.Close)
 	m := discovery.NewMetrics(f.registry)
-	f.store = discovery.NewStore(logr.Discard(), m, func([]*rules.Document) {})
+	f.store = discovery.NewStore(nil, logr.Discard(), m, func([]*rules.Document) {})
 	cfg := discovery.DefaultReaderConfig(f.server.URL, "r1")
 	cfg.Timeout, cfg.BackoffFirst, cfg.BackoffLimit, cfg.Spread = 300*time.Millisecond, time.Millisecond, 10*time.Millisecond, 0
 	cfg.Wait, cfg.Rate, cfg.Burst = 500*time.Millisecond, 1000, 1000
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -38,8 +38,12 @@
 	}
 }
 
+// Parser reads the text of a document from the named source. The error is a findings.List.
+type Parser func(source string, text []byte) (*rules.Document, error)
+
 // Store keeps the newest valid document of each service, as package confstate decides. It is safe for concurrent use.
 type Store struct {
+	parse   Parser
 	log     logr.Logger
 	metrics *Metrics
 	notify  func([]*rules.Document)
@@ -50,8 +54,12 @@
 }
 
 // NewStore returns an empty store that calls notify, under its lock, with all documents in force after each change.
-func NewStore(log logr.Logger, m *Metrics, notify func([]*rules.Document)) *Store {
-	return &Store{log: log, metrics: m, notify: notify, changed: make(chan struct{}, 1), state: confstate.New()}
+// Parse reads the text of a document; nil means rules.Parse.
+func NewStore(parse Parser, log logr.Logger, m *Metrics, notify func([]*rules.Document)) *Store {
+	if parse == nil {
+		parse = rules.Parse
+	}
+	return &Store{parse: parse, log: log, metrics: m, notify: notify, changed: make(chan struct{}, 1), state: confstate.New()}
 }
 
 // Offer takes the document in text into force if it is valid and newer than the one in force. service is the name under
@@ -62,7 +70,7 @@
 		s.metrics.offers.WithLabelValues(string(confstate.Same)).Inc()
 		return
 	}
-	doc, err := rules.Parse(source, o.Text)
+	doc, err := s.parse(source, o.Text)
 	if err == nil {
 		o.Document = doc
 	} else {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -28,7 +28,7 @@
 
 // bufferAnswer reads up to bufferLimit bytes. The body of a complete answer is closed.
 func bufferAnswer(a *target.Answer) *bufferedAnswer {
-	b := &bufferedAnswer{Answer: a, gaveUp: wire.GaveUp(a.Header)}
+	b := &bufferedAnswer{Answer: a, gaveUp: a.Stated.GaveUp}
 	if a.EndsAtClose {
 		b.err = errEndsAtClose
 		return b
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -30,10 +30,12 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	stall   time.Duration
+	dialect wire.Dialect
+	id      string // request id
 }
 
 func (g *Gateway) newCallerWriter(w http.ResponseWriter) *callerWriter {
-	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), stall: g.cfg.WriteStall}
+	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), stall: g.cfg.WriteStall, dialect: g.cfg.Dialect}
 	_ = c.control.SetWriteDeadline(time.Time{}) // the last request on this connection left its own
 	return c
 }
@@ -52,18 +54,15 @@
 	removeHopByHop(a.Header)
 	h := c.Header()
 	for name, values := range a.Header {
-		if name != wire.HeaderRequestID { // already set, whatever the target sent back
-			h[name] = values
-		}
+		h[name] = values
 	}
-	wire.StripFromTarget(h)
+	c.dialect.Deliver(h, c.id, a.outcome())
 	if a.complete && len(a.Trailer) == 0 && bodyAllowed(a) {
 		h.Set("Content-Length", strconv.Itoa(len(a.first)))
 	}
 	if a.Header["Content-Type"] == nil {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
-	h.Set(wire.HeaderOutcome, string(a.outcome()))
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.stall))
 	c.WriteHeader(a.Status)
 }
@@ -117,9 +116,7 @@
 // writeRefusal tells the caller that its request was given up.
 func (c *callerWriter) writeRefusal(status int, outcome wire.Outcome, reason core.Reason, retryAfter time.Duration) {
 	h := c.Header()
-	h.Set(wire.HeaderOutcome, string(outcome))
-	h.Set(wire.HeaderReason, string(reason))
-	h.Set("Retry-After", strconv.FormatInt(max(int64((retryAfter+time.Second-1)/time.Second), 1), 10))
+	c.dialect.Refuse(h, wire.Refusal{RequestID: c.id, Outcome: outcome, Reason: string(reason), RetryAfter: retryAfter})
 	h.Set("Content-Length", "0")
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.stall))
 	c.WriteHeader(status)
@@ -138,7 +135,7 @@
 	case a.gaveUp:
 		ev.Outcome, ev.Reason = core.OutcomeUnknown, core.ReasonNested
 	}
-	ev.Load, ev.Start, ev.Leaving = readReports(a.Header)
+	ev.Load, ev.Start, ev.Leaving = reports(a.Stated)
 	return ev
 }
 
@@ -147,17 +144,13 @@
 	var failure *target.Error
 	if errors.As(err, &failure) {
 		ev.Outcome, ev.Reason, ev.Failed = failure.Outcome, failure.Reason, failure.Failed
-		ev.Load, ev.Start, ev.Leaving = readReports(failure.Header)
+		ev.Load, ev.Start, ev.Leaving = reports(failure.Stated)
 	}
 	return ev
 }
 
-// readReports returns what a target's headers tell about its load, its start id and whether it leaves. A nil header
-// tells nothing.
-func readReports(h http.Header) (load core.LoadReport, start string, leaving bool) {
-	if l, ok := wire.ParseLoad(h); ok {
-		load = core.LoadReport{InUse: l.InUse, Slots: l.Slots}
-	}
-	leaving = h.Get(wire.HeaderLeaving) != "" || h.Get(wire.HeaderDeclare) == string(wire.DeclareDraining)
-	return load, h.Get(wire.HeaderStart), leaving
+// reports returns what a target states about its load, its start id and whether it takes more work.
+func reports(a wire.Answer) (load core.LoadReport, start string, leaving bool) {
+	load = core.LoadReport{InUse: a.Load.InUse, Slots: a.Load.Slots, Pace: a.Load.Pace}
+	return load, a.Start, a.Leaving || a.Declaration == wire.DeclareMisdirected
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -25,7 +25,7 @@
 	metrics *Metrics
 	log     logr.Logger
 	// probePath is the path of probes.
-	probePath string
+	probePath atomicString
 
 	mu      sync.Mutex
 	service *core.Service
@@ -38,7 +38,6 @@
 // exchange is one request of a caller with its attempts.
 type exchange struct {
 	id       core.RequestID
-	class    core.Class
 	attempt  target.Attempt // template of each attempt
 	decided  chan decision  // buffered by one; receives the only decision
 	attempts map[core.AttemptID]*flight
@@ -68,9 +67,10 @@
 
 func newEngine(name string, cfg Config, p *pauses, cl *clients, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name), probePath: cfg.ProbePath,
+		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name),
 		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*exchange),
 	}
+	e.probePath.Store(cfg.ProbePath)
 	e.timer = time.AfterFunc(time.Hour, func() { e.dispatch(core.TimerFired{}) })
 	return e
 }
@@ -90,17 +90,17 @@
 	}
 }
 
-// submit starts a request and returns its exchange.
-func (e *engine) submit(class core.Class, hops int, a target.Attempt) *exchange {
+// submit starts a request and returns its exchange. The event's request number and deadline are filled in.
+func (e *engine) submit(ev core.RequestArrived, a target.Attempt) *exchange {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastID++
 	x := &exchange{
-		id: e.lastID, class: class, attempt: a,
-		decided: make(chan decision, 1), attempts: make(map[core.AttemptID]*flight),
+		id: e.lastID, attempt: a, decided: make(chan decision, 1), attempts: make(map[core.AttemptID]*flight),
 	}
 	e.pending[x.id] = x
-	e.apply(core.RequestArrived{Request: x.id, Class: class, Deadline: e.clock.instant(a.Deadline), Hops: hops})
+	ev.Request, ev.Deadline = x.id, e.clock.instant(a.Deadline)
+	e.apply(ev)
 	return x
 }
 
@@ -137,7 +137,8 @@
 	}
 	view := e.pauses.view()
 	a.Current = func() bool { return e.pauses.holds(view) }
-	client := e.clients.get(effect.Target)
+	client, instance := e.clients.get(effect.Target)
+	a.Instance = instance
 	go e.runAttempt(ctx, client, x, effect.Attempt, f, a)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // Config configures the caller side.
@@ -25,6 +26,8 @@
 	Target target.Config
 	// ProbePath is the path of probes on targets; probes are off while Policy.ProbeShare is 0.
 	ProbePath string
+	// Dialect encodes the headers exchanged with callers and targets; nil means wire.Native.
+	Dialect wire.Dialect
 	// WriteStall bounds each write to a caller; zero means DefaultWriteStall.
 	WriteStall time.Duration
 }
@@ -53,6 +56,10 @@
 
 // New returns a gateway without rules and targets.
 func New(cfg Config, m *Metrics, log logr.Logger) *Gateway {
+	if cfg.Dialect == nil {
+		cfg.Dialect = wire.Native{}
+	}
+	cfg.Target.Dialect = cfg.Dialect
 	if cfg.WriteStall == 0 {
 		cfg.WriteStall = DefaultWriteStall
 	}
@@ -66,32 +73,41 @@
 }
 
 // SetDocuments puts new rules in force for requests that arrive from now on.
-func (g *Gateway) SetDocuments(docs []*rules.Document) { g.table.Store(rules.NewTable(docs)) }
+func (g *Gateway) SetDocuments(docs []*rules.Document) {
+	g.table.Store(rules.NewTable(docs))
+	for _, d := range docs {
+		for _, s := range d.Services {
+			if s.ProbePath != "" {
+				g.engine(s.Name).probePath.Store(s.ProbePath)
+			}
+		}
+	}
+}
 
 // SetInstances replaces the targets of each service.
 func (g *Gateway) SetInstances(list discovery.InstanceList) {
 	byService := make(map[string][]core.Target)
-	keep := make(map[core.TargetID]bool)
+	endpoints := make(map[core.TargetID]endpoint)
 	for _, i := range list.Instances {
 		if i.Service == discovery.ServiceEntry {
 			continue
 		}
 		t := core.Target{
-			ID: core.TargetID(i.Address), Zone: core.Zone(i.Zone), Start: i.Start,
-			Leaving: i.State == discovery.StateLeaving,
+			ID: core.TargetID(i.Identity()), Zone: core.Zone(i.Zone), Start: i.Start,
+			Leaving: i.State == discovery.StateLeaving, Warmup: i.Warmup,
 		}
 		byService[i.Service] = append(byService[i.Service], t)
-		keep[t.ID] = true
+		endpoints[t.ID] = endpoint{address: i.Address, instance: i.ID}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.clients.set(endpoints)
 	for name := range byService {
 		g.engineLocked(name)
 	}
 	for name, e := range g.engines {
 		e.dispatch(core.TargetsChanged{Targets: byService[name]})
 	}
-	g.clients.retain(keep)
 }
 
 // SetFleetSize tells how many entry instances share the targets; it is never taken as smaller than configured.
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -47,7 +47,7 @@
 			id := core.TargetID(server.Listener.Addr().String())
 			client := target.NewClient(string(id), target.DefaultConfig())
 			defer client.Close()
-			got := runProbe(client, id, "/health", time.Now().Add(10*time.Second))
+			got := runProbe(client, id, "", "/health", time.Now().Add(10*time.Second))
 			got.Latency = 0
 			tc.want.Target = id
 			require.Equal(t, tc.want, got)
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -9,12 +9,13 @@
 
 // Reasons for refusals before a request reaches the reducer. They complete the closed set of package core.
 const (
-	ReasonNoRule       core.Reason = "no-rule"
-	ReasonBodyTooLarge core.Reason = "body-too-large"
-	ReasonBodyBroken   core.Reason = "body-broken"
-	ReasonBodySlow     core.Reason = "body-slow"
-	ReasonUpgrade      core.Reason = "upgrade"
-	ReasonConnect      core.Reason = "connect"
+	ReasonNoConfiguration core.Reason = "no-configuration"
+	ReasonNoRule          core.Reason = "no-rule"
+	ReasonBodyTooLarge    core.Reason = "body-too-large"
+	ReasonBodyBroken      core.Reason = "body-broken"
+	ReasonBodySlow        core.Reason = "body-slow"
+	ReasonUpgrade         core.Reason = "upgrade"
+	ReasonConnect         core.Reason = "connect"
 )
 
 // rejection is the answer to a request that is refused before it reaches the reducer.
@@ -31,16 +32,17 @@
 )
 
 var (
-	rejectNoRule       = rejection{ReasonNoRule, http.StatusNotFound, retrySoon}
-	rejectBodyTooLarge = rejection{ReasonBodyTooLarge, http.StatusRequestEntityTooLarge, retryLater}
-	rejectBodyBroken   = rejection{ReasonBodyBroken, http.StatusBadRequest, retryLater}
-	rejectBodySlow     = rejection{ReasonBodySlow, http.StatusRequestTimeout, retrySoon}
-	rejectUpgrade      = rejection{ReasonUpgrade, http.StatusNotImplemented, retryLater}
-	rejectConnect      = rejection{ReasonConnect, http.StatusNotImplemented, retryLater}
+	rejectNoConfiguration = rejection{ReasonNoConfiguration, http.StatusServiceUnavailable, retrySoon}
+	rejectNoRule          = rejection{ReasonNoRule, http.StatusNotFound, retrySoon}
+	rejectBodyTooLarge    = rejection{ReasonBodyTooLarge, http.StatusRequestEntityTooLarge, retryLater}
+	rejectBodyBroken      = rejection{ReasonBodyBroken, http.StatusBadRequest, retryLater}
+	rejectBodySlow        = rejection{ReasonBodySlow, http.StatusRequestTimeout, retrySoon}
+	rejectUpgrade         = rejection{ReasonUpgrade, http.StatusNotImplemented, retryLater}
+	rejectConnect         = rejection{ReasonConnect, http.StatusNotImplemented, retryLater}
 )
 
 var rejections = []rejection{
-	rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectUpgrade, rejectConnect,
+	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectUpgrade, rejectConnect,
 }
 
 // refusalStatus returns the status of a request that the reducer refused.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -5,9 +5,9 @@
 	"crypto/rand"
 	"errors"
 	"io"
+	mathrand "math/rand/v2"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -48,19 +48,20 @@
 type call struct {
 	*callerWriter
 	r       *http.Request
-	id      string
+	stated  wire.Request
 	arrived time.Time
 	rule    *rules.Rule
+	service string // the part of the rule's split that serves it
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{callerWriter: g.newCallerWriter(w), r: r, arrived: time.Now(), id: wire.ParseRequestID(r.Header)}
+	c := &call{callerWriter: g.newCallerWriter(w), r: r, arrived: time.Now(), stated: g.cfg.Dialect.Request(r.Header)}
+	c.id = c.stated.ID
 	if c.id == "" {
 		c.id = rand.Text() // 128 random bits: unique over all entry instances
 	}
-	c.Header().Set(wire.HeaderRequestID, c.id)
 	if g.draining.Load() {
 		c.Header().Set("Connection", "close")
 	}
@@ -69,11 +70,22 @@
 		g.reject(c, *refusal)
 		return
 	}
-	e := g.engine(c.rule.Service)
-	x := e.submit(c.rule.Class, wire.ParseHops(r.Header), c.attempt(body))
+	e := g.engine(c.service)
+	x := e.submit(c.arrival(g.clock), c.attempt(body))
 	g.await(c, e, x)
 }
 
+// arrival describes the request to the reducer.
+func (c *call) arrival(ck clock) core.RequestArrived {
+	ev := core.RequestArrived{
+		Class: c.rule.Class, Priority: c.rule.Priority, MaxAttempts: c.rule.MaxAttempts, Hops: c.stated.Hops,
+	}
+	if c.rule.Objective > 0 {
+		ev.Objective = ck.instant(c.arrived.Add(c.rule.Objective))
+	}
+	return ev
+}
+
 // acceptOnCurrentView accepts a request under rules that were read since the last pause. If the process was paused while
 // the body was read, the rule is looked up again.
 func (g *Gateway) acceptOnCurrentView(c *call) ([]byte, *rejection) {
@@ -90,16 +102,30 @@
 
 // matchAgain finds the rule of a request whose body of the given length was read under an earlier rule.
 func (g *Gateway) matchAgain(c *call, length int) *rejection {
-	c.rule = g.table.Load().Match(c.r.Method, c.r.URL.Path)
+	if refusal := g.match(c); refusal != nil {
+		return refusal
+	}
 	switch {
-	case c.rule == nil:
-		return &rejectNoRule
 	case int64(length) > c.rule.BodyLimit:
 		return &rejectBodyTooLarge
 	}
 	return nil
 }
 
+// match finds the rule that decides for the request.
+func (g *Gateway) match(c *call) *rejection {
+	table := g.table.Load()
+	c.rule = table.MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
+	switch {
+	case c.rule != nil:
+		c.service = c.rule.Target(mathrand.Uint64())
+		return nil
+	case table.Empty():
+		return &rejectNoConfiguration
+	}
+	return &rejectNoRule
+}
+
 // accept finds the rule and reads the body.
 func (g *Gateway) accept(c *call) ([]byte, *rejection) {
 	switch {
@@ -108,9 +134,8 @@
 	case len(c.r.Header["Upgrade"]) > 0:
 		return nil, &rejectUpgrade
 	}
-	c.rule = g.table.Load().Match(c.r.Method, c.r.URL.Path)
-	if c.rule == nil {
-		return nil, &rejectNoRule
+	if refusal := g.match(c); refusal != nil {
+		return nil, refusal
 	}
 	if c.r.ContentLength > c.rule.BodyLimit {
 		return nil, &rejectBodyTooLarge // before the caller is told to continue
@@ -150,17 +175,16 @@
 
 func (c *call) attempt(body []byte) target.Attempt {
 	limit := c.rule.Deadline
-	if asked, ok := wire.ParseDeadline(c.r.Header); ok && asked < limit {
-		limit = asked
+	if c.stated.Bounded && c.stated.Remaining < limit {
+		limit = c.stated.Remaining
 	}
 	header := c.r.Header.Clone()
 	removeHopByHop(header)
-	wire.StripFromCaller(header)
 	wire.StripFromCaller(c.r.Trailer)
-	header.Set(wire.HeaderHops, strconv.Itoa(wire.ParseHops(c.r.Header)+1))
-	header.Set(wire.HeaderRequestID, c.id)
+	c.dialect.Forward(header, wire.Forward{RequestID: c.id, Hops: c.stated.Hops + 1})
 	return target.Attempt{
-		Method: c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header, Body: body, Trailer: c.r.Trailer,
+		RequestID: c.id,
+		Method:    c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header, Body: body, Trailer: c.r.Trailer,
 		Deadline: c.arrived.Add(limit),
 	}
 }
@@ -231,7 +255,7 @@
 func (g *Gateway) finish(c *call, res result) {
 	var service, class, rule string
 	if c.rule != nil {
-		service, class, rule = c.rule.Service, c.rule.Class.String(), c.rule.Name
+		service, class, rule = c.service, c.rule.Class.String(), c.rule.Name
 	}
 	g.metrics.requests.WithLabelValues(service, class, string(res.outcome)).Inc()
 	if res.reason != "" {
--- a/pkg/rules/explain.go
+++ b/pkg/rules/explain.go
@@ -46,9 +46,13 @@
 
 // candidates returns the rules whose path matches, the most specific first.
 func (t *Table) candidates(path string) []*Rule {
-	list := slices.Clone(t.exact[path])
-	for stem, more := t.longestStem(path), true; more; stem, more = parent(stem) {
-		list = append(list, t.prefix[stem]...)
+	h := t.lookup("")
+	if h == nil {
+		return nil
+	}
+	list := slices.Clone(h.exact[path])
+	for stem, more := h.longestStem(path), true; more; stem, more = parent(stem) {
+		list = append(list, h.prefix[stem]...)
 	}
 	return list
 }
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -5,6 +5,7 @@
 package rules
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -28,16 +29,29 @@
 type Rule struct {
 	// Name identifies the rule within its document.
 	Name string
-	// Service is the service that serves matching requests.
+	// Service is the service that serves matching requests, unless Split names several.
 	Service string
+	// Split divides matching requests over services by weight; empty means that Service gets all.
+	Split []Share
+	// Host restricts the rule to one host name, in lower case and without a port; empty matches every host that has no
+	// rules of its own.
+	Host string
 	// Path is an exact path, or a prefix that ends in "/*". The prefix "/a/*" matches "/a" and everything below it.
 	Path string
+	// Subtree excludes the stem of a prefix: "/a/*" then matches "/a/" and everything below it, but not "/a".
+	Subtree bool
 	// Methods are the HTTP methods that match; empty means all.
 	Methods []string
 	// Class is the treatment of matching requests.
 	Class core.Class
 	// Deadline is the time within which the caller gets its response.
 	Deadline time.Duration
+	// Objective is the time within which a response has its full value; zero means that the rule states none.
+	Objective time.Duration
+	// Priority ranks rules under overload, 0 first.
+	Priority int
+	// MaxAttempts bounds the attempts of one request; zero leaves it to the settings.
+	MaxAttempts int
 	// BodyLimit bounds the request body in bytes.
 	BodyLimit int64
 	// RequestedBy is the trailing comment: who asked for the rule.
@@ -46,6 +60,33 @@
 	Line int
 }
 
+// Share is one part of a split.
+type Share struct {
+	Service string
+	// Weight is relative to the sum of the weights of the split.
+	Weight int
+}
+
+// Target returns the service for a request. Draw is a uniform random number.
+func (r *Rule) Target(draw uint64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return r.Service
+	}
+	position, _ := bits.Mul64(draw, uint64(total))
+	for _, s := range r.Split {
+		weight := uint64(max(s.Weight, 0))
+		if position < weight {
+			return s.Service
+		}
+		position -= weight
+	}
+	return r.Service
+}
+
 // Document is the checked content of one service's rules text.
 type Document struct {
 	Service string
@@ -54,6 +95,17 @@
 	BasedOn *Version
 	// Rules are in the order of the text.
 	Rules []Rule
+	// Services describes the services behind the rules; empty leaves everything to the settings.
+	Services []Service
+}
+
+// Service describes how the targets of a service are used.
+type Service struct {
+	Name string
+	// ProbePath is the path that a probe asks for; empty leaves it to the settings.
+	ProbePath string
+	// Connections is the number of connections that a target accepts from all callers; 0 leaves it to the settings.
+	Connections int
 }
 
 // Limits of a document. They are constants rather than settings because validity depends on the bytes alone.
--- a/pkg/rules/table.go
+++ b/pkg/rules/table.go
@@ -12,13 +12,20 @@
 // The most specific path decides: an exact path before a prefix, a longer prefix before a shorter one. On one path, a
 // rule that names the method decides before a rule for all methods. If rules of several services remain, the service
 // that comes first by name decides, so that every instance with the same documents decides alike.
+//
+// A host with rules of its own is matched against these only.
 type Table struct {
-	exact     map[string][]*Rule
-	prefix    map[string][]*Rule
-	depth     int // largest number of "/" in a stem of prefix
+	hosts     map[string]*hostTable
 	conflicts []Conflict
 }
 
+// hostTable holds the rules of one host.
+type hostTable struct {
+	exact  map[string][]*Rule
+	prefix map[string][]*Rule
+	depth  int // largest number of "/" in a stem of prefix
+}
+
 // Conflict is a path and method for which several services have a rule.
 type Conflict struct {
 	Path string `json:"path"`
@@ -44,7 +51,7 @@
 
 // NewTable merges the rules of documents. The result does not depend on their order.
 func NewTable(docs []*Document) *Table {
-	t := &Table{exact: make(map[string][]*Rule), prefix: make(map[string][]*Rule)}
+	t := &Table{hosts: make(map[string]*hostTable)}
 	for _, d := range inOrder(docs) {
 		for i := range d.Rules {
 			t.add(&d.Rules[i])
@@ -66,10 +73,11 @@
 }
 
 func (t *Table) add(r *Rule) {
-	paths, key := t.exact, r.Path
+	h := t.host(r.Host)
+	paths, key := h.exact, r.Path
 	if stem, ok := strings.CutSuffix(r.Path, "/*"); ok {
-		paths, key = t.prefix, stem
-		t.depth = max(t.depth, strings.Count(stem, "/"))
+		paths, key = h.prefix, stem
+		h.depth = max(h.depth, strings.Count(stem, "/"))
 	}
 	for _, earlier := range paths[key] {
 		t.compare(earlier, r)
@@ -77,6 +85,16 @@
 	paths[key] = append(paths[key], r)
 }
 
+// host returns the table of a host, which is added if need be.
+func (t *Table) host(name string) *hostTable {
+	h := t.hosts[name]
+	if h == nil {
+		h = &hostTable{exact: make(map[string][]*Rule), prefix: make(map[string][]*Rule)}
+		t.hosts[name] = h
+	}
+	return h
+}
+
 // compare records for which methods an earlier rule of the same path keeps a later one from deciding.
 func (t *Table) compare(earlier, later *Rule) {
 	for _, m := range methodsOrAny(*later) {
@@ -92,28 +110,47 @@
 // Conflicts returns where rules of several services compete, in a fixed order.
 func (t *Table) Conflicts() []Conflict { return slices.Clone(t.conflicts) }
 
-// Match returns the rule that decides for method and decoded path, or nil. It does not allocate.
+// Empty reports whether the table holds no rule.
+func (t *Table) Empty() bool { return len(t.hosts) == 0 }
+
+// Match returns the rule that decides for method and decoded path on a host without rules of its own, or nil.
+func (t *Table) Match(method, path string) *Rule { return t.MatchHost("", method, path) }
+
+// MatchHost returns the rule that decides for a host as given in a request, a method and a decoded path, or nil. It does
+// not allocate for a host in lower case.
 //
 // A path with a "." or ".." segment matches nothing: a target may resolve it to a path that another rule covers, with
 // another class.
-func (t *Table) Match(method, path string) *Rule {
-	if hasDotSegment(path) {
+func (t *Table) MatchHost(host, method, path string) *Rule {
+	h := t.lookup(host)
+	if h == nil || hasDotSegment(path) {
 		return nil
 	}
-	if r := matchMethod(t.exact[path], method); r != nil {
+	if r := matchMethod(h.exact[path], method, path); r != nil {
 		return r
 	}
-	for stem, more := t.longestStem(path), true; more; stem, more = parent(stem) {
-		if r := matchMethod(t.prefix[stem], method); r != nil {
+	for stem, more := h.longestStem(path), true; more; stem, more = parent(stem) {
+		if r := matchMethod(h.prefix[stem], method, path); r != nil {
 			return r
 		}
 	}
 	return nil
 }
 
+// lookup returns the table for a host as given in a request, nil if there is none.
+func (t *Table) lookup(host string) *hostTable {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	if h := t.hosts[strings.ToLower(host)]; h != nil {
+		return h
+	}
+	return t.hosts[""]
+}
+
 // longestStem cuts path to the depth of the deepest prefix, so that the cost of a match does not grow with the length
 // of a hostile path.
-func (t *Table) longestStem(path string) string {
+func (t *hostTable) longestStem(path string) string {
 	slashes := 0
 	for i := range len(path) {
 		if path[i] != '/' {
@@ -149,9 +186,12 @@
 	}
 }
 
-func matchMethod(candidates []*Rule, method string) *Rule {
+func matchMethod(candidates []*Rule, method, path string) *Rule {
 	var all *Rule
 	for _, r := range candidates {
+		if r.Subtree && len(path) < len(r.Path)-1 {
+			continue // the stem itself
+		}
 		if len(r.Methods) == 0 {
 			if all == nil {
 				all = r
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -25,12 +25,15 @@
 	{"stop_limit", float64(time.Second), float64(time.Hour), "from 1s to 1h"},
 	{"instances", 1, 1000, "from 1 to 1000"},
 	{"log.verbosity", 0, 2, "from 0 to 2"},
+	{"log.lines_per_second", 0, 1_000_000, "from 0 to 1000000"},
 	{"targets.slots", 1, 10_000, "from 1 to 10000"},
 	{"connections.per_target", 1, 100_000, "from 1 to 100000"},
 	{"connections.dial_timeout", float64(time.Millisecond), float64(10 * time.Second), "from 1ms to 10s"},
 	{"connections.idle_timeout", float64(time.Second), float64(10 * time.Minute), "from 1s to 10m"},
 	{"connections.wait_limit", float64(time.Millisecond), float64(time.Minute), "from 1ms to 1m"},
 	{"connections.fresh_within", 0, float64(10 * time.Minute), "from 0s to 10m"},
+	{"fleet.repeat_ratio", 0, 1, "a share from 0 to 1"},
+	{"fleet.repeat_slack", 0, 1_000_000, "from 0 to 1000000"},
 	{"retry.ratio", 0, 1, "a share from 0 to 1"},
 	{"retry.floor", 0, 10_000, "from 0 to 10000"},
 	{"retry.max_attempts", 1, 10, "from 1 to 10"},
@@ -39,6 +42,18 @@
 	{"hedge.quantile", 0.5, 0.999, "from 0.5 to 0.999"},
 	{"probe.share", 0, 0.1, "a share from 0 to 0.1"},
 	{"probe.cost", float64(10 * time.Microsecond), float64(time.Second), "from 10us to 1s"},
+	{"kill_after", 0, float64(time.Hour), "from 0s to 1h"},
+	{"ask.local", 0, 100, "from 0 to 100"},
+	{"ask.remote", 1, 100, "from 1 to 100"},
+	{"ask.per_target", 0.1, 10_000, "from 0.1 to 10000"},
+	{"ask.headroom", 0.1, 1, "a share from 0.1 to 1"},
+	{"watch.wait", float64(10 * time.Millisecond), float64(30 * time.Second), "from 10ms to 30s"},
+	{"watch.timeout", float64(10 * time.Millisecond), float64(30 * time.Second), "from 10ms to 30s"},
+	{"watch.gather", 0, float64(10 * time.Second), "from 0s to 10s"},
+	{"watch.backoff_first", float64(time.Millisecond), float64(10 * time.Second), "from 1ms to 10s"},
+	{"watch.backoff_limit", float64(time.Millisecond), float64(time.Minute), "from 1ms to 1m"},
+	{"memory.limit", 0, float64(1 << 40), "from 0B to 1TiB"},
+	{"memory.gc_percent", 1, 10_000, "from 1 to 10000"},
 	{"queue.limit", 1, 100_000, "from 1 to 100000"},
 	{"limits.body", 1, rules.MaxBody, "from 1B to 64MiB"},
 	{"limits.header", 1 << 10, 1 << 20, "from 1KiB to 1MiB"},
@@ -62,6 +77,16 @@
 	}
 }
 
+// stopPart is the part of kill_after after which a stop that the settings do not limit ends what is in flight.
+const stopPart = 0.9
+
+// defaults sets what depends on other keys and is not given.
+func (c *checker) defaults() {
+	if _, given := c.seen["stop_limit"]; !given && c.s.KillAfter > 0 {
+		c.s.StopLimit = Duration(stopPart * float64(c.s.KillAfter))
+	}
+}
+
 // combinations checks keys against each other. A key that is already reported takes no part.
 func (c *checker) combinations() {
 	c.names()
@@ -70,7 +95,9 @@
 	s := c.s
 	c.require(s.LameDuck < s.StopLimit, "a lame_duck shorter than stop_limit",
 		fmt.Sprintf("lame_duck %s is not shorter than stop_limit %s", s.LameDuck.Std(), s.StopLimit.Std()), "lame_duck", "stop_limit")
-	c.require(s.LameDuck >= s.StopLimit || s.LameDuck+s.Deadline.Max < s.StopLimit, "a stop_limit longer than lame_duck plus deadline.max",
+	c.require(s.KillAfter == 0 || s.StopLimit < s.KillAfter, "a stop_limit shorter than kill_after",
+		fmt.Sprintf("stop_limit %s is not shorter than kill_after %s", s.StopLimit.Std(), s.KillAfter.Std()), "stop_limit", "kill_after")
+	c.require(s.KillAfter > 0 || s.LameDuck >= s.StopLimit || s.LameDuck+s.Deadline.Max < s.StopLimit, "a stop_limit longer than lame_duck plus deadline.max",
 		fmt.Sprintf("stop_limit %s can abort a request that arrives in the lame-duck period (%s) and may take %s",
 			s.StopLimit.Std(), s.LameDuck.Std(), s.Deadline.Max.Std()), "stop_limit", "deadline.max", "lame_duck")
 	c.require(s.Connections.PerTarget >= s.Instances, "at least one connection for each instance",
@@ -109,9 +136,9 @@
 		c.require(ok, `a URL such as "http://10.0.0.5:9801"`, "platform is not a base URL", "platform")
 	}
 	methods := []core.Selection{
-		"", core.SelectRandom, core.SelectRoundRobin, core.SelectTwoChoices, core.SelectLoad, core.SelectLoadLatency,
+		"", core.SelectRandom, core.SelectRoundRobin, core.SelectTwoChoices, core.SelectLoad, core.SelectLoadLatency, core.SelectAsk,
 	}
-	c.require(slices.Contains(methods, core.Selection(c.s.Selection)), `"random", "round-robin", "two-choices", "load" or "load-latency"`,
+	c.require(slices.Contains(methods, core.Selection(c.s.Selection)), `"random", "round-robin", "two-choices", "load", "load-latency" or "ask"`,
 		fmt.Sprintf("unknown selection %q", c.s.Selection), "selection")
 }
 
@@ -126,7 +153,7 @@
 	c.require(c.s.Listen != "", "the address for callers", "listen is missing", "listen")
 	var good []listener
 	for _, l := range []struct{ key, text string }{
-		{"listen", c.s.Listen}, {"admin_listen", c.s.AdminListen}, {"peer_listen", c.s.PeerListen},
+		{"listen", c.s.Listen}, {"admin_listen", c.s.AdminListen}, {"peer_listen", c.s.PeerListen}, {"ready_listen", c.s.ReadyListen},
 	} {
 		if l.text == "" && l.key != "admin_listen" {
 			continue
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -30,6 +30,7 @@
 	if len(c.problems) == 0 {
 		c.decode(text)
 	}
+	c.defaults()
 	c.ranges()
 	c.combinations()
 	c.problems.Sort()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -40,12 +40,18 @@
 
 // Settings configures one entry instance. Addresses are "ip:port".
 type Settings struct {
+	// Adapter names the platform whose headers, configuration and target entries are spoken. Default none: the project's
+	// own.
+	Adapter string `toml:"adapter"`
 	// Zone is the availability zone of the instance. Required.
 	Zone string `toml:"zone"`
 	// Listen is the address for callers. Required.
 	Listen string `toml:"listen"`
 	// AdminListen is the address of the administration API. Default "127.0.0.1:9900".
 	AdminListen string `toml:"admin_listen"`
+	// ReadyListen is an address that answers every request with the readiness of the instance. Default none: readiness is
+	// asked for on AdminListen only.
+	ReadyListen string `toml:"ready_listen"`
 	// AdminRemote allows an AdminListen that is not on loopback. The API has no authentication. Default false.
 	AdminRemote bool `toml:"admin_remote"`
 	// PeerListen is the address for other entry instances. Default none: the instance exchanges nothing with peers.
@@ -61,6 +67,9 @@
 	LameDuck Duration `toml:"lame_duck"`
 	// StopLimit ends a graceful stop that is stuck. It exceeds LameDuck plus Deadline.Max. Default 60s.
 	StopLimit Duration `toml:"stop_limit"`
+	// KillAfter is the time after the stop signal at which the platform ends the process. StopLimit is then below it, by
+	// default at 9/10, and requests that need longer are cut. Default 0s: never.
+	KillAfter Duration `toml:"kill_after"`
 	// Instances is the number of entry instances assumed until others were seen. Default 14.
 	Instances int `toml:"instances"`
 	// Log configures the log.
@@ -69,12 +78,20 @@
 	Targets Targets `toml:"targets"`
 	// Connections configures the connections to targets.
 	Connections Connections `toml:"connections"`
+	// Fleet holds limits that all instances keep together.
+	Fleet Fleet `toml:"fleet"`
 	// Retry configures attempts after the first.
 	Retry Retry `toml:"retry"`
 	// Hedge configures second attempts beside a slow one.
 	Hedge Hedge `toml:"hedge"`
 	// Probe bounds the cost of measuring targets.
 	Probe Probe `toml:"probe"`
+	// Ask configures the selection method "ask".
+	Ask Ask `toml:"ask"`
+	// Watch configures the reading of an adapter's store.
+	Watch Watch `toml:"watch"`
+	// Memory bounds the memory of the process.
+	Memory Memory `toml:"memory"`
 	// Queue configures waiting requests.
 	Queue Queue `toml:"queue"`
 	// Limits bounds what a caller can send.
@@ -88,6 +105,8 @@
 	// Verbosity is the highest level that is written: 0 for changes of state, 1 for repeated events, 2 for single
 	// requests. Default 0.
 	Verbosity int `toml:"verbosity"`
+	// LinesPerSecond bounds the lines of the log; lines beyond it are dropped and counted. 0 means no bound. Default 500.
+	LinesPerSecond int `toml:"lines_per_second"`
 }
 
 // Targets describes the targets.
@@ -110,6 +129,16 @@
 	FreshWithin Duration `toml:"fresh_within"`
 }
 
+// Fleet holds limits that all instances keep together.
+type Fleet struct {
+	// RepeatRatio is the share of requests that may be sent again over 10 s, hedges included: 6/10 of it for retries,
+	// 3/10 for hedges. Default 0: Retry.Ratio and Hedge.Ratio apply as they are.
+	RepeatRatio float64 `toml:"repeat_ratio"`
+	// RepeatSlack is the number of requests that may be sent again per service and 10 s beside RepeatRatio. Each instance
+	// takes its share. Default 0.
+	RepeatSlack float64 `toml:"repeat_slack"`
+}
+
 // Retry configures attempts after the first.
 type Retry struct {
 	// Ratio is the share of requests that may be retried over 10 s. Default 0.1.
@@ -141,6 +170,39 @@
 	Path string `toml:"path"`
 }
 
+// Ask configures the selection method "ask".
+type Ask struct {
+	// Local is the number of targets in the own zone that are asked for their load before a request is sent. Default 5.
+	Local int `toml:"local"`
+	// Remote is the number of targets anywhere that are asked if no target in the zone is good. Default 5.
+	Remote int `toml:"remote"`
+	// PerTarget is the number of probes per second that a target gets from all instances at most. Default 40.
+	PerTarget float64 `toml:"per_target"`
+	// Headroom is the share of a target's slots that is filled. Default 0.8.
+	Headroom float64 `toml:"headroom"`
+}
+
+// Watch configures the reading of an adapter's store.
+type Watch struct {
+	// Wait is how long a watch waits for a change, and thereby the age of a view that nothing confirmed. Default 1s.
+	Wait Duration `toml:"wait"`
+	// Timeout bounds a call, and a watch beyond Wait. Default 500ms.
+	Timeout Duration `toml:"timeout"`
+	// Gather is the longest pause after changes, in which further ones gather. Default 300ms.
+	Gather Duration `toml:"gather"`
+	// BackoffFirst and BackoffLimit bound the pause after a failed call. Defaults 50ms and 800ms.
+	BackoffFirst Duration `toml:"backoff_first"`
+	BackoffLimit Duration `toml:"backoff_limit"`
+}
+
+// Memory bounds the memory of the process.
+type Memory struct {
+	// Limit is the size at which memory is collected more often. Default 0B: none.
+	Limit Size `toml:"limit"`
+	// GCPercent is the growth of the heap, in percent, at which memory is collected. Default 100.
+	GCPercent int `toml:"gc_percent"`
+}
+
 // Queue configures waiting requests.
 type Queue struct {
 	// Limit is the number of requests of each class that may wait per service. Default 256.
@@ -171,6 +233,7 @@
 		LameDuck:    Duration(5 * time.Second),
 		StopLimit:   Duration(60 * time.Second),
 		Instances:   p.Instances,
+		Log:         Log{LinesPerSecond: 500},
 		Targets:     Targets{Slots: p.SlotsPerTarget},
 		Connections: Connections{
 			PerTarget:   200,
@@ -179,9 +242,15 @@
 			WaitLimit:   Duration(t.WaitLimit),
 			FreshWithin: Duration(t.FreshWithin),
 		},
-		Retry:    Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
-		Hedge:    Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
-		Probe:    Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
+		Retry: Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
+		Hedge: Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
+		Probe: Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
+		Ask:   Ask{Local: p.AskLocal, Remote: p.AskRemote, PerTarget: p.AskPerTarget, Headroom: p.Headroom},
+		Watch: Watch{
+			Wait: Duration(time.Second), Timeout: Duration(500 * time.Millisecond), Gather: Duration(300 * time.Millisecond),
+			BackoffFirst: Duration(50 * time.Millisecond), BackoffLimit: Duration(800 * time.Millisecond),
+		},
+		Memory:   Memory{GCPercent: 100},
 		Queue:    Queue{Limit: p.QueueLimit},
 		Limits:   Limits{Body: rules.MaxBody, Header: 64 << 10, HeaderTimeout: Duration(10 * time.Second)},
 		Deadline: Deadline{Max: Duration(rules.MaxDeadline)},
@@ -197,6 +266,13 @@
 	return Parse(path, text)
 }
 
+// Parts of the fleet's limit on repeated sendings. The rest covers requests that two instances count at different
+// moments, and instances that were replaced and have forgotten what they sent.
+const (
+	retryPart = 0.6
+	hedgePart = 0.3
+)
+
 // Policy returns the policy of each service.
 func (s Settings) Policy() core.Policy {
 	p := core.DefaultPolicy()
@@ -210,7 +286,14 @@
 	p.MaxAttempts = s.Retry.MaxAttempts
 	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
 	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
+	if f := s.Fleet; f.RepeatRatio > 0 {
+		p.RetryRatio, p.HedgeRatio = f.RepeatRatio*retryPart, f.RepeatRatio*hedgePart
+		p.RetryFloor, p.HedgeFloor = 0, 0
+		p.RetrySlack, p.HedgeSlack = f.RepeatSlack*retryPart, f.RepeatSlack*hedgePart
+	}
 	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
+	p.AskLocal, p.AskRemote = s.Ask.Local, s.Ask.Remote
+	p.AskPerTarget, p.Headroom = s.Ask.PerTarget, s.Ask.Headroom
 	return p
 }
 
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // Config holds the connection settings of a Client.
@@ -26,6 +27,8 @@
 	FreshWithin time.Duration
 	// IdleTimeout closes connections that were unused for this long.
 	IdleTimeout time.Duration
+	// Dialect encodes the headers exchanged with targets; nil means wire.Native.
+	Dialect wire.Dialect
 }
 
 // DefaultConfig returns the connection settings that apply without settings.
@@ -50,6 +53,10 @@
 	Body   []byte
 	// Trailer is sent after the body.
 	Trailer http.Header
+	// RequestID is the id that the answer must name where the dialect lets targets repeat it.
+	RequestID string
+	// Instance is the identity of the target for which the attempt is meant; empty when unknown.
+	Instance string
 	// Deadline is when the caller stops waiting. Both its clocks count.
 	Deadline time.Time
 	// Fresh asks for a connection that is new or received a byte within Config.FreshWithin.
@@ -73,6 +80,8 @@
 	Bodyless bool
 	// EndsAtClose is set for a body whose end cannot be told from a broken connection.
 	EndsAtClose bool
+	// Stated is what the target states in its headers.
+	Stated wire.Answer
 }
 
 // Reasons of attempts that end in this package, besides those of package core.
@@ -81,6 +90,8 @@
 	ReasonCancelled core.Reason = "cancelled"
 	// ReasonNoConnection: all connections to the target were in use.
 	ReasonNoConnection core.Reason = "no-connection"
+	// ReasonForeign: the answer belongs to another request or is not the target's.
+	ReasonForeign core.Reason = "foreign-answer"
 	// ReasonResumed: Attempt.Current returned false, because the process was paused since the target was chosen.
 	ReasonResumed core.Reason = "resumed"
 )
@@ -94,8 +105,8 @@
 	// Failed is set if the error weighs against the target. A timeout on a reused connection that received nothing does
 	// not: the connection may have become unresponsive while the target is well.
 	Failed bool
-	// Header holds the target's headers when the attempt was refused by declaration.
-	Header http.Header
+	// Stated is what the target stated when the attempt was refused by declaration.
+	Stated wire.Answer
 	// Err is the cause; nil for a declaration.
 	Err error
 }
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -31,6 +31,9 @@
 
 // NewClient returns a client for the target at addr ("ip:port").
 func NewClient(addr string, cfg Config) *Client {
+	if cfg.Dialect == nil {
+		cfg.Dialect = wire.Native{}
+	}
 	return &Client{pool: newPool(addr, cfg), addr: addr}
 }
 
@@ -77,7 +80,7 @@
 		_ = resp.Body.Close()
 		return nil, f.fail(errInformational)
 	}
-	return f.answer(resp, a.Method)
+	return f.answer(resp, a)
 }
 
 func (c *Client) connect(ctx context.Context, a Attempt) (*conn, error) {
@@ -113,7 +116,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(wire.HeaderDeadline, wire.FormatDeadline(max(time.Until(a.Deadline), 0)))
+	c.pool.cfg.Dialect.Address(header, a.Instance, max(time.Until(a.Deadline), 0))
 	header.Del("Expect") // the body is already here; waiting for a 100 status would only add a round trip
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
@@ -171,16 +174,25 @@
 	return notSent(core.ReasonNotSent, !f.conn.reused, err)
 }
 
-func (f *flight) answer(resp *http.Response, method string) (*Answer, error) {
+func (f *flight) answer(resp *http.Response, a Attempt) (*Answer, error) {
+	dialect := f.pool.cfg.Dialect
+	if err := dialect.Verify(resp.StatusCode, resp.Header, a.RequestID); err != nil {
+		_ = resp.Body.Close()
+		failure := f.fail(err)
+		failure.Reason = ReasonForeign
+		return nil, failure
+	}
 	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	answer.Bodyless = method == http.MethodHead
+	answer.Stated = dialect.Answer(resp.StatusCode, resp.Header)
+	answer.Bodyless = a.Method == http.MethodHead
 	body := &answerBody{flight: f, resp: resp, answer: answer}
 	answer.Body = body
-	answer.EndsAtClose = !answer.Bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if d, ok := wire.ParseDeclaration(resp.Header); ok && resp.StatusCode >= http.StatusBadRequest {
+	body.endsAtClose = !answer.Bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	answer.EndsAtClose = body.endsAtClose && !dialect.EndsAtClose()
+	if d := answer.Stated.Declaration; d != "" {
 		f.detach() // the caller is done with the attempt, but the connection can be kept
 		go body.drain()
-		return nil, &Error{Outcome: core.OutcomeRefused, Reason: core.Reason(d), Header: resp.Header}
+		return nil, &Error{Outcome: core.OutcomeRefused, Reason: core.Reason(d), Stated: answer.Stated}
 	}
 	return answer, nil
 }
@@ -192,6 +204,8 @@
 	answer *Answer
 	whole  bool
 	closed bool
+	// endsAtClose marks a body without a length: its connection cannot carry another attempt.
+	endsAtClose bool
 }
 
 // Read returns an *Error if the answer ends before its declared end.
@@ -214,7 +228,7 @@
 		return nil
 	}
 	b.closed = true
-	if !b.whole || b.answer.EndsAtClose {
+	if !b.whole || b.endsAtClose {
 		_ = b.conn.http.Close()
 	}
 	err := b.resp.Body.Close()
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -50,6 +50,9 @@
 	DeclareShed     Declaration = "shed"
 	DeclareDraining Declaration = "draining"
 	DeclareExpired  Declaration = "expired"
+	// DeclareMisdirected: the request was meant for another target, which had this address before. Native targets do
+	// not use it.
+	DeclareMisdirected Declaration = "misdirected"
 )
 
 // ParseDeclaration returns the declaration in h and whether exactly one known declaration is present. Anything else is no
@@ -93,6 +96,8 @@
 	InUse int
 	// Slots is the number of requests that the target works on at once.
 	Slots int
+	// Pace is how long work takes there at the moment, in multiples of the usual time; 0 when it is not stated.
+	Pace float64
 }
 
 // String returns the header form "in-use/slots".
