--- a/cmd/burdockpitch/main.go
+++ b/cmd/burdockpitch/main.go
@@ -89,7 +89,7 @@
 	cmd := &cobra.Command{
 		Use:   "serve --settings FILE",
 		Short: "Run an entry instance until SIGTERM",
-		Long: `Run an entry instance. SIGTERM or SIGINT starts a graceful stop: readiness fails, requests in flight are
+		Long: `Run an entry instance. SIGHUP reads the settings again and takes changed addresses of peers. SIGTERM or SIGINT starts a graceful stop: readiness fails, requests in flight are
 finished, and the process exits with 0. The log goes to standard output as JSON lines.`,
 		Example: "  burdockpitch serve --settings instance.toml",
 		Args:    cobra.NoArgs,
@@ -102,7 +102,7 @@
 			if !ok {
 				return fmt.Errorf("%s: unknown adapter %q (want none or %q)", file, s.Adapter, platformAdapter)
 			}
-			return app.Run(cmd.Context(), s, adapter)
+			return app.Run(cmd.Context(), s, adapter, func() (settings.Settings, error) { return settings.Load(file) })
 		}),
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (TOML)")
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -30,8 +30,11 @@
 // logFlush bounds the time for which a stopped instance waits until its last log lines are written.
 const logFlush = 200 * time.Millisecond
 
-// Run serves until ctx ends, then stops gracefully.
-func Run(ctx context.Context, s settings.Settings, a Adapter) error {
+// Run serves until ctx ends, then stops gracefully. Load reads the settings again; it is called after SIGHUP and from
+// time to time.
+func Run(ctx context.Context, s settings.Settings, a Adapter, load func() (settings.Settings, error)) error {
+	hangups, stopHangups := notifyHangups()
+	defer stopHangups()
 	limitMemory(s.Memory)
 	lines := logging.NewWriter(os.Stdout, s.Log.LinesPerSecond)
 	defer lines.Close(logFlush)
@@ -49,7 +52,12 @@
 		}
 	}
 	var runErr error
-	if err := c.Invoke(func(i *instance) { runErr = i.run(ctx) }); err != nil {
+	invoke := func(i *instance, log logr.Logger) {
+		r := &reloader{load: load, setPeers: i.fleet.node.SetSeeds, log: log, current: s}
+		go r.run(ctx, hangups)
+		runErr = i.run(ctx)
+	}
+	if err := c.Invoke(invoke); err != nil {
 		return eris.Wrap(dig.RootCause(err), "build instance")
 	}
 	return runErr
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -64,9 +65,11 @@
 	})
 }
 
-func newNode(s settings.Settings, store *discovery.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
+func newNode(s settings.Settings, a Adapter, store *discovery.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
 	mark := func(sign membership.Sign) { g.MarkLeaving(core.TargetID(sign.Target), sign.Start) }
-	return peer.NewNode(peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers), documents{store}, m, mark, log)
+	cfg := peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers)
+	cfg.Open = a.NewSource != nil // an adapter's store lists no entry instances
+	return peer.NewNode(cfg, documents{store}, m, mark, log)
 }
 
 // newPlatformReader returns the reader of the adapter's store, or of the project's own protocol without one.
@@ -80,9 +83,52 @@
 		Wait: s.Watch.Wait.Std(), Timeout: s.Watch.Timeout.Std(), Gather: s.Watch.Gather.Std(),
 		BackoffFirst: s.Watch.BackoffFirst.Std(), BackoffLimit: s.Watch.BackoffLimit.Std(),
 	}
-	return discovery.NewWatcher(cfg, a.NewSource(s.Platform, cfg.Timeout), sink{store, g, n}, m, log)
+	cfg.Patient = s.FirstStart
+	cfg.PeerWait, cfg.MaxAge = s.Watch.PeerWait.Std(), s.Watch.MaxAge.Std()
+	var upstream discovery.Upstream
+	if s.Watch.Share && s.PeerListen != "" {
+		upstream = &parents{node: n, timeout: cfg.Timeout}
+	}
+	w := discovery.NewWatcher(cfg, a.NewSource(s.Platform, cfg.Timeout), upstream, sink{store, g, n}, m, log)
+	n.SetFeed(w)
+	return w
+}
+
+// parents reads from the instance that the membership names.
+type parents struct {
+	node    *peer.Node
+	timeout time.Duration
+
+	mu      sync.Mutex
+	address string
+	source  *peer.Follower
+}
+
+// Choose implements discovery.Upstream.
+func (p *parents) Choose() (discovery.Source, string, int) {
+	address, depth := p.node.Parent()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if address != p.address && p.source != nil {
+		p.source.Reset()
+		p.source = nil
+	}
+	p.address = address
+	if address == "" {
+		return nil, "", 0
+	}
+	if p.source == nil {
+		p.source = p.node.NewFollower(address, p.timeout)
+	}
+	return p.source, address, depth
 }
 
+// Joined implements discovery.Upstream.
+func (p *parents) Joined() bool { return closed(p.node.Asked()) }
+
+// Failed implements discovery.Upstream.
+func (p *parents) Failed(ctx context.Context, name string) { p.node.Failed(ctx, name) }
+
 func newReader(
 	s settings.Settings, store *discovery.Store, g *gateway.Gateway, n *peer.Node, m *discovery.Metrics, log logr.Logger,
 ) *discovery.Reader {
@@ -224,7 +270,8 @@
 	if !closed(f.reader.Asked()) {
 		return eris.New("configuration service not asked yet")
 	}
-	if f.settings.PeerListen != "" && f.node.Partners() > 0 && !closed(f.node.Asked()) {
+	// The answer of an adapter's store is the newest there is; the project's own service may lag behind the instances.
+	if f.settings.Adapter == "" && f.settings.PeerListen != "" && f.node.Partners() > 0 && !closed(f.node.Asked()) {
 		return eris.New("no other instance asked yet")
 	}
 	return nil
--- a/pkg/app/fleet_test.go
+++ b/pkg/app/fleet_test.go
@@ -40,7 +40,7 @@
 			g := gateway.New(gateway.Config{}, gateway.NewMetrics(reg), log)
 			m := discovery.NewMetrics(reg)
 			store := newStore(s, Adapter{}, g, m, log)
-			node := newNode(s, store, g, peer.NewMetrics(reg), log)
+			node := newNode(s, Adapter{}, store, g, peer.NewMetrics(reg), log)
 			f := newFleet(s, log, g, store, newReader(s, store, g, node, m, log), node)
 			f.started = time.Now().Add(-c.age)
 			if c.document {
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -41,6 +41,10 @@
 type Snapshot struct {
 	Items    []Item
 	Revision uint64
+	// Age is the time since the source of a copy confirmed it; zero from the platform itself.
+	Age time.Duration
+	// Grace is how much longer entries that were lost while the platform was away are waited for.
+	Grace time.Duration
 }
 
 // Changes are the latest states of the items that changed, in order.
@@ -48,6 +52,8 @@
 	Items []Item
 	// Revision is the one from which to watch on.
 	Revision uint64
+	// Age and Grace are as in Snapshot.
+	Age, Grace time.Duration
 	// Lost is set if the revision rose although no change was told.
 	Lost bool
 }
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -25,6 +25,14 @@
 	reads  *prometheus.CounterVec
 }
 
+// read counts a call of the platform's store, or of another instance in its place.
+func (m *Metrics) read(own bool, result string) {
+	if !own {
+		result = "peer-" + result
+	}
+	m.reads.WithLabelValues(result).Inc()
+}
+
 // NewMetrics registers the counters with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	counter := func(name, help, label string) *prometheus.CounterVec {
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -13,6 +13,9 @@
 	// returnGrace is how long entries that a source lost while it was away are waited for after its return. The platform
 	// states that living targets are back within about two seconds.
 	returnGrace = 2200 * time.Millisecond
+	// historyItems bounds the changes that a view remembers for others. A fleet that starts brings one change for each
+	// target.
+	historyItems = 512
 )
 
 // View is what is known of a Source's items. It is a reducer: it takes snapshots and changes with their time and tells
@@ -23,6 +26,9 @@
 	read     bool
 	// graceUntil is the end of the grace for lost entries after a time out of reach.
 	graceUntil time.Duration
+	// history holds the latest changes with a revision above floor.
+	history []Item
+	floor   uint64
 }
 
 // entry is one item of a View.
@@ -48,14 +54,46 @@
 	}
 }
 
-// GraceUntil returns the time at which lost entries are given up; zero if there are none.
-func (v *View) GraceUntil() time.Duration {
-	for _, e := range v.entries {
-		if e.lost {
-			return v.graceUntil
+// Grace returns how much longer lost entries are waited for.
+func (v *View) Grace(now time.Duration) time.Duration { return max(v.graceUntil-now, 0) }
+
+// extendGrace waits for lost entries at least for the given time.
+func (v *View) extendGrace(now, grace time.Duration) { v.graceUntil = max(v.graceUntil, now+grace) }
+
+// Snapshot returns the entries that are there.
+func (v *View) Snapshot(now time.Duration) Snapshot {
+	s := Snapshot{Revision: v.revision, Grace: v.Grace(now)}
+	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
+		if e := v.entries[key]; !e.lost {
+			s.Items = append(s.Items, e.Item)
+		}
+	}
+	return s
+}
+
+// Since returns the changes after a revision. It is false if the view does not remember all of them.
+func (v *View) Since(now time.Duration, after uint64) (Changes, bool) {
+	if !v.read || after < v.floor {
+		return Changes{}, false
+	}
+	c := Changes{Revision: v.revision, Grace: v.Grace(now)}
+	for _, i := range v.history {
+		if i.Revision > after {
+			c.Items = append(c.Items, i)
 		}
 	}
-	return 0
+	return c, true
+}
+
+// remember adds a change to the history.
+func (v *View) remember(i Item) {
+	v.history = append(v.history, i)
+	if excess := len(v.history) - historyItems; excess > 0 {
+		for _, dropped := range v.history[:excess] {
+			v.floor = max(v.floor, dropped.Revision)
+		}
+		v.history = slices.Clone(v.history[excess:])
+	}
 }
 
 // TakeSnapshot replaces the view by a snapshot. It reports whether anything changed.
@@ -63,6 +101,10 @@
 	if v.read && s.Revision < v.revision {
 		return false // an answer from before what is known
 	}
+	v.extendGrace(now, s.Grace)
+	if !v.read {
+		v.floor = s.Revision
+	}
 	present := make(map[string]bool, len(s.Items))
 	for _, i := range s.Items {
 		present[i.Key] = true
@@ -70,7 +112,7 @@
 	}
 	for _, key := range slices.Collect(maps.Keys(v.entries)) {
 		if !present[key] {
-			changed = v.remove(now, key) || changed
+			changed = v.remove(now, Item{Key: key, Revision: s.Revision, Removed: true}) || changed
 		}
 	}
 	v.revision = s.Revision
@@ -81,12 +123,13 @@
 
 // TakeChanges applies changes. It reports whether anything changed.
 func (v *View) TakeChanges(now time.Duration, c Changes) (changed bool) {
+	v.extendGrace(now, c.Grace)
 	for _, i := range c.Items {
-		if old, ok := v.entries[i.Key]; ok && i.Revision < old.Revision {
-			continue
+		if old, ok := v.entries[i.Key]; i.Revision <= v.revision || ok && i.Revision < old.Revision {
+			continue // known already, possibly with what came after it
 		}
 		if i.Removed {
-			changed = v.remove(now, i.Key) || changed
+			changed = v.remove(now, i) || changed
 			continue
 		}
 		changed = v.put(i) || changed
@@ -113,22 +156,29 @@
 func (v *View) put(i Item) bool {
 	old, known := v.entries[i.Key]
 	v.entries[i.Key] = entry{Item: i}
-	return !known || old.lost || old.Revision != i.Revision
+	if known && !old.lost && old.Revision == i.Revision {
+		return false
+	}
+	if v.read {
+		v.remember(i)
+	}
+	return true
 }
 
 // remove drops an entry, or keeps it for the grace after a time out of reach. A target that announced that it leaves is
 // not waited for.
-func (v *View) remove(now time.Duration, key string) bool {
-	e, known := v.entries[key]
-	if !known {
+func (v *View) remove(now time.Duration, i Item) bool {
+	e, known := v.entries[i.Key]
+	if !known || e.lost {
 		return false
 	}
+	v.remember(i)
 	if e.Target != nil && e.Target.State == StateLive && now < v.graceUntil {
 		e.lost = true
-		v.entries[key] = e
+		v.entries[i.Key] = e
 		return false
 	}
-	delete(v.entries, key)
+	delete(v.entries, i.Key)
 	return true
 }
 
--- /dev/null
+++ b/pkg/discovery/view_test.go
@@ -0,0 +1,116 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func live(key string, revision uint64) Item {
+	return Item{Key: key, Revision: revision, Target: &Instance{Service: "s", ID: key, Address: "127.0.0.1:1", State: StateLive}}
+}
+
+func leaving(key string, revision uint64) Item {
+	i := live(key, revision)
+	i.Target.State = StateLeaving
+	return i
+}
+
+func gone(key string, revision uint64) Item { return Item{Key: key, Revision: revision, Removed: true} }
+
+func ids(v *View) []string {
+	var list []string
+	for _, i := range v.Instances().Instances {
+		list = append(list, i.ID)
+	}
+	return list
+}
+
+// Guards against targets that are dropped because their entries expired while the store was away, and against targets
+// that stay although they are gone.
+func TestLostEntriesAreWaitedForOnlyAfterAnOutage(t *testing.T) {
+	cases := map[string]struct {
+		before  Item
+		away    time.Duration
+		at      time.Duration // of the look, after the store is back
+		returns bool
+		want    []string
+	}{
+		"living, just back":         {live("a", 1), 5 * time.Second, 0, false, []string{"a", "b"}},
+		"living, grace over":        {live("a", 1), 5 * time.Second, returnGrace, false, []string{"b"}},
+		"living, came back":         {live("a", 1), 5 * time.Second, returnGrace, true, []string{"a", "b"}},
+		"left while away":           {leaving("a", 1), 5 * time.Second, 0, false, []string{"b"}},
+		"store was there":           {live("a", 1), 0, 0, false, []string{"b"}},
+		"short failure of one call": {live("a", 1), awayAfter / 2, 0, false, []string{"b"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			v.TakeSnapshot(0, Snapshot{Items: []Item{c.before, live("b", 2)}, Revision: 2})
+			const back = 10 * time.Second
+			v.Returned(back, c.away)
+			v.TakeSnapshot(back, Snapshot{Items: []Item{live("b", 2)}, Revision: 9})
+			if c.returns {
+				v.TakeChanges(back+time.Second, Changes{Items: []Item{live("a", 10)}, Revision: 10})
+			}
+			v.Expire(back + c.at)
+			require.Equal(t, c.want, ids(v))
+		})
+	}
+}
+
+// Guards against a view that goes back: an answer to an earlier call, or of an instance that lags, must change nothing.
+func TestLateAnswersAreIgnored(t *testing.T) {
+	v := NewView()
+	v.TakeSnapshot(0, Snapshot{Items: []Item{live("a", 1)}, Revision: 5})
+	v.TakeChanges(0, Changes{Items: []Item{gone("a", 6), live("b", 7)}, Revision: 7})
+	require.False(t, v.TakeSnapshot(0, Snapshot{Items: []Item{live("a", 1)}, Revision: 5}))
+	require.False(t, v.TakeChanges(0, Changes{Items: []Item{live("a", 4)}, Revision: 6}))
+	require.Equal(t, []string{"b"}, ids(v))
+	require.EqualValues(t, 7, v.Revision())
+}
+
+// Guards against an entry that names no target to use but hides the others.
+func TestUnreadableEntryNamesNoTarget(t *testing.T) {
+	v := NewView()
+	v.TakeSnapshot(0, Snapshot{Items: []Item{{Key: "bad", Revision: 1, Problem: ErrHistoryGone}, live("a", 2)}, Revision: 2})
+	require.Equal(t, []string{"a"}, ids(v))
+	require.Len(t, v.Problems(), 1)
+}
+
+// Guards against followers that miss a change: whoever follows a view from any revision ends with the same targets, or
+// is told to read everything again.
+func TestFollowersAgreeWithTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v, follower := NewView(), NewView()
+		var revision uint64
+		v.TakeSnapshot(0, Snapshot{})
+		follower.TakeSnapshot(0, v.Snapshot(0))
+		key := rapid.SampledFrom([]string{"a", "b", "c"})
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			revision++
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				v.TakeChanges(0, Changes{Items: []Item{live(key.Draw(t, "key"), revision)}, Revision: revision})
+			case 1:
+				v.TakeChanges(0, Changes{Items: []Item{gone(key.Draw(t, "key"), revision)}, Revision: revision})
+			case 2:
+				v.TakeSnapshot(0, Snapshot{Items: []Item{live(key.Draw(t, "key"), revision)}, Revision: revision})
+			case 3:
+				follow(follower, v)
+			}
+		}
+		follow(follower, v)
+		require.Equal(t, ids(v), ids(follower))
+	})
+}
+
+func follow(follower, v *View) {
+	if c, known := v.Since(0, follower.Revision()); known {
+		follower.TakeChanges(0, c)
+		return
+	}
+	follower.TakeSnapshot(0, v.Snapshot(0))
+}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -14,8 +14,16 @@
 type WatcherConfig struct {
 	// Wait is how long a watch waits for a change. It bounds the time for which a silent connection goes unnoticed.
 	Wait time.Duration
+	// PeerWait is Wait for a watch of another instance.
+	PeerWait time.Duration
+	// MaxAge is the time since the last confirmation after which an instance that reads from another one reads the source
+	// itself.
+	MaxAge time.Duration
 	// Timeout bounds each read, and each watch beyond Wait.
 	Timeout time.Duration
+	// Patient lets an instance without a view wait for others before it reads the source. It saves calls when the whole
+	// fleet starts for the first time; after a loss of power each moment without a view costs callers.
+	Patient bool
 	// Gather is the longest random pause after changes, in which further ones gather.
 	Gather time.Duration
 	// BackoffFirst and BackoffLimit bound the pause after a failed call.
@@ -30,10 +38,26 @@
 	SetInstances(list InstanceList)
 }
 
+// Upstream chooses the other instances from which this one reads what the source publishes, so that not every instance
+// calls the source. Implementations are safe for concurrent use.
+type Upstream interface {
+	// Choose returns the instance to read from, its name and the number of steps from there to the source. It returns
+	// nil if this instance reads the source itself.
+	Choose() (from Source, name string, depth int)
+	// Joined reports whether another instance has told its members, so that the choice is more than a guess.
+	Joined() bool
+	// Failed notes that an instance could not be read, or knows nothing recent.
+	Failed(ctx context.Context, name string)
+}
+
+// sourceName stands for the source itself in logs, where another instance has its address.
+const sourceName = "store"
+
 // Watcher keeps a View of a Source up to date and passes it on. It is safe for concurrent use.
 type Watcher struct {
 	cfg      WatcherConfig
 	source   Source
+	upstream Upstream // nil if this instance always reads the source itself
 	consumer Consumer
 	metrics  *Metrics
 	log      logr.Logger
@@ -41,60 +65,124 @@
 	once     sync.Once
 	asked    chan struct{}
 
-	mu        sync.Mutex // held while the view changes and is passed on
-	view      *View
-	problems  map[string]error // entries that could not be read when the view was passed on last
-	reachedAt time.Duration    // start of the last call that was answered
-	failures  int              // calls in a row without an answer
+	mu       sync.Mutex // held while the view changes and is passed on
+	view     *View
+	problems map[string]error // entries that could not be read when the view was passed on last
+	changed  chan struct{}    // closed when the view changes or is confirmed
+	// confirmedAt is a time at which the view was that of the source.
+	confirmedAt time.Duration
+	failures    int    // calls of the source in a row without an answer
+	from        string // where the last answer came from
 }
 
-// NewWatcher returns a watcher that passes what it learns to consumer.
-func NewWatcher(cfg WatcherConfig, source Source, consumer Consumer, m *Metrics, log logr.Logger) *Watcher {
+// NewWatcher returns a watcher that passes what it learns to consumer. Upstream may be nil.
+func NewWatcher(
+	cfg WatcherConfig, source Source, upstream Upstream, consumer Consumer, m *Metrics, log logr.Logger,
+) *Watcher {
 	return &Watcher{
-		cfg: cfg, source: source, consumer: consumer, metrics: m, log: log, started: time.Now(),
-		asked: make(chan struct{}), view: NewView(),
+		cfg: cfg, source: source, upstream: upstream, consumer: consumer, metrics: m, log: log, started: time.Now(),
+		asked: make(chan struct{}), view: NewView(), changed: make(chan struct{}),
 	}
 }
 
-// Asked is closed after the source was read once.
+// Asked is closed after everything was read once.
 func (w *Watcher) Asked() <-chan struct{} { return w.asked }
 
 func (w *Watcher) now() time.Duration { return time.Since(w.started) }
 
-// Run follows the source until ctx ends.
+// age returns the time since the view was confirmed, or since the start without a view.
+func (w *Watcher) age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now() - w.confirmedAt
+}
+
+// Run follows the source, or other instances that do, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.expireLost(ctx)
 	pauses := backoff{first: w.cfg.BackoffFirst, limit: w.cfg.BackoffLimit}
 	complete := false
 	for ctx.Err() == nil {
+		c := w.choose()
+		if c.source == nil {
+			sleep(ctx, joinPoll)
+			continue
+		}
 		var err error
 		var changes Changes
 		if complete {
-			changes, err = w.watch(ctx)
+			changes, err = w.watch(ctx, c)
 		} else {
-			err = w.read(ctx)
+			err = w.read(ctx, c)
 		}
 		switch {
 		case err == nil:
 			complete = !changes.Lost
 			pauses.reset()
-			if len(changes.Items) > 0 && w.cfg.Gather > 0 {
+			if c.name == sourceName && len(changes.Items) > 0 && w.cfg.Gather > 0 {
 				sleep(ctx, rand.N(w.cfg.Gather))
 			}
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, ErrHistoryGone) && c.name == sourceName:
 			w.log.Info("store dropped its history, reading everything again", "revision", w.revision())
 			complete = false
-		default:
+		case errors.Is(err, ErrHistoryGone):
+			complete = false
+			sleep(ctx, rand.N(2*joinPoll))
+		case c.name == sourceName:
 			w.source.Reset()
 			sleep(ctx, pauses.pause())
+		default:
+			c.source.Reset()
+			w.upstream.Failed(ctx, c.name)
 		}
 	}
 }
 
-// Refresh reads everything once, for an instance that was paused and cannot trust its view.
+const (
+	// joinTime is how long an instance without a view waits for others before it reads the source itself.
+	joinTime = time.Second
+	// joinPoll is the interval at which an instance without a view looks whether others are known.
+	joinPoll = 50 * time.Millisecond
+	// shortWait is the wait of a watch that only serves to confirm the view.
+	shortWait = 100 * time.Millisecond
+	// depthDelay is how much longer an instance waits for each step that it is further from the source, so that a break
+	// in the chain makes the instance next to it read the source, and not all behind it.
+	depthDelay = 150 * time.Millisecond
+)
+
+// choice is where to read from.
+type choice struct {
+	source Source // nil while it is too early to tell
+	name   string
+}
+
+// choose returns where to read from: another instance while what comes from there is recent, otherwise the source.
+func (w *Watcher) choose() choice {
+	own := choice{w.source, sourceName}
+	if w.upstream == nil {
+		return own
+	}
+	from, name, depth := w.upstream.Choose()
+	age, known := w.age(), w.revision() > 0
+	switch {
+	case !known && (!w.cfg.Patient || age >= joinTime):
+		return own
+	case !known && !w.upstream.Joined():
+		return choice{}
+	case from == nil:
+		return own
+	case !known:
+		return choice{from, name}
+	case age > w.cfg.MaxAge+time.Duration(depth)*depthDelay+rand.N(depthDelay):
+		return own
+	}
+	return choice{from, name}
+}
+
+// Refresh reads everything from the source once, for an instance that was paused and cannot trust its view.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	w.source.Reset()
-	return w.read(ctx)
+	return w.read(ctx, choice{w.source, sourceName})
 }
 
 func (w *Watcher) revision() uint64 {
@@ -103,31 +191,43 @@
 	return w.view.Revision()
 }
 
-// read takes a snapshot of the source.
-func (w *Watcher) read(ctx context.Context) error {
+// read takes a snapshot.
+func (w *Watcher) read(ctx context.Context, c choice) error {
 	began := w.now()
 	limited, cancel := context.WithTimeout(ctx, w.cfg.Timeout)
 	defer cancel()
-	snapshot, err := w.source.Read(limited)
-	if err = w.account(ctx, "read", began, err); err != nil {
+	snapshot, err := c.source.Read(limited)
+	if err = w.account(ctx, c, "read", began-snapshot.Age, err); err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.view.TakeSnapshot(w.now(), snapshot) {
-		w.pass("read")
+		w.pass("read", c.name)
 	}
 	w.once.Do(func() { close(w.asked) })
 	return nil
 }
 
 // watch waits for changes and takes them.
-func (w *Watcher) watch(ctx context.Context) (changes Changes, err error) {
-	began, after := w.now(), w.revision()
-	limited, cancel := context.WithTimeout(ctx, w.cfg.Wait+w.cfg.Timeout)
+func (w *Watcher) watch(ctx context.Context, c choice) (changes Changes, err error) {
+	began, after, wait := w.now(), w.revision(), w.cfg.PeerWait
+	if c.name == sourceName {
+		// A view whose last confirmation is old already is confirmed soon: an answer with changes proves nothing later
+		// than its beginning.
+		wait = min(max(w.cfg.Wait-w.age(), shortWait), w.cfg.Wait)
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+w.cfg.Timeout)
 	defer cancel()
-	changes, err = w.source.Watch(limited, after, w.cfg.Wait)
-	if err = w.account(ctx, "watch", began, err); err != nil {
+	changes, err = c.source.Watch(limited, after, wait)
+	confirmed := began
+	switch {
+	case c.name != sourceName:
+		confirmed = w.now() - changes.Age
+	case err == nil && len(changes.Items) == 0:
+		confirmed += wait // the source answers without changes at the end of the wait
+	}
+	if err = w.account(ctx, c, "watch", confirmed, err); err != nil {
 		return changes, err
 	}
 	w.mu.Lock()
@@ -138,46 +238,108 @@
 		return changes, nil
 	}
 	if w.view.TakeChanges(w.now(), changes) {
-		w.pass("watch")
+		w.pass("watch", c.name)
 	}
 	return changes, nil
 }
 
-// account notes how a call ended and logs when the source is lost and when it is back.
-func (w *Watcher) account(ctx context.Context, operation string, began time.Duration, err error) error {
+// account notes how a call ended, and logs when the source is lost and when it is back.
+func (w *Watcher) account(ctx context.Context, c choice, operation string, confirmed time.Duration, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	own := c.name == sourceName
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
-		w.metrics.reads.WithLabelValues("failed").Inc()
+		w.metrics.read(own, "failed")
+		if !own {
+			w.log.V(1).Info("instance upstream does not answer", "peer", c.name, "error", err.Error())
+			return err
+		}
 		w.failures++
 		if w.failures&(w.failures-1) == 0 { // the 1st, 2nd, 4th and so on: an outage can last for hours
 			w.log.Info("store call failed", "operation", operation, "failures", w.failures, "error", err.Error(),
-				"revision", w.view.Revision(), "age", (w.now() - w.reachedAt).String())
+				"revision", w.view.Revision(), "age", (w.now() - w.confirmedAt).String())
 		}
 		return err
 	}
-	w.metrics.reads.WithLabelValues("ok").Inc()
-	if w.failures > 0 {
-		away := w.now() - w.reachedAt
+	w.metrics.read(own, "ok")
+	if own && w.failures > 0 {
+		away := w.now() - w.confirmedAt
 		w.view.Returned(w.now(), away)
 		w.log.Info("store is back", "operation", operation, "failures", w.failures, "away", away.String())
+		w.failures = 0
+	}
+	if err == nil && confirmed > w.confirmedAt {
+		w.confirmedAt = confirmed
+		w.announce()
+	}
+	if err == nil && w.from != c.name {
+		w.log.Info("reading from another place", "from", c.name, "before", w.from, "revision", w.view.Revision())
+		w.from = c.name
 	}
-	w.failures = 0
-	w.reachedAt = max(w.reachedAt, began)
 	return err
 }
 
+// Snapshot returns everything for another instance; ErrHistoryGone if nothing is known yet.
+func (w *Watcher) Snapshot() (Snapshot, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.view.Complete() {
+		return Snapshot{}, ErrHistoryGone
+	}
+	s := w.view.Snapshot(w.now())
+	s.Age = max(w.now()-w.confirmedAt, 0)
+	return s, nil
+}
+
+// announce wakes those who follow this instance. The caller holds w.mu.
+func (w *Watcher) announce() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Since returns the changes after a revision for another instance. It returns as soon as there are some, when the
+// revision is confirmed again, or when wait is over. So a confirmation passes through the fleet without waiting at each
+// step.
+func (w *Watcher) Since(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	changes, changed, err := w.since(after)
+	if err != nil || len(changes.Items) > 0 {
+		return changes, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	changes, _, err = w.since(after)
+	return changes, err
+}
+
+// since returns the changes after a revision, and a channel that is closed at the next change or confirmation.
+func (w *Watcher) since(after uint64) (Changes, <-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changes, known := w.view.Since(w.now(), after)
+	if !known {
+		return Changes{}, nil, ErrHistoryGone
+	}
+	changes.Age = max(w.now()-w.confirmedAt, 0)
+	return changes, w.changed, nil
+}
+
 // pass hands the view on. The caller holds w.mu.
-func (w *Watcher) pass(cause string) {
+func (w *Watcher) pass(cause, from string) {
+	w.announce()
 	w.reportProblems()
 	for _, text := range w.view.Documents() {
 		w.consumer.OfferDocument("store", "", text) // the document names itself, not its key
 	}
 	list := w.view.Instances()
-	w.log.Info("targets changed", "cause", cause, "revision", list.Sequence, "targets", len(list.Instances))
+	w.log.Info("view changed", "cause", cause, "from", from, "revision", list.Sequence, "targets", len(list.Instances))
 	w.consumer.SetInstances(list)
 }
 
@@ -197,7 +359,7 @@
 	for sleep(ctx, returnGrace/10) {
 		w.mu.Lock()
 		if w.view.Expire(w.now()) {
-			w.pass("entries did not come back")
+			w.pass("entries did not come back", "")
 		}
 		w.mu.Unlock()
 	}
--- /dev/null
+++ b/pkg/peer/follow.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+)
+
+// follow answers a Follow from a feed.
+func follow(ctx context.Context, feed Feed, request *Follow, reply *Update) error {
+	if request.All {
+		s, err := feed.Snapshot()
+		*reply = Update{Items: encodeItems(s.Items), Revision: s.Revision, Age: s.Age, Grace: s.Grace, Gone: err != nil}
+		return nil
+	}
+	c, err := feed.Since(ctx, request.After, request.Wait)
+	*reply = Update{Items: encodeItems(c.Items), Revision: c.Revision, Age: c.Age, Grace: c.Grace, Gone: err != nil}
+	return nil
+}
+
+func encodeItems(items []discovery.Item) []Item {
+	list := make([]Item, len(items))
+	for i, item := range items {
+		list[i] = Item{
+			Key: item.Key, Revision: item.Revision, Removed: item.Removed, Document: item.Document, Target: item.Target,
+		}
+	}
+	return list
+}
+
+func decodeItems(items []Item) []discovery.Item {
+	list := make([]discovery.Item, len(items))
+	for i, item := range items {
+		list[i] = discovery.Item{
+			Key: item.Key, Revision: item.Revision, Removed: item.Removed, Document: item.Document, Target: item.Target,
+		}
+	}
+	return list
+}
+
+// Follower reads the platform's store from another instance. It keeps one connection, which carries one call at a time.
+// It is safe for concurrent use.
+type Follower struct {
+	node    *Node
+	address string
+	timeout time.Duration // for connecting, and for a call beyond its wait
+
+	mu     sync.Mutex // held during a call
+	conn   net.Conn   // nil without a connection
+	client *rpc.Client
+}
+
+var _ discovery.Source = (*Follower)(nil)
+
+// NewFollower returns a follower of the instance at address.
+func (n *Node) NewFollower(address string, timeout time.Duration) *Follower {
+	return &Follower{node: n, address: address, timeout: timeout}
+}
+
+// Read implements discovery.Source.
+func (f *Follower) Read(ctx context.Context) (discovery.Snapshot, error) {
+	u, err := f.call(ctx, &Follow{All: true})
+	return discovery.Snapshot{Items: decodeItems(u.Items), Revision: u.Revision, Age: u.Age, Grace: u.Grace}, err
+}
+
+// Watch implements discovery.Source.
+func (f *Follower) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
+	u, err := f.call(ctx, &Follow{After: after, Wait: min(wait, maxFollow)})
+	return discovery.Changes{Items: decodeItems(u.Items), Revision: u.Revision, Age: u.Age, Grace: u.Grace}, err
+}
+
+// Reset implements discovery.Source.
+func (f *Follower) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.disconnect()
+}
+
+func (f *Follower) disconnect() {
+	if f.conn == nil {
+		return
+	}
+	_ = f.client.Close()
+	_ = f.conn.Close()
+	f.conn, f.client = nil, nil
+}
+
+func (f *Follower) call(ctx context.Context, request *Follow) (*Update, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	update := &Update{}
+	if err := f.connect(ctx); err != nil {
+		return update, err
+	}
+	conn := f.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := f.conn.SetDeadline(time.Now().Add(request.Wait + f.timeout)); err != nil {
+		f.disconnect()
+		return update, eris.Wrap(err, "set deadline")
+	}
+	if err := f.client.Call("Peer.Follow", request, update); err != nil {
+		f.disconnect()
+		return update, eris.Wrapf(err, "follow %s", f.address)
+	}
+	// The client reads all the time; a deadline that passes between two calls would end the connection.
+	if err := f.conn.SetDeadline(time.Time{}); err != nil {
+		f.disconnect()
+	}
+	if update.Gone {
+		return update, discovery.ErrHistoryGone
+	}
+	return update, nil
+}
+
+func (f *Follower) connect(ctx context.Context) error {
+	if f.conn != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	conn, err := f.node.dial(ctx, f.address)
+	if err != nil {
+		return eris.Wrapf(err, "connect to %s", f.address)
+	}
+	f.conn, f.client = conn, rpc.NewClientWithCodec(newCodec(conn, MaxMessage))
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/follow_test.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+)
+
+// stubDocuments holds no documents.
+type stubDocuments struct{}
+
+func (stubDocuments) Digest() []Entry              { return nil }
+func (stubDocuments) Text(string) []byte           { return nil }
+func (stubDocuments) Offer(string, string, []byte) {}
+func (stubDocuments) Changed() <-chan struct{}     { return nil }
+
+// stubFeed gives one target, and changes when it is told to.
+type stubFeed struct {
+	known   bool
+	changes chan discovery.Changes
+}
+
+func (f *stubFeed) Snapshot() (discovery.Snapshot, error) {
+	if !f.known {
+		return discovery.Snapshot{}, discovery.ErrHistoryGone
+	}
+	target := &discovery.Instance{Service: "s", ID: "i", Address: "127.0.0.1:1", Start: "7", State: discovery.StateLeaving}
+	return discovery.Snapshot{
+		Items: []discovery.Item{{Key: "i", Revision: 3, Target: target}}, Revision: 4, Age: time.Second, Grace: time.Minute,
+	}, nil
+}
+
+func (f *stubFeed) Since(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
+	select {
+	case c := <-f.changes:
+		return c, nil
+	case <-time.After(wait):
+		return discovery.Changes{Revision: after}, nil
+	case <-ctx.Done():
+		return discovery.Changes{}, ctx.Err()
+	}
+}
+
+// openNode returns a node that accepts everybody, and its address.
+func openNode(t *testing.T, feed Feed) (*Node, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	cfg := DefaultConfig(l.Addr().String(), "a", nil)
+	cfg.Open = true
+	n := NewNode(cfg, stubDocuments{}, NewMetrics(prometheus.NewRegistry()), func(membership.Sign) {}, logr.Discard())
+	if feed != nil {
+		n.SetFeed(feed)
+	}
+	go n.Run(t.Context(), l)
+	return n, l.Addr().String()
+}
+
+// Guards against a follower that loses what another instance knows, its age, or the grace for lost targets.
+func TestFollowerReadsAnotherInstance(t *testing.T) {
+	feed := &stubFeed{known: true, changes: make(chan discovery.Changes, 1)}
+	_, address := openNode(t, feed)
+	n, _ := openNode(t, nil)
+	f := n.NewFollower(address, 5*time.Second)
+	defer f.Reset()
+	got, err := f.Read(t.Context())
+	require.NoError(t, err)
+	want, _ := feed.Snapshot()
+	require.Equal(t, want, got)
+
+	feed.changes <- discovery.Changes{Items: []discovery.Item{{Key: "i", Revision: 5, Removed: true}}, Revision: 5}
+	changes, err := f.Watch(t.Context(), 4, time.Second)
+	require.NoError(t, err)
+	require.True(t, changes.Items[0].Removed)
+	time.Sleep(20 * time.Millisecond) // a deadline of the last call must not end the connection
+	changes, err = f.Watch(t.Context(), 5, time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, changes.Items)
+}
+
+// Guards against a follower that takes an instance without a view for one whose view is empty, or that hangs on one that
+// has gone silent.
+func TestFollowerOfAnInstanceThatKnowsNothing(t *testing.T) {
+	n, _ := openNode(t, nil)
+	t.Run("no view yet", func(t *testing.T) {
+		_, address := openNode(t, &stubFeed{})
+		_, err := n.NewFollower(address, 5*time.Second).Read(t.Context())
+		require.ErrorIs(t, err, discovery.ErrHistoryGone)
+	})
+	t.Run("no feed", func(t *testing.T) {
+		_, address := openNode(t, nil)
+		_, err := n.NewFollower(address, 5*time.Second).Read(t.Context())
+		require.ErrorIs(t, err, discovery.ErrHistoryGone)
+	})
+	t.Run("silent", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		_, err = n.NewFollower(l.Addr().String(), 20*time.Millisecond).Read(t.Context())
+		require.Error(t, err)
+		require.NotErrorIs(t, err, discovery.ErrHistoryGone)
+	})
+}
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -22,6 +22,9 @@
 	// the 10 s in which the newest configuration has to be everywhere after a partition.
 	retryFirst = time.Second
 	retryLimit = 4 * time.Second
+	// failedMemory is how long an instance that did not answer has no place in the tree, unless it answers before. Trying
+	// it again costs its children the time of a call.
+	failedMemory = 10 * time.Second
 	// MaxMembers bounds the memory for addresses that come from outside.
 	MaxMembers = 4096
 	// pushFanout is the number of partners told about a change. With three, a change reaches 14 instances in three steps.
@@ -73,8 +76,22 @@
 	Start   string
 	Zone    string
 	Leaving []Sign
+	// Known are the other instances that the sender knows; empty if it knows the same as this instance.
+	Known []Known
 }
 
+// Known is an instance that another one knows.
+type Known struct {
+	Address string
+	Zone    string
+	Start   string
+	// Age is the time since anyone last exchanged with it.
+	Age time.Duration
+}
+
+// Reseeded replaces the addresses known from the settings.
+type Reseeded struct{ Seeds []string }
+
 // Failed reports that an entry instance did not answer.
 type Failed struct{ Address string }
 
@@ -90,6 +107,7 @@
 func (Listed) event()    {}
 func (Exchanged) event() {}
 func (Failed) event()    {}
+func (Reseeded) event()  {}
 func (Ticked) event()    {}
 func (Changed) event()   {}
 func (Observed) event()  {}
@@ -120,6 +138,8 @@
 	listed, leaving bool
 	// present is the end of the time for which the member counts without being listed.
 	present time.Duration
+	// failedUntil is the end of the time for which a member that did not answer has no place in the tree.
+	failedUntil time.Duration
 	// retryAt is the earliest time of the next contact, pause the one that led to it.
 	retryAt, pause time.Duration
 }
@@ -144,11 +164,7 @@
 // safe, one that is too large is not.
 func New(cfg Config) *State {
 	s := &State{cfg: cfg, members: make(map[string]*member), signs: newSigns(), rng: rand.NewPCG(0, 0)}
-	for _, seed := range cfg.Seeds {
-		if m := s.member(seed); m != nil {
-			m.present = contactMemory
-		}
-	}
+	s.seed(0, cfg.Seeds)
 	s.measure(0)
 	return s
 }
@@ -163,6 +179,8 @@
 		out = s.exchange(in.Now, ev, out)
 	case Failed:
 		s.fail(in.Now, ev)
+	case Reseeded:
+		s.seed(in.Now, ev.Seeds)
 	case Ticked:
 		s.expire(in.Now)
 		out = s.round(in.Now, out)
@@ -229,12 +247,43 @@
 	m.start, m.zone = ev.Start, ev.Zone
 	m.present = now + contactMemory
 	m.retryAt, m.pause = 0, 0
+	m.failedUntil = 0
+	s.hear(now, ev.Known)
 	for _, sign := range ev.Leaving {
 		out = s.sign(now, sign, out)
 	}
 	return out
 }
 
+// seed takes the addresses of the settings, which may be out of date.
+func (s *State) seed(now time.Duration, seeds []string) {
+	s.cfg.Seeds = seeds
+	for _, address := range seeds {
+		if m := s.member(address); m != nil {
+			m.present = max(m.present, now+contactMemory)
+		}
+	}
+}
+
+// hear takes what another instance knows. Only newer evidence counts, so that an instance that is gone is forgotten
+// although others go on to name it for a while.
+func (s *State) hear(now time.Duration, known []Known) {
+	for _, k := range known {
+		present := now + contactMemory - max(k.Age, 0)
+		if present <= now {
+			continue
+		}
+		m := s.member(k.Address)
+		if m == nil || present <= m.present && m.start != "" {
+			continue
+		}
+		if m.start != k.Start {
+			m.start, m.leaving, m.failedUntil = k.Start, false, 0
+		}
+		m.zone, m.present = k.Zone, present
+	}
+}
+
 // sign takes a leaving sign of a target or of an entry instance.
 func (s *State) sign(now time.Duration, sign Sign, out []Effect) []Effect {
 	if sign.Target == s.cfg.Self {
@@ -255,6 +304,7 @@
 	if m == nil {
 		return
 	}
+	m.failedUntil = now + failedMemory
 	m.pause = min(max(2*m.pause, retryFirst), retryLimit)
 	m.retryAt = now + m.pause
 }
--- a/pkg/peer/membership/membership_test.go
+++ b/pkg/peer/membership/membership_test.go
@@ -196,7 +196,7 @@
 				return Observed{Targets: []Listing{{Address: "t", Start: start.Draw(t, "start"), Leaving: true}}}
 			case 4:
 				sign := Sign{address.Draw(t, "leaving"), start.Draw(t, "start of sign")}
-				return Exchanged{address.Draw(t, "address"), start.Draw(t, "start"), "a", []Sign{sign}}
+				return Exchanged{address.Draw(t, "address"), start.Draw(t, "start"), "a", []Sign{sign}, nil}
 			}
 			return Ticked{}
 		})
--- /dev/null
+++ b/pkg/peer/membership/tree_test.go
@@ -0,0 +1,102 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// treeFleet returns the states of instances that know each other.
+func treeFleet(n int, zones ...string) map[string]*State {
+	known := make([]Known, n)
+	for i := range known {
+		known[i] = Known{Address: fmt.Sprintf("10.0.%d.%d:1", i/200, i%200), Zone: zones[i%len(zones)], Start: fmt.Sprint("s", i)}
+	}
+	states := make(map[string]*State)
+	for i, k := range known {
+		s := New(Config{Self: k.Address, Start: k.Start, Zone: k.Zone})
+		first := known[(i+1)%n]
+		s.Reduce(Input{Event: Exchanged{Address: first.Address, Start: first.Start, Zone: first.Zone, Known: known}}, nil)
+		states[k.Address] = s
+	}
+	return states
+}
+
+// Guards against a fleet with several readers, with circles, or with an instance that has too many others behind it.
+func TestOneTreeOverTheFleet(t *testing.T) {
+	for _, n := range []int{2, 13, 126, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			states := treeFleet(n, "a", "b", "c")
+			roots, children, crossing, deepest := 0, make(map[string]int), 0, 0
+			for address, s := range states {
+				parent, depth := s.Parent(time.Second)
+				if parent == "" {
+					roots++
+					continue
+				}
+				children[parent]++
+				deepest = max(deepest, depth)
+				if states[parent].cfg.Zone != s.cfg.Zone {
+					crossing++
+				}
+				steps := 0
+				for at := address; at != ""; steps++ {
+					at, _ = states[at].Parent(time.Second)
+					require.LessOrEqual(t, steps, n, "a circle")
+				}
+				require.Equal(t, depth, steps-1)
+			}
+			require.Equal(t, 1, roots)
+			require.LessOrEqual(t, crossing, 2)
+			require.LessOrEqual(t, deepest, 4)
+			for _, count := range children {
+				require.LessOrEqual(t, count, treeFanout+2, "the root has the other zones besides its own children")
+			}
+		})
+	}
+}
+
+// Guards against an instance that goes on reading from one that does not answer.
+func TestFailedParentIsLeft(t *testing.T) {
+	for address, s := range treeFleet(13, "a", "b", "c") {
+		parent, _ := s.Parent(time.Second)
+		if parent == "" {
+			continue
+		}
+		s.Reduce(Input{Now: time.Second, Event: Failed{Address: parent}}, nil)
+		next, _ := s.Parent(time.Second)
+		require.NotEqual(t, parent, next, address)
+		s.Reduce(Input{Now: 2 * time.Second, Event: Exchanged{Address: parent, Start: s.members[parent].start, Zone: s.members[parent].zone}}, nil)
+		back, _ := s.Parent(2 * time.Second)
+		require.Equal(t, parent, back, "it has answered again")
+	}
+}
+
+// Guards against an instance that is gone but stays known for ever, because others go on to name it.
+func TestHearsayDoesNotKeepInstancesAlive(t *testing.T) {
+	s := New(Config{Self: "self:1", Start: "s0", Zone: "a"})
+	for now := time.Duration(0); now < 2*contactMemory; now += time.Second {
+		heard := Known{Address: "gone:1", Zone: "a", Start: "1", Age: now}
+		s.Reduce(Input{Now: now, Event: Exchanged{Address: "teller:1", Start: "1", Zone: "a", Known: []Known{heard}}}, nil)
+		s.Reduce(Input{Now: now, Event: Ticked{}}, nil)
+	}
+	require.Len(t, s.Known(2*contactMemory), 1)
+}
+
+// Guards against lists that are sent although both sides know the same, and against differences that go unnoticed.
+func TestFingerprints(t *testing.T) {
+	states := treeFleet(13, "a", "b")
+	var first uint64
+	for _, s := range states {
+		if first == 0 {
+			first = s.Fingerprint(time.Second)
+		}
+		require.Equal(t, first, s.Fingerprint(time.Second))
+	}
+	for _, s := range states {
+		s.Reduce(Input{Now: time.Second, Event: Exchanged{Address: "new:1", Start: "1", Zone: "a"}}, nil)
+		require.NotEqual(t, first, s.Fingerprint(time.Second))
+	}
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -8,9 +8,11 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 )
 
@@ -24,6 +26,8 @@
 	maxDigest  = 2048 // entries
 	maxName    = 256  // bytes
 	maxText    = 1 << 20
+	// maxFollow bounds the wait of a Follow. It is below the time after which a connection without a request is closed.
+	maxFollow = time.Second
 )
 
 // Entry names the document of one service in force.
@@ -51,6 +55,10 @@
 	Zone  string
 	// Digest names the documents in force at the sender; a reply leaves out those that the request named alike.
 	Digest []Entry
+	// Fingerprint summarises the instances that the sender knows.
+	Fingerprint uint64
+	// Known lists the instances that the sender knows; only in a reply, and empty if both know the same.
+	Known []membership.Known
 	// Leaving lists the targets and entry instances that are known to leave.
 	Leaving []membership.Sign
 }
@@ -61,6 +69,38 @@
 // Document is the reply to a Pull. Text is empty if the sender has no document of the service.
 type Document struct{ Text []byte }
 
+// Follow asks for changes of what the platform publishes.
+type Follow struct {
+	// After is the revision that the sender has; All asks for everything instead.
+	After uint64
+	All   bool
+	// Wait is how long to wait for a change.
+	Wait time.Duration
+}
+
+// Update is the reply to a Follow.
+type Update struct {
+	// Items are the changed items, or all of them.
+	Items []Item
+	// Revision is the one from which to follow on.
+	Revision uint64
+	// Gone is set if the changes since the revision that was asked for are no longer known, or if nothing is known yet.
+	Gone bool
+	// Age is the time since the revision was confirmed by the platform.
+	Age time.Duration
+	// Grace is how much longer lost targets are waited for.
+	Grace time.Duration
+}
+
+// Item is one item of the platform's store.
+type Item struct {
+	Key      string
+	Revision uint64
+	Removed  bool
+	Document []byte
+	Target   *discovery.Instance
+}
+
 // message is implemented by all requests and replies.
 type message interface{ check() error }
 
@@ -71,9 +111,17 @@
 	if x.Start == "" || len(x.Start) > maxName || len(x.Zone) > maxName {
 		return eris.New("bad start id or zone")
 	}
-	if len(x.Digest) > maxDigest || len(x.Leaving) > membership.MaxSigns {
+	if len(x.Known) > membership.MaxMembers || len(x.Digest) > maxDigest || len(x.Leaving) > membership.MaxSigns {
 		return eris.New("list too long")
 	}
+	for _, k := range x.Known {
+		if _, err := netip.ParseAddrPort(k.Address); err != nil {
+			return eris.Wrap(err, "address of a known instance")
+		}
+		if k.Start == "" || len(k.Start) > maxName || len(k.Zone) > maxName || k.Age < 0 {
+			return eris.New("bad known instance")
+		}
+	}
 	for _, e := range x.Digest {
 		if e.Service == "" || len(e.Service) > maxName {
 			return eris.New("bad service name")
@@ -87,6 +135,25 @@
 	return nil
 }
 
+func (f *Follow) check() error {
+	if f.Wait < 0 || f.Wait > maxFollow {
+		return eris.New("bad wait")
+	}
+	return nil
+}
+
+func (u *Update) check() error {
+	if u.Age < 0 || u.Grace < 0 {
+		return eris.New("negative time")
+	}
+	for _, i := range u.Items {
+		if i.Key == "" || len(i.Key) > maxName || len(i.Document) > maxText {
+			return eris.New("bad item")
+		}
+	}
+	return nil
+}
+
 func (p *Pull) check() error {
 	if p.Service == "" || len(p.Service) > maxName {
 		return eris.New("bad service name")
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 )
 
@@ -23,6 +24,8 @@
 	Zone string
 	// Seeds are peer addresses from the settings. Their IPs are accepted as senders.
 	Seeds []string
+	// Open accepts senders that are on no list, where the platform does not list entry instances.
+	Open bool
 	// Round is the time between rounds of anti-entropy.
 	Round time.Duration
 	// CallTimeout bounds connecting and each call, as a connection deadline.
@@ -74,6 +77,42 @@
 	conflicts map[string]Entry    // last conflicting entry of each service
 	busy      map[string]bool     // addresses that are being contacted
 	stopping  bool
+	feed      Feed // nil until SetFeed
+}
+
+// Feed gives other instances what this one knows of the platform's store. Implementations are safe for concurrent use.
+type Feed interface {
+	// Snapshot returns everything; discovery.ErrHistoryGone if nothing is known yet.
+	Snapshot() (discovery.Snapshot, error)
+	// Since returns the changes after a revision as soon as there are some, and no changes after wait or when ctx ends.
+	Since(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error)
+}
+
+// SetFeed sets what other instances can follow.
+func (n *Node) SetFeed(f Feed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.feed = f
+}
+
+// SetSeeds replaces the peer addresses of the settings.
+func (n *Node) SetSeeds(ctx context.Context, seeds []string) {
+	n.mu.Lock()
+	n.seeds = addrs(seeds)
+	n.mu.Unlock()
+	n.dispatch(ctx, membership.Reseeded{Seeds: seeds})
+}
+
+// Parent returns the instance to read from and the depth of this one; an empty address for the root.
+func (n *Node) Parent() (address string, depth int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Parent(time.Since(n.epoch))
+}
+
+// Failed notes that an instance did not answer.
+func (n *Node) Failed(ctx context.Context, address string) {
+	n.dispatch(ctx, membership.Failed{Address: address})
 }
 
 const maxContacts = 16 // contacts at once
@@ -242,6 +281,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	x.Leaving = n.state.Leaving()
+	x.Fingerprint = n.state.Fingerprint(time.Since(n.epoch))
 	if n.stopping {
 		x.Leaving = append(x.Leaving, membership.Sign{Target: n.cfg.Self, Start: n.start})
 	}
@@ -250,7 +290,16 @@
 
 // learn takes a message from another instance.
 func (n *Node) learn(ctx context.Context, x *Exchange) {
-	n.dispatch(ctx, membership.Exchanged{Address: x.Self, Start: x.Start, Zone: x.Zone, Leaving: x.Leaving})
+	n.dispatch(ctx, membership.Exchanged{
+		Address: x.Self, Start: x.Start, Zone: x.Zone, Leaving: x.Leaving, Known: x.Known,
+	})
+}
+
+// known returns the instances that this one knows.
+func (n *Node) known() []membership.Known {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Known(time.Since(n.epoch))
 }
 
 // newer returns the entries of a digest that are newer than ours.
@@ -297,6 +346,9 @@
 	if !ok {
 		return false
 	}
+	if n.cfg.Open {
+		return true
+	}
 	ip := tcp.AddrPort().Addr().Unmap()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -61,7 +61,7 @@
 	}
 	c := newCodec(conn, maxRequest)
 	for {
-		if err := conn.SetDeadline(time.Now().Add(n.cfg.IdleTimeout)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(n.cfg.IdleTimeout + maxFollow)); err != nil {
 			return
 		}
 		err := server.ServeRequest(c)
@@ -112,9 +112,24 @@
 	}
 	*reply = s.node.ours()
 	reply.Digest = unequal(reply.Digest, theirs.Digest)
+	if reply.Fingerprint != theirs.Fingerprint {
+		reply.Known = s.node.known()
+	}
 	return nil
 }
 
+// Follow returns what changed in the platform's store.
+func (s *session) Follow(request *Follow, reply *Update) error {
+	s.node.mu.Lock()
+	feed := s.node.feed
+	s.node.mu.Unlock()
+	if feed == nil {
+		reply.Gone = true
+		return nil
+	}
+	return follow(s.ctx, feed, request, reply)
+}
+
 // unequal returns the entries of ours that theirs lacks. The sender needs no others, and in a fleet at rest this saves
 // half of the traffic.
 func unequal(ours, theirs []Entry) []Entry {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -48,6 +48,8 @@
 	{"ask.per_target", 0.1, 10_000, "from 0.1 to 10000"},
 	{"ask.headroom", 0.1, 1, "a share from 0.1 to 1"},
 	{"watch.wait", float64(10 * time.Millisecond), float64(30 * time.Second), "from 10ms to 30s"},
+	{"watch.peer_wait", float64(10 * time.Millisecond), float64(time.Second), "from 10ms to 1s"},
+	{"watch.max_age", float64(100 * time.Millisecond), float64(time.Minute), "from 100ms to 1m"},
 	{"watch.timeout", float64(10 * time.Millisecond), float64(30 * time.Second), "from 10ms to 30s"},
 	{"watch.gather", 0, float64(10 * time.Second), "from 0s to 10s"},
 	{"watch.backoff_first", float64(time.Millisecond), float64(10 * time.Second), "from 1ms to 10s"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -67,6 +67,8 @@
 	LameDuck Duration `toml:"lame_duck"`
 	// StopLimit ends a graceful stop that is stuck. It exceeds LameDuck plus Deadline.Max. Default 60s.
 	StopLimit Duration `toml:"stop_limit"`
+	// FirstStart tells that the whole fleet starts for the first time, before there are callers. Default false.
+	FirstStart bool `toml:"first_start"`
 	// KillAfter is the time after the stop signal at which the platform ends the process. StopLimit is then below it, by
 	// default at 9/10, and requests that need longer are cut. Default 0s: never.
 	KillAfter Duration `toml:"kill_after"`
@@ -186,6 +188,12 @@
 type Watch struct {
 	// Wait is how long a watch waits for a change, and thereby the age of a view that nothing confirmed. Default 1s.
 	Wait Duration `toml:"wait"`
+	// PeerWait is how long a watch of another instance waits for a change or a confirmation. Default 1s.
+	PeerWait Duration `toml:"peer_wait"`
+	// MaxAge is the age of a view at which an instance stops relying on others and reads the store itself. Default 1.4s.
+	MaxAge Duration `toml:"max_age"`
+	// Share lets instances read the store through each other, so that few of them call it. Default true.
+	Share bool `toml:"share"`
 	// Timeout bounds a call, and a watch beyond Wait. Default 500ms.
 	Timeout Duration `toml:"timeout"`
 	// Gather is the longest pause after changes, in which further ones gather. Default 300ms.
@@ -247,7 +255,8 @@
 		Probe: Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
 		Ask:   Ask{Local: p.AskLocal, Remote: p.AskRemote, PerTarget: p.AskPerTarget, Headroom: p.Headroom},
 		Watch: Watch{
-			Wait: Duration(time.Second), Timeout: Duration(500 * time.Millisecond), Gather: Duration(300 * time.Millisecond),
+			Wait: Duration(time.Second), PeerWait: Duration(time.Second), MaxAge: Duration(1400 * time.Millisecond),
+			Share: true, Timeout: Duration(500 * time.Millisecond), Gather: Duration(300 * time.Millisecond),
 			BackoffFirst: Duration(50 * time.Millisecond), BackoffLimit: Duration(800 * time.Millisecond),
 		},
 		Memory:   Memory{GCPercent: 100},
