core: late work yields to work that can be in time

Logs of the attempts show that a request started on a server at pace 4 runs 762 ms instead of 229 ms whatever the pace is later, so late requests on slow servers keep slots that would be fast again after 300 ms; and in-time requests were sent to slow servers too.

Ruled out: filling the last slot. With two of three slots in use a request runs 229 ms, with three 401 ms, so the third slot lowers what a server completes.

Change: a request that can be in time goes only to a target that answers within its objective, by the run time of its class; requests that can be in time go first, by priority; late ones are served only if nobody in time had to wait lately, and are refused one run time after their objective. The attempt lines in the log tell what each choice rests on.

Conclusion: late work costs more than it earns under pressure. Open: seconds with servers that are slow without telling, and recovery after a power cut.

--- a/pkg/core/ask.go
+++ b/pkg/core/ask.go
@@ -21,12 +21,18 @@
 	askGood = 1.3
 	// backlogAsk is the mean interval at which targets are asked while requests wait for room.
 	backlogAsk = 15 * time.Millisecond
+	// backlogTargets is the number of targets that are asked at each of these times. The answers of this instance's own
+	// requests tell most of what becomes free; probes only find what others leave.
+	backlogTargets = 2
 	// silentTime is how long a target that left a probe unanswered is not sent requests without a report.
 	silentTime = 2 * time.Second
 	// warmupFactor is the estimate of a target that has just started: caches and compilers make it about half as fast.
 	warmupFactor = 2
 	// fullFactor is the slowdown of a target whose last free slot is taken.
 	fullFactor = 1.7
+	// calmRuns is the number of typical latencies without a waiting request after which late requests are served: slots
+	// that were full then have become free about twice.
+	calmRuns = 2
 	// remoteCost is the estimate added for a target in another zone: the traffic between zones costs more than the round
 	// trip takes.
 	remoteCost = 0.1
@@ -98,19 +104,52 @@
 	return !t.ejection.active && now >= t.backoffUntil && !r.tried(t)
 }
 
-// bestReported returns the target with room and the lowest estimate among those with a report of at most the given age.
+// reportedRoom reports whether t has told at most the given time ago that it has room.
+func (s *Service) reportedRoom(t *targetState, now Instant, age time.Duration) bool {
+	return t.hasReport && now-t.reportedAt <= age && t.busy() < s.room(t)
+}
+
+// bestReported returns the target with the lowest estimate among those that told at most the given time ago that they
+// have room, and that would answer r in time.
 func (s *Service) bestReported(now Instant, r *request, age time.Duration) (best *targetState, estimate float64) {
+	limit := s.timeLimit(now, r)
+	run := s.runTime(r.class)
+	late := s.late(now, r)
 	for _, t := range s.all {
-		if !t.hasReport || now-t.reportedAt > age || !s.candidate(t, now, r) || t.busy() >= s.room(t) {
+		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || late && !s.canSpare(now, t) {
 			continue
 		}
-		if e := s.estimate(t, now); best == nil || e < estimate {
+		e := s.estimate(t, now)
+		if now+time.Duration(e*float64(run)) > limit {
+			continue
+		}
+		if best == nil || e < estimate {
 			best, estimate = t, e
 		}
 	}
 	return best, estimate
 }
 
+// canSpare reports whether t may be given to a request that is late: no request that could be in time had to wait for
+// the time of two runs, and t keeps room for one more. Late work takes the room of requests that can be in time, and does
+// so on slow targets for longest: by the time it ends, its target would be fast again.
+func (s *Service) canSpare(now Instant, t *targetState) bool {
+	return now-s.pressedAt > calmRuns*s.typicalLatency() && t.busy()+1 < s.room(t)
+}
+
+// late reports whether r would miss its objective on every target.
+func (s *Service) late(now Instant, r *request) bool { return now+s.runTime(r.class) > r.objective }
+
+// timeLimit is the time by which r has to be answered: the objective while it can be met, then the deadline. A request
+// that can still be in time thus does not go to a target that is slow at the moment, and one that is late takes what
+// others leave.
+func (s *Service) timeLimit(now Instant, r *request) Instant {
+	if s.late(now, r) {
+		return r.deadline
+	}
+	return r.objective
+}
+
 // startAsking sends r on a fresh report, or asks targets and lets r wait for their answers.
 func (s *Service) startAsking(now Instant, r *request, out []Effect) []Effect {
 	if t := s.chooseTrial(now, r); t != nil {
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -16,6 +16,8 @@
 	cancelled bool
 	dropped   bool // its answer is not delivered
 	trial     bool
+	// estimate is when the target was expected to answer, in multiples of an undisturbed run; 0 without an estimate.
+	estimate float64
 
 	older, newer *attempt // on the same target
 }
@@ -25,7 +27,9 @@
 
 // send sends an attempt of r to t.
 func (s *Service) send(now Instant, r *request, t *targetState, out []Effect) []Effect {
+	basis := s.basis(now, r, t)
 	a := s.addAttempt(now, r, t)
+	a.estimate = basis.Estimate
 	if r.retryReason != "" {
 		out = append(out, Effect{Kind: CountRetry, Target: t.id, Reason: r.retryReason})
 		r.retryReason = ""
@@ -33,7 +37,20 @@
 	r.phase = phaseActive
 	s.planHedge(now, r)
 	s.scheduleRequest(r)
-	return s.emitSend(r, a, out)
+	return s.emitSend(r, a, basis, out)
+}
+
+// basis describes what the choice of t for r rests on, before the attempt is added.
+func (s *Service) basis(now Instant, r *request, t *targetState) Basis {
+	b := Basis{Waited: now - r.arrived, Attempt: r.started + 1, Waiting: len(s.backlog.waiting) + s.queue.length()}
+	if t.hasReport {
+		b.Report = LoadReport{InUse: t.reportedInUse, Slots: t.slots, Pace: t.pace}
+		b.Age = now - t.reportedAt
+	}
+	if s.asks() {
+		b.Estimate = s.estimate(t, now)
+	}
+	return b
 }
 
 func (s *Service) sendTrial(now Instant, r *request, t *targetState, out []Effect) []Effect {
@@ -44,9 +61,10 @@
 	return out
 }
 
-func (s *Service) emitSend(r *request, a *attempt, out []Effect) []Effect {
+func (s *Service) emitSend(r *request, a *attempt, basis Basis, out []Effect) []Effect {
 	return append(out, Effect{
 		Kind: SendAttempt, Request: r.id, Attempt: a.id, Target: a.target.id, At: r.deadline, Fresh: r.class == ClassOnce,
+		Basis: basis,
 	})
 }
 
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -9,7 +9,7 @@
 //
 // It answers bursts beyond what the targets can take: requests that can still meet their objective go before those that
 // cannot, by priority and then in order of arrival, so that late work never makes more work late. Requests that are late
-// get what room is left, up to their deadline.
+// get what room the others leave, mostly on targets that are slow at the moment, and are refused after a while without.
 type backlog struct {
 	waiting []*request
 }
@@ -27,20 +27,9 @@
 	}
 }
 
-// first returns the request that goes next, or nil. A run is how long a target is expected to work on it.
-func (b *backlog) first(now Instant, run time.Duration) *request {
-	var best *request
-	for _, r := range b.waiting {
-		if best == nil || before(r, best, now+run) {
-			best = r
-		}
-	}
-	return best
-}
-
-// before reports whether a goes before b if they would be answered at the given time.
-func before(a, b *request, answered Instant) bool {
-	lateA, lateB := a.objective < answered, b.objective < answered
+// goesBefore reports whether a gets room before b.
+func (s *Service) goesBefore(now Instant, a, b *request) bool {
+	lateA, lateB := s.late(now, a), s.late(now, b)
 	switch {
 	case lateA != lateB:
 		return lateB
@@ -50,6 +39,21 @@
 	return a.arrived < b.arrived
 }
 
+// inOrder returns the waiting requests in the order in which they get room.
+func (s *Service) inOrder(now Instant) []*request {
+	order := slices.Clone(s.backlog.waiting)
+	slices.SortStableFunc(order, func(a, b *request) int {
+		switch {
+		case s.goesBefore(now, a, b):
+			return -1
+		case s.goesBefore(now, b, a):
+			return 1
+		}
+		return 0
+	})
+	return order
+}
+
 // waitForRoom puts r into the backlog, or refuses it if it could not be answered in time.
 func (s *Service) waitForRoom(now Instant, r *request, out []Effect) []Effect {
 	switch {
@@ -57,9 +61,12 @@
 		return s.refuse(now, r, ReasonStopping, out)
 	case len(s.backlog.waiting) >= s.policy.QueueLimit:
 		return s.refuse(now, r, ReasonQueueFull, out)
-	case now+s.backlogWait(now, r)+s.typicalLatency() > r.deadline:
+	case now+s.backlogWait(now, r)+s.runTime(r.class) > r.deadline:
 		return s.refuse(now, r, ReasonInfeasible, out)
 	}
+	if !s.late(now, r) {
+		s.pressedAt = now
+	}
 	r.phase = phaseQueued
 	s.backlog.add(r)
 	s.drained.setBusy(now, true)
@@ -72,28 +79,36 @@
 func (s *Service) backlogWait(now Instant, r *request) time.Duration {
 	ahead := 0
 	for _, w := range s.backlog.waiting {
-		if before(w, r, now+s.typicalLatency()) {
+		if s.goesBefore(now, w, r) {
 			ahead++
 		}
 	}
 	return time.Duration(float64(ahead) / s.requestsPerSecond(now) * float64(time.Second))
 }
 
-// dispatchBacklog sends waiting requests while targets have reported room.
+// dispatchBacklog sends waiting requests while targets have reported room. A request for which no such target is good
+// enough does not hold up those behind it.
 func (s *Service) dispatchBacklog(now Instant, out []Effect) []Effect {
-	for len(s.backlog.waiting) > 0 {
-		r := s.backlog.first(now, s.typicalLatency())
+	if len(s.backlog.waiting) == 0 {
+		return out
+	}
+	room := slices.ContainsFunc(s.all, func(t *targetState) bool { return s.reportedRoom(t, now, askReuse) })
+	if !room && s.usable > 0 {
+		return out
+	}
+	for _, r := range s.inOrder(now) {
 		if s.usable == 0 {
 			s.leaveBacklog(now, r)
 			out = s.refuse(now, r, ReasonNoTarget, out)
 			continue
 		}
-		t, _ := s.bestReported(now, r, askReuse)
-		if t == nil {
-			return out
+		if t, _ := s.bestReported(now, r, askReuse); t != nil {
+			if !s.late(now, r) {
+				s.pressedAt = now
+			}
+			s.leaveBacklog(now, r)
+			out = s.send(now, r, t, out)
 		}
-		s.leaveBacklog(now, r)
-		out = s.send(now, r, t, out)
 	}
 	return out
 }
@@ -103,23 +118,26 @@
 	s.drained.setBusy(now, len(s.backlog.waiting) > 0)
 }
 
-// backlogDue refuses what can no longer be answered and asks targets again while requests wait.
+// hopeless reports whether a waiting request has to be refused: it cannot meet its deadline any more, or it has been late
+// for the time of one run, in which every slot became free once, without room for it.
+func (s *Service) hopeless(now Instant, r *request) bool {
+	run := s.runTime(r.class)
+	return now+run > r.deadline || now > r.objective && now > max(r.objective, r.arrived)+run
+}
+
+// backlogDue refuses what is hopeless, and asks targets again while requests wait.
 func (s *Service) backlogDue(now Instant, out []Effect) []Effect {
-	if len(s.backlog.waiting) == 0 {
-		return out
-	}
 	for _, r := range slices.Clone(s.backlog.waiting) {
-		if now+s.typicalLatency() > r.deadline {
+		if s.hopeless(now, r) {
 			s.leaveBacklog(now, r)
 			out = s.refuse(now, r, ReasonDeadline, out)
 		}
 	}
-	r := s.backlog.first(now, s.typicalLatency())
-	if r == nil {
+	if len(s.backlog.waiting) == 0 {
 		return out
 	}
-	accept := func(t *targetState) bool { return s.candidate(t, now, r) }
-	out = s.ask(now, s.all, s.policy.AskRemote, accept, func(*targetState) {}, out)
+	accept := func(t *targetState) bool { return !t.ejection.active && now >= t.backoffUntil }
+	out = s.ask(now, s.all, backlogTargets, accept, func(*targetState) {}, out)
 	s.schedule(&s.probes.due, now+s.jitter(2*backlogAsk))
 	return out
 }
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -60,6 +60,18 @@
 // latencies, where a multiple of the median alone is exceeded all the time.
 func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.typicalLatency()) }
 
+// runSamples is the number of answers before the run time of a class is trusted.
+const runSamples = 3
+
+// runTime returns the median time in which an undisturbed target answers requests of a class; zero before it is known,
+// so that nothing is refused for lack of time on a guess.
+func (s *Service) runTime(class Class) time.Duration {
+	if q := &s.runs[class]; q.samples >= runSamples {
+		return q.value
+	}
+	return 0
+}
+
 // expected returns the latency estimate of t, drawn towards that of the service as its evidence ages.
 func (s *Service) expected(t *targetState, now Instant) time.Duration {
 	typical := s.typicalLatency()
--- /dev/null
+++ b/pkg/core/replay_test.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The replay drives the reducers of several instances against a model of targets whose pace changes several times a
+// second, which is the load that the selection "ask" and the backlog answer. It is a model of what callers see, not a
+// measurement of the program.
+
+const (
+	replayRun       = 200 * time.Millisecond // undisturbed time of a request
+	replayObjective = 600 * time.Millisecond
+	replayDeadline  = 2 * time.Second
+	replayNoise     = 300 * time.Millisecond // time between two changes of a target's pace
+	replaySlow      = 4.0                    // pace of a disturbed target
+	replayTrip      = 500 * time.Microsecond // one way between instance and target
+)
+
+// replayTarget is the model of one target: requests beyond its slots wait in it, up to queue.
+type replayTarget struct {
+	slots, queue     int
+	running, waiting int
+	pace             float64
+	held             []func() // work that waits for a slot
+}
+
+func (t *replayTarget) report() LoadReport {
+	return LoadReport{InUse: t.running + t.waiting, Slots: t.slots, Pace: t.pace}
+}
+
+// replayCall is one request with what became of it.
+type replayCall struct {
+	class     Class
+	arrived   Instant
+	answered  Instant // zero without an answer
+	refused   Instant // zero without a refusal
+	objective Instant
+}
+
+func (c *replayCall) inTime() bool { return c.answered > 0 && c.answered <= c.objective }
+
+type replayEvent struct {
+	at   Instant
+	seq  int
+	what func()
+}
+
+type replayQueue []replayEvent
+
+func (q replayQueue) Len() int { return len(q) }
+func (q replayQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q replayQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *replayQueue) Push(x any)   { *q = append(*q, x.(replayEvent)) }
+func (q *replayQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// replay is one run of the model.
+type replay struct {
+	now       Instant
+	seq       int
+	queue     replayQueue
+	rng       *rand.Rand
+	targets   map[TargetID]*replayTarget
+	instances []*replayInstance
+	calls     []*replayCall
+	attempts  int
+}
+
+// replayInstance is one entry instance.
+type replayInstance struct {
+	*replay
+	service *Service
+	calls   map[RequestID]*replayCall
+	timer   int // number of the timer that is set
+}
+
+func newReplay(selection Selection, instances, targets int) *replay {
+	r := &replay{rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[TargetID]*replayTarget)}
+	var list []Target
+	for i := range targets {
+		id := TargetID(fmt.Sprint("t", i))
+		r.targets[id] = &replayTarget{slots: 3, queue: 6, pace: 1}
+		list = append(list, Target{ID: id, Zone: "a"})
+	}
+	policy := DefaultPolicy()
+	policy.Selection, policy.Zone, policy.Instances, policy.SlotsPerTarget = selection, "a", instances, 3
+	policy.AskPerTarget, policy.HedgeRatio, policy.HedgeFloor = 60, 0, 0
+	for range instances {
+		i := &replayInstance{replay: r, service: NewService(policy), calls: make(map[RequestID]*replayCall)}
+		r.instances = append(r.instances, i)
+		i.apply(TargetsChanged{Targets: list})
+	}
+	r.disturb()
+	return r
+}
+
+func (r *replay) after(d time.Duration, what func()) {
+	r.seq++
+	heap.Push(&r.queue, replayEvent{r.now + d, r.seq, what})
+}
+
+func (r *replay) run(until Instant) {
+	for len(r.queue) > 0 && r.queue[0].at <= until {
+		e := heap.Pop(&r.queue).(replayEvent)
+		r.now = e.at
+		e.what()
+	}
+	r.now = until
+}
+
+// disturb gives each target a new pace: a third of them are slow.
+func (r *replay) disturb() {
+	for i := range len(r.targets) {
+		t := r.targets[TargetID(fmt.Sprint("t", i))]
+		t.pace = 1
+		if r.rng.Float64() < 0.33 {
+			t.pace = replaySlow
+		}
+	}
+	r.after(replayNoise, r.disturb)
+}
+
+// load sends requests at a rate per second for a time, to random instances.
+func (r *replay) load(perSecond float64, duration time.Duration, class Class, priority int) {
+	end := r.now + duration
+	var next func()
+	next = func() {
+		if r.now >= end {
+			return
+		}
+		i := r.instances[r.rng.IntN(len(r.instances))]
+		c := &replayCall{class: class, arrived: r.now, objective: r.now + replayObjective}
+		r.calls = append(r.calls, c)
+		id := RequestID(len(r.calls))
+		i.calls[id] = c
+		i.apply(RequestArrived{Request: id, Class: class, Priority: priority, Deadline: r.now + replayDeadline, Objective: c.objective})
+		r.after(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+}
+
+func (i *replayInstance) apply(ev Event) {
+	for _, e := range i.service.Reduce(Input{Now: i.now, Rand: i.rng.Uint64(), Event: ev}, nil) {
+		i.perform(e)
+	}
+}
+
+func (i *replayInstance) perform(e Effect) {
+	switch e.Kind {
+	case SendAttempt:
+		i.attempts++
+		i.after(replayTrip, func() { i.serve(e) })
+	case SendProbe:
+		i.after(2*replayTrip, func() {
+			i.apply(ProbeEnded{Target: e.Target, OK: true, Load: i.targets[e.Target].report()})
+		})
+	case SetTimer:
+		i.timer++
+		number := i.timer
+		i.after(max(e.At-i.now, 0), func() {
+			if number == i.timer {
+				i.apply(TimerFired{})
+			}
+		})
+	case Refuse:
+		i.calls[e.Request].refused = i.now
+	}
+}
+
+// serve runs an attempt on its target, or rejects it when the target is full.
+func (i *replayInstance) serve(e Effect) {
+	t := i.targets[e.Target]
+	end := func(outcome AttemptOutcome, reason Reason) {
+		load := t.report()
+		i.after(replayTrip, func() {
+			if outcome == OutcomeAnswered {
+				i.apply(AttemptCommitted{Request: e.Request, Attempt: e.Attempt})
+				if c := i.calls[e.Request]; c.refused == 0 && c.answered == 0 {
+					c.answered = i.now
+				}
+			}
+			i.apply(AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load})
+		})
+	}
+	work := func() {
+		t.running++
+		pace := t.pace
+		if t.running == t.slots {
+			pace *= fullFactor
+		}
+		spread := 0.7 + 0.6*i.rng.Float64()
+		i.after(time.Duration(pace*spread*float64(replayRun)), func() {
+			t.running--
+			end(OutcomeAnswered, "")
+			if len(t.held) > 0 {
+				next := t.held[0]
+				t.held = t.held[1:]
+				t.waiting--
+				next()
+			}
+		})
+	}
+	switch {
+	case t.running < t.slots:
+		work()
+	case t.waiting < t.queue:
+		t.waiting++
+		t.held = append(t.held, work)
+	default:
+		end(OutcomeRefused, ReasonShed)
+	}
+}
+
+// share returns the share of calls that arrived in a span and pass accept.
+func (r *replay) share(from, to Instant, class Class, accept func(*replayCall) bool) float64 {
+	all, good := 0, 0
+	for _, c := range r.calls {
+		if c.arrived < from || c.arrived >= to || c.class != class {
+			continue
+		}
+		all++
+		if accept(c) {
+			good++
+		}
+	}
+	return float64(good) / float64(max(all, 1))
+}
+
+// replayCapacity is the number of requests per second that the undisturbed targets answer with their slots filled as far
+// as pays off.
+func replayCapacity(targets int) float64 { return float64(targets) * 2 * 0.67 / replayRun.Seconds() }
+
+// Guards against requests that are sent to targets which are slow at the moment: reports on answers are too old to show
+// it, so that asking has to serve more in time.
+func TestReplayOfChangingPace(t *testing.T) {
+	inTime := make(map[Selection]float64)
+	for _, selection := range []Selection{SelectLoad, SelectAsk} {
+		r := newReplay(selection, 14, 16)
+		r.load(0.5*replayCapacity(16), 10*time.Second, ClassLookup, 0)
+		r.run(15 * time.Second)
+		inTime[selection] = r.share(2*time.Second, 10*time.Second, ClassLookup, (*replayCall).inTime)
+	}
+	t.Logf("share in time: %v", inTime)
+	require.Greater(t, inTime[SelectAsk], 0.95)
+	require.Greater(t, inTime[SelectAsk], inTime[SelectLoad]+0.1)
+}
+
+// Guards against late work that makes more work late: a burst of half more than the targets can take must not spoil the
+// time after it, and most of what the targets can take during it has to be in time.
+func TestReplayOfABurst(t *testing.T) {
+	r := newReplay(SelectAsk, 14, 16)
+	base := 0.6 * replayCapacity(16)
+	r.load(base, 30*time.Second, ClassLookup, 0)
+	r.run(8 * time.Second)
+	r.load(0.9*replayCapacity(16), 5*time.Second, ClassLookup, 0) // 1.5 of the capacity together
+	r.run(40 * time.Second)
+	during := r.share(8*time.Second, 13*time.Second, ClassLookup, (*replayCall).inTime)
+	after := r.share(15*time.Second, 30*time.Second, ClassLookup, (*replayCall).inTime)
+	t.Logf("in time during the burst %.2f, after it %.2f", during, after)
+	require.Greater(t, during, 0.5, "two thirds of the requests fit")
+	require.Greater(t, after, 0.95, "the burst is over for two seconds")
+}
+
+// Guards against urgent requests that wait behind less urgent ones under overload.
+func TestReplayOfPriorities(t *testing.T) {
+	r := newReplay(SelectAsk, 14, 16)
+	r.load(0.5*replayCapacity(16), 10*time.Second, ClassOnce, 1)
+	r.load(0.9*replayCapacity(16), 10*time.Second, ClassLookup, 2)
+	r.run(20 * time.Second)
+	urgent := r.share(2*time.Second, 10*time.Second, ClassOnce, (*replayCall).inTime)
+	other := r.share(2*time.Second, 10*time.Second, ClassLookup, (*replayCall).inTime)
+	t.Logf("in time: urgent %.2f, others %.2f", urgent, other)
+	require.Greater(t, urgent, 0.85)
+	require.Greater(t, other, 0.2, "nobody starves")
+}
+
+// Guards against requests that are held until their deadline and then refused although they were hopeless long before.
+func TestReplayRefusesEarly(t *testing.T) {
+	r := newReplay(SelectAsk, 14, 16)
+	r.load(2*replayCapacity(16), 10*time.Second, ClassLookup, 0)
+	r.run(20 * time.Second)
+	early := func(c *replayCall) bool { return c.refused == 0 || c.refused-c.arrived < replayDeadline/2 }
+	require.Equal(t, 1.0, r.share(2*time.Second, 10*time.Second, ClassLookup, early))
+	require.LessOrEqual(t, float64(r.attempts), 1.15*float64(len(r.calls)))
+}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -71,9 +71,11 @@
 	s.budget.addHedge()
 	r.hedged = true
 	r.hedgeAt = never
+	basis := s.basis(now, r, t)
 	a := s.addAttempt(now, r, t)
+	a.estimate = basis.Estimate
 	out = append(out, Effect{Kind: CountHedge, Target: t.id, Reason: ReasonSlow})
-	return s.emitSend(r, a, out)
+	return s.emitSend(r, a, basis, out)
 }
 
 // chooseHedge returns the target of a hedge, or nil. A service that asks its targets looks for a good report, and asks
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -35,6 +35,8 @@
 	asking    []*request // requests that wait for answers about load
 	askBudget askBudget
 	backlog   backlog
+	// pressedAt is the last time at which a request that could be in time had to wait for room.
+	pressedAt Instant
 
 	targets  map[TargetID]*targetState
 	lineages map[TargetID]*lineage
@@ -56,6 +58,7 @@
 	median     quantile // of the latency of the service
 	tail       quantile
 	hedgeDelay [numClasses]quantile
+	runs       [numClasses]quantile // time to an answer on an undisturbed target
 }
 
 // NewService returns an empty service.
@@ -68,6 +71,9 @@
 		median:   quantile{p: 0.5},
 		tail:     quantile{p: tailQuantile},
 	}
+	for i := range s.runs {
+		s.runs[i].p = 0.5
+	}
 	s.setPolicy(0, p)
 	return s
 }
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -294,4 +294,21 @@
 	Reason Reason
 	// RetryAfter tells the caller when to ask again (Refuse).
 	RetryAfter time.Duration
+	// Basis is what the choice of the target rests on (SendAttempt).
+	Basis Basis
+}
+
+// Basis is what a choice of a target rests on. It is for logs only.
+type Basis struct {
+	// Report is the load that the target told last, and Age the time since then; Report.Slots is 0 without a report.
+	Report LoadReport
+	Age    time.Duration
+	// Estimate is when the target was expected to answer, in multiples of an undisturbed run; 0 if it was not estimated.
+	Estimate float64
+	// Waited is the time from the arrival of the request to the attempt.
+	Waited time.Duration
+	// Attempt numbers the attempts of the request from 1.
+	Attempt int
+	// Waiting is the number of requests that wait for room.
+	Waiting int
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -49,6 +49,7 @@
 // flight is one attempt that is being sent.
 type flight struct {
 	target core.TargetID
+	began  time.Time
 	cancel context.CancelFunc
 	answer *bufferedAnswer
 	// taken is set when the answer was handed to the caller's goroutine, which then ends the attempt.
@@ -126,7 +127,7 @@
 func (e *engine) send(effect core.Effect) {
 	x := e.pending[effect.Request]
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &flight{target: effect.Target, cancel: cancel}
+	f := &flight{target: effect.Target, began: time.Now(), cancel: cancel}
 	x.attempts[effect.Attempt] = f
 	x.sent++
 	x.last = effect.Target
@@ -139,9 +140,32 @@
 	a.Current = func() bool { return e.pauses.holds(view) }
 	client, instance := e.clients.get(effect.Target)
 	a.Instance = instance
+	e.logSend(x, effect)
 	go e.runAttempt(ctx, client, x, effect.Attempt, f, a)
 }
 
+// logSend logs an attempt with what its target was chosen for.
+func (e *engine) logSend(x *exchange, effect core.Effect) {
+	log := e.log.V(2)
+	if !log.Enabled() {
+		return
+	}
+	b := effect.Basis
+	log.Info("attempt sent", "request", x.attempt.RequestID, "attempt", b.Attempt, "target", effect.Target,
+		"in_use", b.Report.InUse, "slots", b.Report.Slots, "pace", b.Report.Pace, "report_age_ms", b.Age.Milliseconds(),
+		"estimate", b.Estimate, "waited_ms", b.Waited.Milliseconds(), "waiting", b.Waiting)
+}
+
+// logEnd logs how an attempt ended.
+func (e *engine) logEnd(x *exchange, f *flight, ev core.AttemptEnded) {
+	log := e.log.V(2)
+	if !log.Enabled() {
+		return
+	}
+	log.Info("attempt ended", "request", x.attempt.RequestID, "target", f.target, "outcome", ev.Outcome.String(),
+		"reason", ev.Reason, "failed", ev.Failed, "duration_ms", time.Since(f.began).Milliseconds())
+}
+
 func (e *engine) cancel(effect core.Effect) {
 	x := e.pending[effect.Request]
 	if x == nil {
@@ -217,6 +241,7 @@
 	f := x.attempts[id]
 	f.cancel()
 	delete(x.attempts, id)
+	e.logEnd(x, f, ev)
 	e.metrics.attempts.WithLabelValues(e.name, ev.Outcome.String(), string(ev.Reason)).Inc()
 	e.apply(ev)
 	e.forget(x)
