--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -323,7 +323,7 @@
 
 // Guards against pauses that go unnoticed because one of the clocks does not show them.
 func TestPauseIsDetected(t *testing.T) {
-	start := reading{wall: time.Unix(1000, 0), monotonic: time.Minute}
+	start := reading{boot: time.Unix(1000, 0), monotonic: time.Minute}
 	for name, tc := range map[string]struct {
 		wall, monotonic time.Duration
 		want            bool
@@ -338,7 +338,7 @@
 		t.Run(name, func(t *testing.T) {
 			refreshed := false
 			f := newFixture(t, logr.Discard(), Config{})
-			now := reading{wall: start.wall.Add(tc.wall), monotonic: start.monotonic + tc.monotonic}
+			now := reading{boot: start.boot.Add(tc.wall), monotonic: start.monotonic + tc.monotonic}
 			f.tick(now.gap(start), func() { refreshed = true })
 			require.Equal(t, tc.want, refreshed)
 		})
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 )
 
@@ -19,7 +21,7 @@
 
 // reading is a time on both clocks.
 type reading struct {
-	wall      time.Time // without a monotonic part
+	boot      time.Time // time since the machine was started, which goes on while it is suspended
 	monotonic time.Duration
 }
 
@@ -29,12 +31,21 @@
 	view uint64 // number of pauses before it
 }
 
-func (c clock) reading() reading { return reading{wall: time.Now().Round(0), monotonic: c.now()} }
+func (c clock) reading() reading { return reading{boot: sinceBoot(), monotonic: c.now()} }
+
+// sinceBoot reads the clock that counts suspensions and that nobody sets: the time of day may jump by seconds.
+func sinceBoot() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now().Round(0) // a kernel without this clock; a jump of the time of day then looks like a pause
+	}
+	return time.Unix(t.Unix())
+}
 
 // gap returns the time since an earlier reading by the clock that advanced further: the monotonic clock stands still
-// while a machine is suspended, the wall clock may be set back.
+// while a machine is suspended.
 func (r reading) gap(earlier reading) time.Duration {
-	return max(r.monotonic-earlier.monotonic, r.wall.Sub(earlier.wall))
+	return max(r.monotonic-earlier.monotonic, r.boot.Sub(earlier.boot))
 }
 
 // pauses tells whether the view of targets and rules dates from before a pause of the process. It is safe for
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -19,7 +19,7 @@
 // setGap makes the last tick as old as after a pause.
 func (p *pauses) setGap(gap time.Duration) {
 	now := p.clock.reading()
-	p.last.Store(&tick{reading: reading{wall: now.wall.Add(-gap), monotonic: now.monotonic - gap}, view: p.view()})
+	p.last.Store(&tick{reading: reading{boot: now.boot.Add(-gap), monotonic: now.monotonic - gap}, view: p.view()})
 }
 
 // Guards against a choice made on the view from before a pause that is acted on after it, also when it is looked at only
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -79,6 +79,8 @@
 	ErrForeign = errors.New("answer to another request")
 	// ErrUnsigned marks an answer that the target did not sign as its own.
 	ErrUnsigned = errors.New("answer without the target's signature")
+	// ErrUnproved marks an answer whose status says that the request did not run, without the target's statement.
+	ErrUnproved = errors.New("status of a rejection without the target's statement that it did not run the request")
 	// ErrEncoded marks an answer with an encoding that nobody asked for.
 	ErrEncoded = errors.New("answer with an encoding that was not asked for")
 )
