core, peer: subsets of servers, fewer contacts between zones, run times from undisturbed runs

Run times were taken from all answers divided by the estimate, penalties included, so they came out too short, and before the first answers there was none at all: slow servers looked good enough.

Ruled out: recovery after a power cut. Instances have their view 20 to 120 ms after their start; what is late there was sent while all machines were dark.

--- a/cmd/burdockpitch/main.go
+++ b/cmd/burdockpitch/main.go
@@ -70,7 +70,7 @@
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(newServe(), newCheck(), newExplain(), newStatus(), newVersion())
+	root.AddCommand(newServe(), newCheck(), newExplain(), newStatus(), newTrace(), newVersion())
 	return root
 }
 
@@ -173,6 +173,21 @@
 	return cmd
 }
 
+func newTrace() *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace REQUEST-ID",
+		Short: "Print one request's story from log lines on standard input",
+		Long: `Read log lines of any number of instances from standard input and print those of one request in the order of their
+time: each attempt with what its target was chosen for, how it ended, and what the caller was told. The exit code is 1
+if no line names the request.`,
+		Example: "  cat instance-*.log | burdockpitch trace 9c41d07be2a35f68",
+		Args:    cobra.ExactArgs(1),
+		RunE: action(func(cmd *cobra.Command, args []string) error {
+			return cli.Trace(cmd.OutOrStdout(), cmd.InOrStdin(), args[0])
+		}),
+	}
+}
+
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use:     "version",
--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -68,6 +68,7 @@
 func newNode(s settings.Settings, a Adapter, store *discovery.Store, g *gateway.Gateway, m *peer.Metrics, log logr.Logger) *peer.Node {
 	mark := func(sign membership.Sign) { g.MarkLeaving(core.TargetID(sign.Target), sign.Start) }
 	cfg := peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers)
+	cfg.CrossEvery = s.PeerCrossEvery
 	cfg.Open = a.NewSource != nil // an adapter's store lists no entry instances
 	return peer.NewNode(cfg, documents{store}, m, mark, log)
 }
--- a/pkg/core/ask.go
+++ b/pkg/core/ask.go
@@ -19,8 +19,10 @@
 	askLimit = 12 * time.Millisecond
 	// askGood is the estimate, in multiples of an undisturbed run, at which no further targets are asked.
 	askGood = 1.3
-	// backlogAsk is the mean interval at which targets are asked while requests wait for room.
-	backlogAsk = 15 * time.Millisecond
+	// backlogAsk and backlogAskMax bound the mean interval at which targets are asked while requests wait for room. It
+	// doubles while no target has any: then all instances ask, and their probes would take more than they find.
+	backlogAsk    = 15 * time.Millisecond
+	backlogAskMax = 30 * time.Millisecond
 	// backlogTargets is the number of targets that are asked at each of these times. The answers of this instance's own
 	// requests tell most of what becomes free; probes only find what others leave.
 	backlogTargets = 2
@@ -113,10 +115,10 @@
 // have room, and that would answer r in time.
 func (s *Service) bestReported(now Instant, r *request, age time.Duration) (best *targetState, estimate float64) {
 	limit := s.timeLimit(now, r)
-	run := s.runTime(r.class)
-	late := s.late(now, r)
+	run := s.runTime(r)
+	room := s.roomFor(now, r)
 	for _, t := range s.all {
-		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || late && !s.canSpare(now, t) {
+		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || t.busy()+room > s.room(t) {
 			continue
 		}
 		e := s.estimate(t, now)
@@ -130,15 +132,36 @@
 	return best, estimate
 }
 
-// canSpare reports whether t may be given to a request that is late: no request that could be in time had to wait for
-// the time of two runs, and t keeps room for one more. Late work takes the room of requests that can be in time, and does
-// so on slow targets for longest: by the time it ends, its target would be fast again.
-func (s *Service) canSpare(now Instant, t *targetState) bool {
-	return now-s.pressedAt > calmRuns*s.typicalLatency() && t.busy()+1 < s.room(t)
+// noRoom is more than any target has.
+const noRoom = 1 << 20
+
+// roomFor returns how many requests a target has to have room for to get r.
+//
+// A request that is late gets none while requests that can be in time had to wait lately: it would take their room, and
+// on a slow target for longest, which by the time it ends would be fast again. Otherwise it leaves room for one more, as
+// does a request while more urgent ones had to wait.
+func (s *Service) roomFor(now Instant, r *request) int {
+	calm := now - calmRuns*s.typicalLatency()
+	late := s.late(now, r)
+	for priority, at := range s.pressedAt {
+		if at <= calm || at == 0 {
+			continue
+		}
+		if late {
+			return noRoom
+		}
+		if priority < min(r.priority, numPriorities-1) {
+			return 2
+		}
+	}
+	if late {
+		return 2
+	}
+	return 1
 }
 
 // late reports whether r would miss its objective on every target.
-func (s *Service) late(now Instant, r *request) bool { return now+s.runTime(r.class) > r.objective }
+func (s *Service) late(now Instant, r *request) bool { return now+s.runTime(r) > r.objective }
 
 // timeLimit is the time by which r has to be answered: the objective while it can be met, then the deadline. A request
 // that can still be in time thus does not go to a target that is slow at the moment, and one that is late takes what
@@ -162,7 +185,7 @@
 		return s.send(now, r, t, out)
 	}
 	r.phase = phaseAsking
-	r.askedRemote = len(s.local) == 0
+	r.askedRemote = len(s.nearLocal) == 0
 	r.askUntil = now + askLimit
 	s.asking = append(s.asking, r)
 	out = s.askFor(now, r, out)
@@ -172,9 +195,9 @@
 
 // askFor asks targets for r: first in the own zone, then anywhere.
 func (s *Service) askFor(now Instant, r *request, out []Effect) []Effect {
-	list, count := s.local, s.policy.AskLocal
+	list, count := s.nearLocal, s.policy.AskLocal
 	if r.askedRemote {
-		list, count = s.all, s.policy.AskRemote
+		list, count = s.near, s.policy.AskRemote
 	}
 	r.asked = r.asked[:0]
 	accept := func(t *targetState) bool { return s.candidate(t, now, r) }
@@ -237,7 +260,7 @@
 	if !over && !r.answered() {
 		return out
 	}
-	if !r.askedRemote && len(s.all) > len(s.local) {
+	if !r.askedRemote && len(s.near) > len(s.nearLocal) {
 		r.askedRemote = true
 		r.askUntil = now + askLimit
 		out = s.askFor(now, r, out)
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -12,6 +12,8 @@
 // get what room the others leave, mostly on targets that are slow at the moment, and are refused after a while without.
 type backlog struct {
 	waiting []*request
+	// asked is the number of times in a row that targets were asked without finding room.
+	asked int
 }
 
 // ahead reports whether a request of at least the priority of r waits already.
@@ -61,12 +63,10 @@
 		return s.refuse(now, r, ReasonStopping, out)
 	case len(s.backlog.waiting) >= s.policy.QueueLimit:
 		return s.refuse(now, r, ReasonQueueFull, out)
-	case now+s.backlogWait(now, r)+s.runTime(r.class) > r.deadline:
+	case now+s.backlogWait(now, r)+s.runTime(r) > r.deadline:
 		return s.refuse(now, r, ReasonInfeasible, out)
 	}
-	if !s.late(now, r) {
-		s.pressedAt = now
-	}
+	s.notePressure(now, r)
 	r.phase = phaseQueued
 	s.backlog.add(r)
 	s.drained.setBusy(now, true)
@@ -75,6 +75,16 @@
 	return out
 }
 
+// numPriorities bounds the priorities that are told apart under pressure; lower ones count as the last.
+const numPriorities = 4
+
+// notePressure notes that r has to wait although it can be in time.
+func (s *Service) notePressure(now Instant, r *request) {
+	if !s.late(now, r) {
+		s.pressedAt[min(max(r.priority, 0), numPriorities-1)] = now
+	}
+}
+
 // backlogWait returns how long r would wait behind the requests that go before it.
 func (s *Service) backlogWait(now Instant, r *request) time.Duration {
 	ahead := 0
@@ -103,10 +113,9 @@
 			continue
 		}
 		if t, _ := s.bestReported(now, r, askReuse); t != nil {
-			if !s.late(now, r) {
-				s.pressedAt = now
-			}
+			s.notePressure(now, r)
 			s.leaveBacklog(now, r)
+			s.backlog.asked = 0
 			out = s.send(now, r, t, out)
 		}
 	}
@@ -121,7 +130,7 @@
 // hopeless reports whether a waiting request has to be refused: it cannot meet its deadline any more, or it has been late
 // for the time of one run, in which every slot became free once, without room for it.
 func (s *Service) hopeless(now Instant, r *request) bool {
-	run := s.runTime(r.class)
+	run := s.runTime(r)
 	return now+run > r.deadline || now > r.objective && now > max(r.objective, r.arrived)+run
 }
 
@@ -137,7 +146,8 @@
 		return out
 	}
 	accept := func(t *targetState) bool { return !t.ejection.active && now >= t.backoffUntil }
-	out = s.ask(now, s.all, backlogTargets, accept, func(*targetState) {}, out)
-	s.schedule(&s.probes.due, now+s.jitter(2*backlogAsk))
+	out = s.ask(now, s.near, backlogTargets, accept, func(*targetState) {}, out)
+	s.schedule(&s.probes.due, now+s.jitter(2*doubled(backlogAsk, s.backlog.asked, backlogAskMax)))
+	s.backlog.asked++
 	return out
 }
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -60,16 +60,30 @@
 // latencies, where a multiple of the median alone is exceeded all the time.
 func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.typicalLatency()) }
 
-// runSamples is the number of answers before the run time of a class is trusted.
-const runSamples = 3
+const (
+	// runSamples is the number of answers before the run time of a class is trusted.
+	runSamples = 3
+	// runEstimateMax is the highest estimate at which an answer counts as that of an undisturbed target. How much longer
+	// a disturbed one takes is known too roughly to tell the run time from it.
+	runEstimateMax = 1.5
+	// runShare is the share of its objective that a request is taken to need before the run time is known. Objectives
+	// are set so that a run at the usual pace meets them with time to spare.
+	runShare = 1.0 / 3
+)
 
-// runTime returns the median time in which an undisturbed target answers requests of a class; zero before it is known,
-// so that nothing is refused for lack of time on a guess.
-func (s *Service) runTime(class Class) time.Duration {
-	if q := &s.runs[class]; q.samples >= runSamples {
+// runTime returns the median time in which an undisturbed target answers requests like r.
+func (s *Service) runTime(r *request) time.Duration {
+	if q := &s.runs[r.class]; q.samples >= runSamples {
 		return q.value
 	}
-	return 0
+	return time.Duration(runShare * float64(r.objective-r.arrived))
+}
+
+// observeRun takes the time to an answer as a run time if its target was undisturbed.
+func (s *Service) observeRun(a *attempt, elapsed time.Duration) {
+	if a.estimate > 0 && a.estimate <= runEstimateMax {
+		s.runs[a.request.class].observe(time.Duration(float64(elapsed) / a.estimate))
+	}
 }
 
 // expected returns the latency estimate of t, drawn towards that of the service as its evidence ages.
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -55,9 +55,7 @@
 	s.median.observe(elapsed)
 	s.tail.observe(elapsed)
 	s.hedgeDelay[a.request.class].observe(elapsed)
-	if a.estimate > 0 {
-		s.runs[a.request.class].observe(time.Duration(float64(elapsed) / a.estimate))
-	}
+	s.observeRun(a, elapsed)
 	s.raiseLimit(t)
 	if a.sentAt >= t.shedAt {
 		t.sheds = 0
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -57,6 +57,11 @@
 	// AskLocal and AskRemote are the numbers of targets that SelectAsk asks in the own zone, and then anywhere if none of
 	// these is good.
 	AskLocal, AskRemote int
+	// AskSubset is the number of targets in the own zone among which this instance chooses whom to ask, with half as many
+	// elsewhere. 0 means all.
+	AskSubset int
+	// Instance identifies this entry instance, so that each has a subset of its own.
+	Instance string
 	// AskPerTarget bounds the probes per second of each target, summed over all entry instances.
 	AskPerTarget float64
 	// Headroom is the share of a target's slots that SelectAsk fills.
@@ -85,6 +90,7 @@
 		ProbeCost:      5 * time.Millisecond,
 		AskLocal:       5,
 		AskRemote:      5,
+		AskSubset:      24,
 		AskPerTarget:   40,
 		Headroom:       0.8,
 	}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -92,7 +92,7 @@
 	}
 	r.hedgeAt = now + askLimit
 	accept := func(t *targetState) bool { return s.candidate(t, now, r) }
-	return nil, s.ask(now, s.all, s.policy.AskLocal, accept, func(*targetState) {}, out)
+	return nil, s.ask(now, s.near, s.policy.AskLocal, accept, func(*targetState) {}, out)
 }
 
 // denyHedge counts a denied hedge once per request.
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -35,20 +35,22 @@
 	asking    []*request // requests that wait for answers about load
 	askBudget askBudget
 	backlog   backlog
-	// pressedAt is the last time at which a request that could be in time had to wait for room.
-	pressedAt Instant
+	// pressedAt is the last time at which a request of a priority that could be in time had to wait for room.
+	pressedAt [numPriorities]Instant
 
 	targets  map[TargetID]*targetState
 	lineages map[TargetID]*lineage
 	order    []*targetState // in the order of the instance list
 	all      []*targetState // usable targets, in changing order
 	local    []*targetState // usable targets in the own zone, in changing order
-	usable   int
-	inFlight int
-	limitSum float64 // sum of the limits of the usable targets
-	turn     int     // next position for round robin
-	full     bool    // no target had room when all were looked at last
-	freed    *targetState
+	// near and nearLocal are the targets that this instance asks: anywhere, and in its zone.
+	near, nearLocal []*targetState
+	usable          int
+	inFlight        int
+	limitSum        float64 // sum of the limits of the usable targets
+	turn            int     // next position for round robin
+	full            bool    // no target had room when all were looked at last
+	freed           *targetState
 
 	ejected    int
 	trials     []*targetState // ejected targets that wait for a trial
--- /dev/null
+++ b/pkg/core/subset.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// chooseSubset fills s.near with the targets that this instance asks: Policy.AskSubset of its zone and half as many of
+// others, the ones with the highest hash of instance and target. Each target is thus in the subsets of about as many
+// instances as any other, and a change of the targets moves few.
+//
+// It answers large fleets: an instance with a few requests a second that asks hundreds of targets finds most connections
+// closed for being idle, and pays for a new one with each probe.
+func (s *Service) chooseSubset() {
+	limit := s.policy.AskSubset
+	if len(s.all) <= limit+limit/2 {
+		limit = 0
+	}
+	s.near, s.nearLocal = s.near[:0], s.nearLocal[:0]
+	remote := slices.DeleteFunc(slices.Clone(s.all), func(t *targetState) bool { return s.isLocal(t) })
+	s.nearLocal = append(s.nearLocal, s.highest(s.local, limit)...)
+	s.near = append(s.near, s.nearLocal...)
+	if len(s.local) > 0 {
+		limit = (limit + 1) / 2
+	}
+	s.near = append(s.near, s.highest(remote, limit)...)
+}
+
+// isLocal reports whether t is in the zone of this instance.
+func (s *Service) isLocal(t *targetState) bool { return t.zone == s.policy.Zone && t.zone != "" }
+
+// highest returns the limit targets of list with the highest hashes; all of them if limit is 0.
+func (s *Service) highest(list []*targetState, limit int) []*targetState {
+	if limit == 0 || len(list) <= limit {
+		return list
+	}
+	hash := func(t *targetState) uint64 { return xxhash.Sum64String(s.policy.Instance + "/" + string(t.id)) }
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b *targetState) int { return cmp.Compare(hash(b), hash(a)) })
+	return sorted[:limit]
+}
--- /dev/null
+++ b/pkg/core/subset_test.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func subsetService(instance string, targets int) (*Service, []Target) {
+	p := DefaultPolicy()
+	p.Selection, p.Zone, p.Instance = SelectAsk, "a", instance
+	s := NewService(p)
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{ID: TargetID(fmt.Sprint("t", i)), Zone: Zone([]string{"a", "b", "c"}[i%3])})
+	}
+	s.Reduce(Input{Event: TargetsChanged{Targets: list}}, nil)
+	return s, list
+}
+
+func nearIDs(s *Service) map[TargetID]bool {
+	ids := make(map[TargetID]bool)
+	for _, t := range s.near {
+		ids[t.id] = true
+	}
+	return ids
+}
+
+// Guards against targets that nobody asks, or that many more instances ask than others.
+func TestSubsetsCoverTheTargets(t *testing.T) {
+	const instances, targets = 60, 180
+	count := make(map[TargetID]int)
+	for i := range instances {
+		s, _ := subsetService(fmt.Sprint("i", i), targets)
+		require.Len(t, s.nearLocal, 24)
+		require.Len(t, s.near, 36)
+		for id := range nearIDs(s) {
+			count[id]++
+		}
+	}
+	for i := 0; i < targets; i += 3 { // the zone of the instances: 24 of 60 targets each, so 24 instances a target
+		n := count[TargetID(fmt.Sprint("t", i))]
+		require.Greater(t, n, 6)
+		require.Less(t, n, 48)
+	}
+}
+
+// Guards against a subset that is drawn anew with each change of the targets, which would cost all connections.
+func TestSubsetMovesLittle(t *testing.T) {
+	s, list := subsetService("i", 180)
+	before := nearIDs(s)
+	s.Reduce(Input{Event: TargetsChanged{Targets: list[3:]}}, nil)
+	kept := 0
+	for id := range nearIDs(s) {
+		if before[id] {
+			kept++
+		}
+	}
+	require.GreaterOrEqual(t, kept, 36-3, "three targets are gone")
+}
+
+// Guards against a small service of which an instance uses only a part.
+func TestSmallServiceIsAskedWhole(t *testing.T) {
+	s, list := subsetService("i", 30)
+	require.Len(t, s.near, len(list))
+}
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -134,10 +134,11 @@
 		s.usable++
 		s.limitSum += t.limit
 		s.all = append(s.all, t)
-		if t.zone == s.policy.Zone && t.zone != "" {
+		if s.isLocal(t) {
 			s.local = append(s.local, t)
 		}
 	}
+	s.chooseSubset()
 	s.trimEjections(now)
 }
 
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -139,7 +139,7 @@
 }
 
 const (
-	// joinTime is how long an instance without a view waits for others before it reads the source itself.
+	// joinTime is how long an instance waits to hear of others before it takes itself for the only one.
 	joinTime = time.Second
 	// joinPoll is the interval at which an instance without a view looks whether others are known.
 	joinPoll = 50 * time.Millisecond
@@ -167,8 +167,8 @@
 	switch {
 	case !known && (!w.cfg.Patient || age >= joinTime):
 		return own
-	case !known && !w.upstream.Joined():
-		return choice{}
+	case age < joinTime && !w.upstream.Joined():
+		return choice{} // it is not known yet who else is there
 	case from == nil:
 		return own
 	case !known:
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -242,6 +242,7 @@
 	f.cancel()
 	delete(x.attempts, id)
 	e.logEnd(x, f, ev)
+	e.metrics.attemptSeconds.WithLabelValues(e.name, ev.Outcome.String()).Observe(time.Since(f.began).Seconds())
 	e.metrics.attempts.WithLabelValues(e.name, ev.Outcome.String(), string(ev.Reason)).Inc()
 	e.apply(ev)
 	e.forget(x)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,8 +17,15 @@
 	probes    *prometheus.CounterVec
 	denied    *prometheus.CounterVec
 	aborted   prometheus.Counter
+
+	requestSeconds *prometheus.HistogramVec
+	attemptSeconds *prometheus.HistogramVec
 }
 
+// secondsBuckets are the bounds of the latency histograms: from the added latency of an instance to the longest
+// deadline, each about twice the one before.
+var secondsBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10, 50}
+
 // NewMetrics registers the counters with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -36,6 +43,15 @@
 		ejections: counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		denied:    counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "burdockpitch", Name: name, Help: help, Buckets: secondsBuckets,
+		}, labels)
+		reg.MustRegister(h)
+		return h
+	}
+	m.requestSeconds = histogram("request_duration_seconds", "Time from the arrival of a request to the end of its answer.", "service", "outcome")
+	m.attemptSeconds = histogram("attempt_duration_seconds", "Time from the choice of a target to the end of the attempt.", "service", "outcome")
 	m.aborted = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "burdockpitch", Name: "stop_aborted_requests_total", Help: "Requests cut by the limit of a graceful stop.",
 	})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -258,6 +258,7 @@
 		service, class, rule = c.service, c.rule.Class.String(), c.rule.Name
 	}
 	g.metrics.requests.WithLabelValues(service, class, string(res.outcome)).Inc()
+	g.metrics.requestSeconds.WithLabelValues(service, string(res.outcome)).Observe(time.Since(c.arrived).Seconds())
 	if res.reason != "" {
 		g.metrics.refusals.WithLabelValues(service, string(res.reason)).Inc()
 	}
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -41,6 +41,9 @@
 	Zone string
 	// Seeds are peer addresses known from the settings.
 	Seeds []string
+	// CrossEvery is the number of rounds for each contact to another zone, on average; 0 means 1. Traffic between zones
+	// is dear, and what one instance hears from there spreads within its zone.
+	CrossEvery int
 }
 
 // Input is one event with everything that makes a step deterministic.
@@ -329,6 +332,9 @@
 	before := len(out)
 	out = s.contact(now, 1, same, out)
 	inside := len(out) - before
+	if every := s.cfg.CrossEvery; inside > 0 && every > 1 && rand.New(s.rng).IntN(every) > 0 {
+		return out
+	}
 	out = s.contact(now, 2-inside, other, out)
 	if inside == 1 && len(out)-before == 1 {
 		chosen := out[before].Address
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -24,6 +24,8 @@
 	Zone string
 	// Seeds are peer addresses from the settings. Their IPs are accepted as senders.
 	Seeds []string
+	// CrossEvery is the number of rounds for each contact to another zone; 0 means 1.
+	CrossEvery int
 	// Open accepts senders that are on no list, where the platform does not list entry instances.
 	Open bool
 	// Round is the time between rounds of anti-entropy.
@@ -123,7 +125,7 @@
 	n := &Node{
 		cfg: cfg, docs: docs, metrics: m, log: log, onLeave: onLeave, epoch: time.Now(), start: start,
 		slots: make(chan struct{}, cfg.Connections), contacts: make(chan struct{}, maxContacts), asked: make(chan struct{}),
-		state:   membership.New(membership.Config{Self: cfg.Self, Start: start, Zone: cfg.Zone, Seeds: cfg.Seeds}),
+		state:   membership.New(membership.Config{Self: cfg.Self, Start: start, Zone: cfg.Zone, Seeds: cfg.Seeds, CrossEvery: cfg.CrossEvery}),
 		allowed: make(map[netip.Addr]bool), seeds: addrs(cfg.Seeds),
 		conflicts: make(map[string]Entry), busy: make(map[string]bool),
 	}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -21,6 +21,7 @@
 	min, max float64
 	want     string
 }{
+	{"peer_cross_every", 1, 100, "from 1 to 100"},
 	{"lame_duck", 0, float64(10 * time.Minute), "from 0s to 10m"},
 	{"stop_limit", float64(time.Second), float64(time.Hour), "from 1s to 1h"},
 	{"instances", 1, 1000, "from 1 to 1000"},
@@ -45,6 +46,7 @@
 	{"kill_after", 0, float64(time.Hour), "from 0s to 1h"},
 	{"ask.local", 0, 100, "from 0 to 100"},
 	{"ask.remote", 1, 100, "from 1 to 100"},
+	{"ask.subset", 0, 10_000, "from 0 to 10000"},
 	{"ask.per_target", 0.1, 10_000, "from 0.1 to 10000"},
 	{"ask.headroom", 0.1, 1, "a share from 0.1 to 1"},
 	{"watch.wait", float64(10 * time.Millisecond), float64(30 * time.Second), "from 10ms to 30s"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -58,6 +58,9 @@
 	PeerListen string `toml:"peer_listen"`
 	// Peers are addresses of other entry instances, in addition to the instance list. Default none.
 	Peers []string `toml:"peers"`
+	// PeerCrossEvery is the number of rounds, of one second each, for each contact to an instance in another zone.
+	// Default 1.
+	PeerCrossEvery int `toml:"peer_cross_every"`
 	// Platform is the base URL of the configuration service and instance list. Required.
 	Platform string `toml:"platform"`
 	// Selection is the method of choosing a target. Default "", which is the method of core.DefaultPolicy. Other
@@ -178,6 +181,9 @@
 	Local int `toml:"local"`
 	// Remote is the number of targets anywhere that are asked if no target in the zone is good. Default 5.
 	Remote int `toml:"remote"`
+	// Subset is the number of targets in the own zone among which an instance chooses whom to ask, with half as many
+	// elsewhere. 0 means all. Default 24.
+	Subset int `toml:"subset"`
 	// PerTarget is the number of probes per second that a target gets from all instances at most. Default 40.
 	PerTarget float64 `toml:"per_target"`
 	// Headroom is the share of a target's slots that is filled. Default 0.8.
@@ -237,12 +243,12 @@
 func Default() Settings {
 	p, t := core.DefaultPolicy(), target.DefaultConfig()
 	return Settings{
-		AdminListen: "127.0.0.1:9900",
-		LameDuck:    Duration(5 * time.Second),
-		StopLimit:   Duration(60 * time.Second),
-		Instances:   p.Instances,
-		Log:         Log{LinesPerSecond: 500},
-		Targets:     Targets{Slots: p.SlotsPerTarget},
+		AdminListen: "127.0.0.1:9900", PeerCrossEvery: 1,
+		LameDuck:  Duration(5 * time.Second),
+		StopLimit: Duration(60 * time.Second),
+		Instances: p.Instances,
+		Log:       Log{LinesPerSecond: 500},
+		Targets:   Targets{Slots: p.SlotsPerTarget},
 		Connections: Connections{
 			PerTarget:   200,
 			DialTimeout: Duration(t.DialTimeout),
@@ -253,7 +259,7 @@
 		Retry: Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
 		Hedge: Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
 		Probe: Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
-		Ask:   Ask{Local: p.AskLocal, Remote: p.AskRemote, PerTarget: p.AskPerTarget, Headroom: p.Headroom},
+		Ask:   Ask{Local: p.AskLocal, Remote: p.AskRemote, Subset: p.AskSubset, PerTarget: p.AskPerTarget, Headroom: p.Headroom},
 		Watch: Watch{
 			Wait: Duration(time.Second), PeerWait: Duration(time.Second), MaxAge: Duration(1400 * time.Millisecond),
 			Share: true, Timeout: Duration(500 * time.Millisecond), Gather: Duration(300 * time.Millisecond),
@@ -301,7 +307,8 @@
 		p.RetrySlack, p.HedgeSlack = f.RepeatSlack*retryPart, f.RepeatSlack*hedgePart
 	}
 	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
-	p.AskLocal, p.AskRemote = s.Ask.Local, s.Ask.Remote
+	p.AskLocal, p.AskRemote, p.AskSubset = s.Ask.Local, s.Ask.Remote, s.Ask.Subset
+	p.Instance = s.Listen
 	p.AskPerTarget, p.Headroom = s.Ask.PerTarget, s.Ask.Headroom
 	return p
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -117,6 +117,7 @@
 	want.ProbeShare, want.ProbeCost = 0.001, 2*time.Millisecond
 	require.Equal(t, "/alive", s.Probe.Path)
 	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
+	want.Instance = s.Listen
 	require.Equal(t, want, s.Policy())
 	require.Equal(t, target.Config{
 		DialTimeout: 2 * time.Second, WaitLimit: 4 * time.Second, MaxConnections: 14, FreshWithin: 3 * time.Second, IdleTimeout: 9 * time.Second,
