platform: stand-ins and a fault soak; logging bounds, trace and operations page

- platform/standin: store with pages, watches and a history that can be dropped; servers with slots, load reports, identities and a ledger; a loopback proxy that delays, refuses, resets and silences.
- platform/soak: store, servers and instances as processes; pauses, kills, planned stops, SIGHUP, silent, refused and slow connections, forgotten history, new routes and draining servers, overlapping; checks what callers were told against the ledgers.
- the attempt and request lines tell what a decision rests on; burdockpitch trace prints one request's story; docs/OPERATIONS.md has three cases.

Ruled out: proxies between instances; pauses and kills cover a peer that does not answer, and peer addresses have to be those that an instance speaks from.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,7 +19,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newPlatform(), newTarget(), newLoad(), newDemo(), newMeasure(), newFleet(), newCapacity())
+	root.AddCommand(newPlatform(), newTarget(), newStore(), newServer(), newLoad(), newDemo(), newMeasure(), newFleet(), newCapacity())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -42,7 +42,8 @@
 
 // basis describes what the choice of t for r rests on, before the attempt is added.
 func (s *Service) basis(now Instant, r *request, t *targetState) Basis {
-	b := Basis{Waited: now - r.arrived, Attempt: r.started + 1, Waiting: len(s.backlog.waiting) + s.queue.length()}
+	b := s.situation(now, r)
+	b.Attempt++
 	if t.hasReport {
 		b.Report = LoadReport{InUse: t.reportedInUse, Slots: t.slots, Pace: t.pace}
 		b.Age = now - t.reportedAt
@@ -53,6 +54,15 @@
 	return b
 }
 
+// situation describes how r stands, without a target.
+func (s *Service) situation(now Instant, r *request) Basis {
+	b := Basis{Waited: now - r.arrived, Attempt: r.started, Waiting: len(s.backlog.waiting) + s.queue.length()}
+	if s.asks() {
+		b.Run = s.runTime(r)
+	}
+	return b
+}
+
 func (s *Service) sendTrial(now Instant, r *request, t *targetState, out []Effect) []Effect {
 	out = s.send(now, r, t, out)
 	r.attempts[0].trial = true
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -294,20 +294,22 @@
 	Reason Reason
 	// RetryAfter tells the caller when to ask again (Refuse).
 	RetryAfter time.Duration
-	// Basis is what the choice of the target rests on (SendAttempt).
+	// Basis is what the decision rests on (SendAttempt and Refuse).
 	Basis Basis
 }
 
-// Basis is what a choice of a target rests on. It is for logs only.
+// Basis is what a decision about a request rests on. It is for logs only.
 type Basis struct {
 	// Report is the load that the target told last, and Age the time since then; Report.Slots is 0 without a report.
 	Report LoadReport
 	Age    time.Duration
 	// Estimate is when the target was expected to answer, in multiples of an undisturbed run; 0 if it was not estimated.
 	Estimate float64
-	// Waited is the time from the arrival of the request to the attempt.
+	// Waited is the time from the arrival of the request to the decision.
 	Waited time.Duration
-	// Attempt numbers the attempts of the request from 1.
+	// Run is how long an undisturbed target is expected to work on the request; 0 if it is not estimated.
+	Run time.Duration
+	// Attempt numbers the attempts of the request from 1; on a refusal it is the number of attempts made.
 	Attempt int
 	// Waiting is the number of requests that wait for room.
 	Waiting int
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -232,6 +232,7 @@
 	}
 	res := result{
 		target: d.target, attempts: d.attempts, outcome: outcome, reason: d.refusal.Reason, status: refusalStatus(d.refusal),
+		basis: d.refusal.Basis, retryAfter: d.refusal.RetryAfter,
 	}
 	c.writeRefusal(res.status, outcome, res.reason, d.refusal.RetryAfter)
 	g.finish(c, res)
@@ -249,6 +250,9 @@
 	outcome  wire.Outcome
 	reason   core.Reason // set for refusals
 	status   int
+	// basis and retryAfter are set for refusals.
+	basis      core.Basis
+	retryAfter time.Duration
 }
 
 // finish counts and logs the end of a request.
@@ -269,6 +273,9 @@
 	if !log.Enabled() {
 		return
 	}
+	if basis := res.basis; res.reason != "" {
+		log = log.WithValues("waiting", basis.Waiting, "run_ms", basis.Run.Milliseconds(), "retry_after_ms", res.retryAfter.Milliseconds())
+	}
 	log.Info("request", "request", c.id, "service", service, "rule", rule, "target", res.target, "attempts", res.attempts,
 		"outcome", res.outcome, "reason", res.reason, "status", res.status, "duration", time.Since(c.arrived).String())
 }
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -106,9 +106,17 @@
 	}
 }
 
+// nameLevel writes logr's verbosities as DEBUG: slog would name them by their distance from its own levels.
+func nameLevel(groups []string, a slog.Attr) slog.Attr {
+	if level, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && len(groups) == 0 && level < slog.LevelInfo {
+		a.Value = slog.StringValue(slog.LevelDebug.String())
+	}
+	return a
+}
+
 // New returns a logger that writes JSON lines to w, and makes it the default logger, to which net/http writes.
 func New(w io.Writer, verbosity int) logr.Logger {
-	options := &slog.HandlerOptions{Level: slog.Level(-verbosity)} // logr's V(n) is slog's level -n
+	options := &slog.HandlerOptions{Level: slog.Level(-verbosity), ReplaceAttr: nameLevel} // logr's V(n) is slog's level -n
 	handler := slog.NewJSONHandler(w, options)
 	slog.SetDefault(slog.New(handler))
 	return logr.FromSlogHandler(handler)
--- /dev/null
+++ b/pkg/logging/logging_test.go
@@ -0,0 +1,80 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stalledReader takes nothing until it is released.
+type stalledReader struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (r *stalledReader) Write(p []byte) (int, error) {
+	<-r.release
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buf.Write(p)
+}
+
+// Guards against a request that waits for a reader of the log that has stalled, and against lines that vanish silently.
+func TestStalledReaderNeverBlocks(t *testing.T) {
+	r := &stalledReader{release: make(chan struct{})}
+	w := NewWriter(r, 0)
+	log := New(w, 0)
+	done := make(chan struct{})
+	go func() {
+		for range 3 * queueLines {
+			log.Info("line")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the writer blocked")
+	}
+	require.GreaterOrEqual(t, w.Dropped(), int64(queueLines))
+	close(r.release)
+	w.Close(10 * time.Second)
+	require.Contains(t, r.buf.String(), "log lines dropped")
+}
+
+// Guards against a log without a bound under load.
+func TestLinesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out, 10)
+	log := New(w, 0)
+	for range 1000 {
+		log.Info("line")
+	}
+	w.Close(10 * time.Second)
+	require.LessOrEqual(t, strings.Count(out.String(), `"msg":"line"`), 20)
+	require.GreaterOrEqual(t, w.Dropped(), int64(980))
+}
+
+// Guards against lines that are not JSON, or below the verbosity that was asked for.
+func TestLinesAreJSON(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out, 0)
+	log := New(w, 1)
+	log.Info("first", "n", 1)
+	log.V(1).Info("second")
+	log.V(2).Info("third")
+	w.Close(10 * time.Second)
+	var levels []string
+	for line := range strings.Lines(out.String()) {
+		var fields struct{ Level, Msg string }
+		require.NoError(t, json.Unmarshal([]byte(line), &fields))
+		levels = append(levels, fields.Level+" "+fields.Msg)
+	}
+	require.Equal(t, []string{"INFO first", "DEBUG second"}, levels)
+}
--- a/pkg/settings/docs_test.go
+++ b/pkg/settings/docs_test.go
@@ -14,7 +14,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 )
 
-// shown returns a default as docs/operating.md writes it.
+// shown returns a default as docs/OPERATIONS.md writes it.
 func shown(v any) string {
 	switch v := v.(type) {
 	case Duration:
@@ -32,7 +32,7 @@
 // Guards against a settings reference that lacks a key or gives another default than the program, and against a
 // number without bounds.
 func TestReferenceMatchesDefaults(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operating.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	s := Default()
 	c := &checker{keys: make(map[string]reflect.Value), sections: make(map[string]bool)}
@@ -61,7 +61,7 @@
 
 // Guards against a refusal reason that operators find nowhere.
 func TestRefusalReasonsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operating.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, r := range []core.Reason{
 		core.ReasonNoTarget, core.ReasonQueueFull, core.ReasonDeadline, core.ReasonInfeasible, core.ReasonRetryBudget, core.ReasonAttempts,
