--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers and CI. "make test" is what CI runs.
 GO ?= go
 
-.PHONY: build test lint unit models known-red demo measure bench capacity
+.PHONY: build test lint unit models known-red demo measure bench capacity soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -47,3 +47,8 @@
 	for n in 2 7 14; do bin/standin fleet --mode cost --binaries bin --entries $$n --services 36 --duration 20s || exit 1; done
 	for n in 1 18; do bin/standin fleet --mode cost --binaries bin --entries 7 --services $$n --duration 20s || exit 1; done
 	for n in 10000 100000 500000 1000000; do bin/standin fleet --mode cost --binaries bin --entries 7 --services 36 --duration 8s --padding $$n || exit 1; done
+
+# SEEDS fresh seeds of the fault soak, SOAK_FLAGS further flags such as -soak.instances; logs of failed runs go to tmp/soak.
+SEEDS ?= 10
+soak:
+	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform/soak -args -soak.seeds=$(SEEDS) -soak.logs=$(CURDIR)/tmp/soak $(SOAK_FLAGS)
