--- a/spec/check.sh
+++ b/spec/check.sh
@@ -32,6 +32,9 @@
 mutation: lower version accepted|configuration|safety|1|-DMUT_ACCEPT_LOWER
 mutation: other bytes accepted|configuration|safety|1|-DMUT_ACCEPT_CONFLICT
 mutation: no pull from peers|configuration|liveness|1|-DMUT_NO_PEERS
+shared reads, recent and never back|relay|safety|0|
+mutation: older view taken|relay|safety|1|-DMUT_TAKE_OLDER
+mutation: age not passed on|relay|safety|1|-DMUT_AGE_NOT_PASSED
 EOF
 )
 
--- /dev/null
+++ b/spec/relay.pml
@@ -0,0 +1,127 @@
+/*
+ * Shared reads: three entry instances follow a store, directly or through each other, while any of them may be cut off
+ * from the store.
+ *
+ * Names follow pkg/discovery: a Watcher holds a View with a revision and the age of its last confirmation. It reads from
+ * another instance while the age is below MAX_AGE, and from the store otherwise. Any instance may be the parent of any
+ * other at any time, circles included, because membership determines only whom an instance asks.
+ *
+ * Bounds: 3 instances, 3 revisions, ages counted in rounds in which every instance acts once. Staleness needs one
+ * instance that is cut, one that reads from it, and one more for a circle. Ages above MAX_AGE + 1 are not told apart.
+ *
+ * Checked: a view never goes back; an instance that reaches the store has a confirmation of at most MAX_AGE + 1 rounds,
+ * and its view is at least the revision of that time.
+ */
+#define INSTANCES 3
+#define REVISIONS 3
+#define MAX_AGE 2
+#define OLD (MAX_AGE + 2)        /* stands for every higher age */
+
+byte revision = 1;               /* of the store */
+byte past[4];                    /* revision of the store that many rounds ago */
+
+typedef Watcher {
+	byte view;                   /* revision of the view */
+	byte age;                    /* rounds since the last confirmation, as the instance believes */
+	byte confirmed;              /* the same as it is; the instance does not see it */
+	bool cut;                    /* the store cannot be reached */
+	byte uncutFor;               /* rounds since the last cut, up to OLD */
+};
+
+Watcher w[INSTANCES];
+
+inline take(i, offered) {
+	if
+#ifdef MUT_TAKE_OLDER
+	:: offered != w[i].view ->
+#else
+	:: offered > w[i].view ->
+#endif
+		assert(offered >= w[i].view);                /* never goes back */
+		w[i].view = offered
+	:: else -> skip
+	fi
+}
+
+inline readStore(i) {
+	if
+	:: !w[i].cut -> take(i, revision); w[i].age = 0; w[i].confirmed = 0
+	:: else -> skip
+	fi
+}
+
+/* The answer of another instance carries its age; only a younger confirmation counts. */
+inline readFrom(i, p) {
+	take(i, w[p].view);
+	if
+	:: w[p].confirmed < w[i].confirmed -> w[i].confirmed = w[p].confirmed
+	:: else -> skip
+	fi;
+#ifdef MUT_AGE_NOT_PASSED
+	w[i].age = 0
+#else
+	if
+	:: w[p].age < w[i].age -> w[i].age = w[p].age
+	:: else -> skip
+	fi
+#endif
+}
+
+inline act(i) {
+	if
+	:: w[i].age >= MAX_AGE -> readStore(i)
+	:: else ->
+		if
+		:: true -> readStore(i)                      /* the instance takes itself for the root */
+		:: true -> readFrom(i, (i + 1) % INSTANCES)
+		:: true -> readFrom(i, (i + 2) % INSTANCES)
+		fi
+	fi
+}
+
+inline grow(i) {
+	if :: w[i].age < OLD -> w[i].age++ :: else -> skip fi;
+	if :: w[i].confirmed < OLD -> w[i].confirmed++ :: else -> skip fi;
+	if
+	:: w[i].cut -> w[i].uncutFor = 0
+	:: !w[i].cut && w[i].uncutFor < OLD -> w[i].uncutFor++
+	:: else -> skip
+	fi
+}
+
+inline judge(i) {
+	if
+	:: w[i].uncutFor > MAX_AGE ->
+		assert(w[i].confirmed <= MAX_AGE + 1);       /* confirmed lately */
+		assert(w[i].view >= past[3])                 /* so no older than what the store held then */
+	:: else -> skip
+	fi
+}
+
+active proctype fleet() {
+	byte n;
+	for (n : 0 .. INSTANCES - 1) {
+		w[n].view = 1; w[n].uncutFor = OLD
+	}
+	for (n : 0 .. 3) { past[n] = 1 }
+	n = 0;
+	do
+	:: atomic {
+		/* Each round: the store may change, cuts begin or end, every instance acts once in any order. */
+		if :: revision < REVISIONS -> revision++ :: skip fi;
+		if
+		:: w[0].cut = !w[0].cut
+		:: w[1].cut = !w[1].cut
+		:: skip
+		fi;
+		if
+		:: true -> act(0); act(1); act(2)
+		:: true -> act(2); act(1); act(0)
+		:: true -> act(1); act(0); act(2)
+		fi;
+		past[3] = past[2]; past[2] = past[1]; past[1] = past[0]; past[0] = revision;
+		grow(0); grow(1); grow(2);
+		judge(0); judge(1); judge(2)
+	}
+	od
+}
