discovery: instances other than the root call the store seldom while it is away

Ruled out: leaving all tries to the root. The root may be the one that is cut off, and its children have to find out within the time for a change.

Change: after a failed call in place of its parent, an instance goes on hearing from the parent for 1 s, then 2 and 4 s, before it calls again; the root keeps its short pauses. An instance that the store answers while its parent knows nothing recent looks for another parent.

--- a/pkg/core/replay_test.go
+++ b/pkg/core/replay_test.go
@@ -77,6 +77,7 @@
 	instances []*replayInstance
 	calls     []*replayCall
 	attempts  int
+	untold    float64 // slowdown of all targets that their reports do not show
 }
 
 // replayInstance is one entry instance.
@@ -88,7 +89,7 @@
 }
 
 func newReplay(selection Selection, instances, targets int) *replay {
-	r := &replay{rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[TargetID]*replayTarget)}
+	r := &replay{untold: 1, rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[TargetID]*replayTarget)}
 	var list []Target
 	for i := range targets {
 		id := TargetID(fmt.Sprint("t", i))
@@ -201,7 +202,7 @@
 		if t.running == t.slots {
 			pace *= fullFactor
 		}
-		spread := 0.7 + 0.6*i.rng.Float64()
+		spread := (0.7 + 0.6*i.rng.Float64()) * i.untold
 		i.after(time.Duration(pace*spread*float64(replayRun)), func() {
 			t.running--
 			end(OutcomeAnswered, "")
@@ -296,3 +297,17 @@
 	require.Equal(t, 1.0, r.share(2*time.Second, 10*time.Second, ClassLookup, early))
 	require.LessOrEqual(t, float64(r.attempts), 1.15*float64(len(r.calls)))
 }
+
+// Guards against an instance that has seen only slow answers and refuses everything for ever, because nothing is sent
+// that could show that the targets are fast again.
+func TestReplayOfUntoldSlowness(t *testing.T) {
+	r := newReplay(SelectAsk, 2, 6)
+	r.untold = 8 // most answers come later than the deadline
+	r.load(10, 30*time.Second, ClassLookup, 0)
+	r.run(5 * time.Second)
+	r.untold = 1
+	r.run(40 * time.Second)
+	after := r.share(10*time.Second, 30*time.Second, ClassLookup, (*replayCall).inTime)
+	t.Logf("in time after the slowness %.2f", after)
+	require.Greater(t, after, 0.95)
+}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -65,6 +65,11 @@
 	once     sync.Once
 	asked    chan struct{}
 
+	// asideAt is the earliest time to read the source in place of the parent, and staleParent the parent that told
+	// nothing recent. Only Run uses them.
+	asideAt     time.Duration
+	staleParent string
+
 	mu       sync.Mutex // held while the view changes and is passed on
 	view     *View
 	problems map[string]error // entries that could not be read when the view was passed on last
@@ -101,6 +106,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	go w.expireLost(ctx)
 	pauses := backoff{first: w.cfg.BackoffFirst, limit: w.cfg.BackoffLimit}
+	asides := backoff{first: asideFirst, limit: asideLimit}
 	complete := false
 	for ctx.Err() == nil {
 		c := w.choose()
@@ -118,7 +124,11 @@
 		switch {
 		case err == nil:
 			complete = !changes.Lost
-			pauses.reset()
+			if c.name == sourceName {
+				pauses.reset()
+				asides.reset()
+				w.leaveStaleParent(ctx, c)
+			}
 			if c.name == sourceName && len(changes.Items) > 0 && w.cfg.Gather > 0 {
 				sleep(ctx, rand.N(w.cfg.Gather))
 			}
@@ -128,6 +138,9 @@
 		case errors.Is(err, ErrHistoryGone):
 			complete = false
 			sleep(ctx, rand.N(2*joinPoll))
+		case c.name == sourceName && c.aside && complete:
+			w.source.Reset()
+			w.asideAt = w.now() + asides.pause()
 		case c.name == sourceName:
 			w.source.Reset()
 			sleep(ctx, pauses.pause())
@@ -150,15 +163,26 @@
 	depthDelay = 150 * time.Millisecond
 )
 
+const (
+	// asideFirst and asideLimit bound the pause after a failed call of an instance that is not the root. Meanwhile it
+	// goes on hearing from its parent, so only the root has to try often while the source is away for all.
+	asideFirst = time.Second
+	asideLimit = 4 * time.Second
+)
+
 // choice is where to read from.
 type choice struct {
 	source Source // nil while it is too early to tell
 	name   string
+	// parent is the instance to read from otherwise, and aside is set if the source is read in its place because nothing
+	// recent comes from there.
+	parent string
+	aside  bool
 }
 
 // choose returns where to read from: another instance while what comes from there is recent, otherwise the source.
 func (w *Watcher) choose() choice {
-	own := choice{w.source, sourceName}
+	own := choice{source: w.source, name: sourceName}
 	if w.upstream == nil {
 		return own
 	}
@@ -171,18 +195,26 @@
 		return choice{} // it is not known yet who else is there
 	case from == nil:
 		return own
-	case !known:
-		return choice{from, name}
-	case age > w.cfg.MaxAge+time.Duration(depth)*depthDelay+rand.N(depthDelay):
+	case known && age > w.cfg.MaxAge+time.Duration(depth)*depthDelay+rand.N(depthDelay) && w.now() >= w.asideAt:
+		own.parent, own.aside = name, true
 		return own
 	}
-	return choice{from, name}
+	return choice{source: from, name: name}
+}
+
+// leaveStaleParent looks for another parent after the source has answered in place of one that knows nothing recent: the
+// parent is cut off from the source, and would stay the parent of all its children otherwise.
+func (w *Watcher) leaveStaleParent(ctx context.Context, c choice) {
+	if c.aside && w.staleParent == c.parent {
+		w.upstream.Failed(ctx, c.parent)
+	}
+	w.staleParent = ""
 }
 
 // Refresh reads everything from the source once, for an instance that was paused and cannot trust its view.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	w.source.Reset()
-	return w.read(ctx, choice{w.source, sourceName})
+	return w.read(ctx, choice{source: w.source, name: sourceName})
 }
 
 func (w *Watcher) revision() uint64 {
@@ -224,6 +256,9 @@
 	switch {
 	case c.name != sourceName:
 		confirmed = w.now() - changes.Age
+		if err == nil && changes.Age > w.cfg.MaxAge {
+			w.staleParent = c.name
+		}
 	case err == nil && len(changes.Items) == 0:
 		confirmed += wait // the source answers without changes at the end of the wait
 	}
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -233,6 +233,22 @@
 		_, r := startWatcher(t, s, &upstream{from: relayed{broken: errors.New("reset")}})
 		require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
 	})
+	t.Run("store away for all", func(t *testing.T) {
+		away := &fakeSource{}
+		away.set("a")
+		root, _ := startWatcher(t, away, nil)
+		s := &fakeSource{}
+		s.set("a")
+		_, r := startWatcher(t, s, &upstream{from: relayed{Watcher: root}})
+		require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+		away.change(func() { away.failing = errors.New("away") })
+		s.change(func() { s.failing = errors.New("away") })
+		time.Sleep(1500 * time.Millisecond)
+		s.change(func() { require.LessOrEqual(t, s.calls, 3, "an instance that is not the root calls seldom") })
+		away.set("b")
+		away.change(func() { away.failing = nil })
+		require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+	})
 	t.Run("heard nothing", func(t *testing.T) {
 		cut := &fakeSource{}
 		cut.set("a")
