--- /dev/null
+++ b/pkg/core/placement.go
@@ -0,0 +1,121 @@
+package core
+
+import "time"
+
+// This file rates the targets that have told their load: when they would answer, and which of them a request may have.
+
+const (
+	// warmupFactor is the estimate of a target that has just started: caches and compilers make it about half as fast.
+	warmupFactor = 2
+	// fullFactor is the slowdown of a target whose last free slot is taken.
+	fullFactor = 1.7
+	// calmRuns is the number of typical latencies without a waiting request after which late requests are served: slots
+	// that were full then have become free about twice.
+	calmRuns = 2
+	// remoteCost is the estimate added for a target in another zone: the traffic between zones costs more than the round
+	// trip takes.
+	remoteCost = 0.1
+)
+
+// busy returns the requests that t works on or holds, as far as is known.
+func (t *targetState) busy() int { return t.reportedInUse + t.sentSince }
+
+// room returns the number of requests that t holds before it counts as full. Targets slow down when nearly all of their
+// slots are in use, so that filling the last slot lowers what the target completes.
+func (s *Service) room(t *targetState) int {
+	return max(1, int(s.policy.Headroom*float64(s.slots(t))+1e-9))
+}
+
+// estimate returns when t would answer one more request, in multiples of an undisturbed run.
+func (s *Service) estimate(t *targetState, now Instant) float64 {
+	slots, busy := s.slots(t), t.busy()
+	estimate := t.pace
+	if busy+1 > s.room(t) {
+		estimate *= fullFactor
+	}
+	if now < t.warmUntil {
+		estimate *= warmupFactor
+	}
+	if queued := busy + 1 - slots; queued > 0 {
+		estimate += t.pace * float64(queued) / float64(slots)
+	}
+	if s.policy.Zone != "" && t.zone != s.policy.Zone {
+		estimate += remoteCost
+	}
+	if s.suspect(t, now) {
+		estimate += suspectPenalty
+	}
+	return estimate
+}
+
+// candidate reports whether r may be sent to t at all.
+func (s *Service) candidate(t *targetState, now Instant, r *request) bool {
+	return !t.ejection.active && now >= t.backoffUntil && !r.tried(t)
+}
+
+// reportedRoom reports whether t has told at most the given time ago that it has room.
+func (s *Service) reportedRoom(t *targetState, now Instant, age time.Duration) bool {
+	return t.hasReport && now-t.reportedAt <= age && t.busy() < s.room(t)
+}
+
+// bestReported returns the target with the lowest estimate among those that told at most the given time ago that they
+// have room, and that would answer r in time.
+func (s *Service) bestReported(now Instant, r *request, age time.Duration) (best *targetState, estimate float64) {
+	limit := s.timeLimit(now, r)
+	run := s.runTime(r)
+	room := s.roomFor(now, r)
+	for _, t := range s.all {
+		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || t.busy()+room > s.room(t) {
+			continue
+		}
+		e := s.estimate(t, now)
+		if now+time.Duration(e*float64(run)) > limit {
+			continue
+		}
+		if best == nil || e < estimate {
+			best, estimate = t, e
+		}
+	}
+	return best, estimate
+}
+
+// noRoom is more than any target has.
+const noRoom = 1 << 20
+
+// roomFor returns how many requests a target has to have room for to get r.
+//
+// A request that is late gets none while requests that can be in time had to wait lately: it would take their room, and
+// on a slow target for longest, which by the time it ends would be fast again. Otherwise it leaves room for one more, as
+// does a request while more urgent ones had to wait.
+func (s *Service) roomFor(now Instant, r *request) int {
+	calm := now - calmRuns*s.typicalLatency()
+	late := s.late(now, r)
+	for priority, at := range s.pressedAt {
+		if at <= calm || at == 0 {
+			continue
+		}
+		if late {
+			return noRoom
+		}
+		if priority < min(r.priority, numPriorities-1) {
+			return 2
+		}
+	}
+	if late {
+		return 2
+	}
+	return 1
+}
+
+// late reports whether r would miss its objective on every target.
+func (s *Service) late(now Instant, r *request) bool { return now+s.runTime(r) > r.objective }
+
+// timeLimit is the time by which r has to be answered: the objective while it can be met, then the deadline. A request
+// that can still be in time thus does not go to a target that is slow at the moment, and one that is late takes what
+// others leave.
+func (s *Service) timeLimit(now Instant, r *request) Instant {
+	if s.late(now, r) {
+		return r.deadline
+	}
+	return r.objective
+}
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -104,8 +104,6 @@
 	Name string
 	// ProbePath is the path that a probe asks for; empty leaves it to the settings.
 	ProbePath string
-	// Connections is the number of connections that a target accepts from all callers; 0 leaves it to the settings.
-	Connections int
 }
 
 // Limits of a document. They are constants rather than settings because validity depends on the bytes alone.
