soak: addresses of a run come from a network of its own

Cause: the ports of the last change were random and could collide between runs; internal/e2e already gives a run a loopback network of its own.

--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -93,7 +93,7 @@
 	if err := os.MkdirAll(d.ledgers, 0o700); err != nil {
 		return eris.Wrap(err, "make ledger directory")
 	}
-	addrs := ownAddresses(1 + d.cfg.Targets + 3*d.cfg.Entries)
+	addrs := OwnAddresses(1 + d.cfg.Targets + 3*d.cfg.Entries)
 	d.Platform, addrs = addrs[0], addrs[1:]
 	d.Targets, addrs = addrs[:d.cfg.Targets], addrs[d.cfg.Targets:]
 	d.Callers, addrs = addrs[:d.cfg.Entries], addrs[d.cfg.Entries:]
@@ -276,9 +276,9 @@
 	return sum
 }
 
-// ownAddresses returns n addresses on a random loopback network, with ports that no outgoing connection takes. They stay
+// OwnAddresses returns n addresses on a random loopback network, with ports that no outgoing connection takes. They stay
 // free while a process is started again.
-func ownAddresses(n int) []string {
+func OwnAddresses(n int) []string {
 	network := loopbackNetwork()
 	list := make([]string, n)
 	for i := range list {
