standin: demo and load tool on the users' platform

Cause: the demo and the load tool ran only on the project's own protocol, so a newcomer could not see the adapter at work without the users' bench.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 demo: build
 	bin/standin demo
+	bin/standin demo --users-platform
 
 # MEASURE selects one measurement, MEASURE_FLAGS its flags; "bin/standin measure --help" lists both.
 MEASURE ?= all
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -21,13 +21,19 @@
 
 func newDemo() *cobra.Command {
 	var binaries string
+	var usersPlatform bool
 	cmd := &cobra.Command{
 		Use: "demo", Short: "Serve lookups and bookings through two entry instances", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return withCluster(binaries, func(c *e2e.Cluster) error { return demo(cmd.Context(), c, cmd.OutOrStdout()) })
+			run := demo
+			if usersPlatform {
+				run = demoPlatform
+			}
+			return withCluster(binaries, func(c *e2e.Cluster) error { return run(cmd.Context(), c, cmd.OutOrStdout()) })
 		},
 	}
 	binariesFlag(cmd, &binaries)
+	cmd.Flags().BoolVar(&usersPlatform, "users-platform", false, "on stand-ins of the users' platform")
 	return cmd
 }
 
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -15,10 +15,14 @@
 	cfg := standin.LoadConfig{Mix: standin.DefaultMix, Wait: standin.DefaultWait()}
 	stage := standin.Stage{Phase: standin.PhaseBefore}
 	var ledgers []string
+	var usersHost string
 	cmd := &cobra.Command{
 		Use: "load", Short: "Open-loop callers; optionally compares with ledger files", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			cfg.Stages = []standin.Stage{stage}
+			if usersHost != "" {
+				speakUsersPlatform(&cfg, usersHost)
+			}
 			result := standin.RunLoad(cmd.Context(), cfg)
 			for _, class := range []core.Class{core.ClassLookup, core.ClassPatient, core.ClassOnce} {
 				h := result.Latency(class, stage.Phase)
@@ -37,6 +41,7 @@
 	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the schedule")
 	f.Float64Var(&cfg.Mix.Lookup, "lookup", cfg.Mix.Lookup, "share of lookups")
 	f.Float64Var(&cfg.Mix.Patient, "patient", cfg.Mix.Patient, "share of patient requests; the rest are bookings")
+	f.StringVar(&usersHost, "users-platform", "", "host of the routes on the users' platform, whose headers are then spoken")
 	_ = cmd.MarkFlagRequired("entry")
 	return cmd
 }
--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -190,6 +190,9 @@
 	return put("http://"+addr+"/control/instances", bytes.NewReader(text))
 }
 
+// Put stores a text with a PUT of url.
+func Put(url string, text []byte) error { return put(url, bytes.NewReader(text)) }
+
 func put(url string, body io.Reader) error {
 	req, err := http.NewRequest(http.MethodPut, url, body)
 	if err != nil {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -56,6 +56,24 @@
 	Wait map[core.Class]time.Duration
 	// Deadline, if set, is sent with each request. It should be shorter than Wait, so that the answer still arrives.
 	Deadline time.Duration
+	// Dialect, if set, writes id and deadline of each request in the headers of another platform, and Host is sent with
+	// it. What the response says is then read from its status.
+	Dialect wire.Dialect
+	Host    string
+	// Answer returns the body that a request with an id and a body is answered with; nil means the id.
+	Answer func(id, body string) string
+}
+
+// answer returns the body that the request of an arrival is answered with.
+func (c *LoadConfig) answer(a arrival) string {
+	if c.Answer == nil {
+		return a.id
+	}
+	body := ""
+	if a.class == core.ClassOnce {
+		body = a.id
+	}
+	return c.Answer(a.id, body)
 }
 
 // DefaultWait is how long callers wait unless configured.
@@ -194,9 +212,13 @@
 		rec.end(due, OutcomeBroken, err)
 		return rec
 	}
-	rec.end(due, told(resp), nil)
+	if g.cfg.Dialect == nil {
+		rec.end(due, told(resp), nil)
+	} else {
+		rec.end(due, toldByStatus(resp.StatusCode), nil)
+	}
 	rec.Reason = resp.Header.Get(wire.HeaderReason)
-	rec.Wrong = resp.StatusCode == http.StatusOK && string(body) != a.id
+	rec.Wrong = resp.StatusCode == http.StatusOK && string(body) != g.cfg.answer(a)
 	return rec
 }
 
@@ -213,12 +235,29 @@
 		panic(err) // the address is not an address
 	}
 	req.Header.Set(LedgerHeader, a.id)
+	if d := g.cfg.Dialect; d != nil {
+		req.Host = g.cfg.Host
+		d.Forward(req.Header, wire.Forward{RequestID: a.id})
+		d.Address(req.Header, "", g.cfg.Wait[a.class])
+		return req
+	}
 	if g.cfg.Deadline > 0 {
 		req.Header.Set(wire.HeaderDeadline, wire.FormatDeadline(g.cfg.Deadline))
 	}
 	return req
 }
 
+// toldByStatus returns what a status says about the execution where no header does.
+func toldByStatus(status int) wire.Outcome {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return wire.OutcomeNotRun
+	case status < http.StatusInternalServerError:
+		return wire.OutcomeAnswered
+	}
+	return wire.OutcomeUnknown
+}
+
 // told returns what the response says about the execution. A response without the header comes from a target itself.
 func told(resp *http.Response) wire.Outcome {
 	if outcome := resp.Header.Get(wire.HeaderOutcome); outcome != "" {
--- a/internal/standin/load_test.go
+++ b/internal/standin/load_test.go
@@ -58,3 +58,13 @@
 	r.Add(load, &Comparison{}, RunUsage{FaultTime: 2 * time.Second})
 	require.InDelta(t, 0.5, r.goodput(core.ClassLookup), 1e-9)
 }
+
+// Guards against a load tool that takes a refusal of another platform for an answer, or an answer for a refusal.
+func TestToldByStatus(t *testing.T) {
+	for status, want := range map[int]wire.Outcome{
+		200: wire.OutcomeAnswered, 404: wire.OutcomeAnswered, 429: wire.OutcomeNotRun, 503: wire.OutcomeNotRun,
+		500: wire.OutcomeUnknown, 502: wire.OutcomeUnknown, 504: wire.OutcomeUnknown,
+	} {
+		require.Equal(t, want, toldByStatus(status), status)
+	}
+}
