--- a/cmd/standin/demo_platform.go
+++ b/cmd/standin/demo_platform.go
@@ -64,7 +64,7 @@
 	routes := []users.Route{{Prefix: "/records/", Service: demoService, Repeatable: true}, {Prefix: "/bookings/", Service: demoService}}
 	text, err := users.Configuration(1, demoHost, routes)
 	if err == nil {
-		err = e2e.Put("http://"+store+"/control/items/op/config", text)
+		err = e2e.Put("http://"+store+"/control/items/"+users.ConfigurationKey, text)
 	}
 	if err != nil {
 		return nil, err
@@ -85,7 +85,7 @@
 		}
 		text, err := entry.Text()
 		if err == nil {
-			err = e2e.Put("http://"+store+"/control/items/servers/"+id, text)
+			err = e2e.Put("http://"+store+"/control/items/"+users.ServerKey(id), text)
 		}
 		if err != nil {
 			return nil, err
