--- a/cmd/standin/demo_platform.go
+++ b/cmd/standin/demo_platform.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -113,21 +111,16 @@
 
 // judgeDemo compares the ledgers of the servers with what callers were told.
 func judgeDemo(out io.Writer, result *standin.LoadResult, servers []*e2e.Process) error {
-	runs := make(map[string]int)
+	runs := make(map[string][]users.Run)
 	for _, p := range servers {
-		for line := range strings.Lines(p.Output()) {
-			var run users.Run
-			if json.Unmarshal([]byte(line), &run) == nil && run.Request != "" {
-				runs[run.Request]++
-			}
-		}
+		users.AddRuns(runs, p.Output())
 	}
 	served, wrong := 0, 0
 	for _, rec := range result.Records {
 		if rec.Served() {
 			served++
 		}
-		if rec.Wrong || rec.Refused() && runs[rec.ID] > 0 || rec.Served() && runs[rec.ID] == 0 {
+		if rec.Wrong || rec.Refused() && len(runs[rec.ID]) > 0 || rec.Served() && len(runs[rec.ID]) == 0 {
 			wrong++
 		}
 	}
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -9,7 +9,7 @@
 //
 // It answers bursts beyond what the targets can take: requests that can still meet their objective go before those that
 // cannot, by priority and then in order of arrival, so that late work never makes more work late. Requests that are late
-// get what room the others leave, mostly on targets that are slow at the moment, and are refused after a while without.
+// get room only while no others had to wait for it lately, and are refused after the time of one run without.
 type backlog struct {
 	waiting []*request
 	// asked is the number of times in a row that targets were asked without finding room.
