core: keep latencies by rule and class, not by class

Cause: the run time that decides whether a request can be in time was kept by class. Ruled out: processes still dark or without a view after the power cut (view 10 to 15 ms after the start), full targets (mean 1.6 of 2 in use at 35 s while every third request was late), the other service (its requests were in time). Change: RequestArrived names its rule; medians, tails, hedge delays and run times are kept by rule and class, at most 256 per service. A target's latency is compared in units of what its requests usually take. The first three answers of a kind cannot be slow.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -49,18 +49,18 @@
 }
 
 // requestsPerSecond returns the rate at which requests leave the queue. Ended attempts show it once the queue has been
-// busy for the whole window; before that the attempts in flight and their typical latency do.
-func (s *Service) requestsPerSecond(now Instant) float64 {
+// busy for the whole window; before that the attempts in flight and the given latency do.
+func (s *Service) requestsPerSecond(now Instant, latency time.Duration) float64 {
 	s.drained.advance(now)
 	if s.drained.busy && now-s.drained.busySince >= drainWindow && s.drained.total > 0 {
 		return float64(s.drained.total) / drainWindow.Seconds()
 	}
-	return float64(max(s.inFlight, 1)) / s.typicalLatency().Seconds()
+	return float64(max(s.inFlight, 1)) / latency.Seconds()
 }
 
 // expectedWait returns how long a new request of the class would wait in the queue.
 func (s *Service) expectedWait(now Instant, class Class) time.Duration {
-	rate := s.requestsPerSecond(now)
+	rate := s.requestsPerSecond(now, s.typicalLatency())
 	ahead := s.queue.urgentLength()
 	patient := s.queue.classes[ClassPatient].length
 	switch {
@@ -88,7 +88,7 @@
 		return s.refuse(now, r, ReasonQueueFull, out)
 	}
 	wait := time.Duration(waitMargin * float64(s.expectedWait(now, r.class)))
-	if r.started == 0 && now+wait+s.typicalLatency() > r.deadline {
+	if r.started == 0 && now+wait+s.typicalFor(r) > r.deadline {
 		return s.refuse(now, r, ReasonInfeasible, out)
 	}
 	r.phase = phaseQueued
@@ -113,7 +113,7 @@
 func (s *Service) dispatchQueue(now Instant, out []Effect) []Effect {
 	for s.queue.length() > 0 {
 		r := s.queue.head()
-		if now+s.typicalLatency() > r.deadline {
+		if now+s.typicalFor(r) > r.deadline {
 			s.dequeue(now, r)
 			out = s.refuse(now, r, ReasonDeadline, out)
 			continue
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -66,7 +66,7 @@
 func (s *Service) sendTrial(now Instant, r *request, t *targetState, out []Effect) []Effect {
 	out = s.send(now, r, t, out)
 	r.attempts[0].trial = true
-	r.hedgeAt = now + trialHedgeRatio*s.typicalLatency()
+	r.hedgeAt = now + trialHedgeRatio*s.typicalFor(r)
 	s.scheduleRequest(r)
 	return out
 }
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -93,7 +93,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) / s.requestsPerSecond(now) * float64(time.Second))
+	return time.Duration(float64(ahead) / s.requestsPerSecond(now, s.runTime(r)) * float64(time.Second))
 }
 
 // dispatchBacklog sends waiting requests while targets have reported room. A request for which no such target is good
--- a/pkg/core/bench_test.go
+++ b/pkg/core/bench_test.go
@@ -20,7 +20,7 @@
 	for i, t := range s.order {
 		now := Instant(i) * time.Microsecond
 		s.noteLoad(now, t, LoadReport{InUse: i % 5, Slots: 4}, 0)
-		s.median.observe(5 * time.Millisecond)
+		s.latencies.median.observe(5 * time.Millisecond)
 		s.observe(now, t, time.Duration(4+i%3)*time.Millisecond)
 	}
 	return s
@@ -32,7 +32,7 @@
 			b.Run(fmt.Sprintf("targets=%d/%s", n, method), func(b *testing.B) {
 				s := benchService(n, method)
 				s.rng.Seed(1, 2)
-				r := &request{class: ClassLookup}
+				r := &request{class: ClassLookup, latencies: &s.latencies}
 				b.ReportAllocs()
 				for b.Loop() {
 					if s.choose(10*time.Millisecond, r, false) == nil {
@@ -54,7 +54,7 @@
 				for _, t := range s.order {
 					t.backoffUntil = time.Hour
 				}
-				r := &request{class: ClassLookup}
+				r := &request{class: ClassLookup, latencies: &s.latencies}
 				b.ReportAllocs()
 				for b.Loop() {
 					s.full = s.full && name == "next"
--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -155,5 +155,5 @@
 		return
 	}
 	s.restore(now, t)
-	s.observe(now, t, a.elapsed(now))
+	s.observe(now, t, s.comparable(a.request, a.elapsed(now)))
 }
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -48,20 +48,99 @@
 	q.value = max(q.value, time.Microsecond)
 }
 
-// typicalLatency returns the median latency of the service.
-func (s *Service) typicalLatency() time.Duration {
-	if s.median.samples == 0 {
+// latencies are the times to the answers of a group of requests.
+type latencies struct {
+	median, tail quantile
+	// hedge is the quantile after which a request is hedged.
+	hedge quantile
+	// run is the median time on an undisturbed target.
+	run quantile
+	// usedAt is the time of the latest request.
+	usedAt Instant
+}
+
+func newLatencies(hedgeQuantile float64) latencies {
+	return latencies{median: quantile{p: 0.5}, tail: quantile{p: tailQuantile}, hedge: quantile{p: hedgeQuantile}, run: quantile{p: 0.5}}
+}
+
+func (l *latencies) observe(elapsed time.Duration) {
+	l.median.observe(elapsed)
+	l.tail.observe(elapsed)
+	l.hedge.observe(elapsed)
+}
+
+// typical returns the median latency.
+func (l *latencies) typical() time.Duration {
+	if l.median.samples == 0 {
 		return typicalDefault
 	}
-	return max(s.median.value, typicalFloor)
+	return max(l.median.value, typicalFloor)
+}
+
+// slowAfter returns the time from which an answer counts as slow. The quantile adapts it to widely spread latencies,
+// where a multiple of the median alone is exceeded all the time.
+func (l *latencies) slowAfter() time.Duration { return max(l.tail.value, tailRatio*l.typical()) }
+
+// usualSamples is the number of answers before one of the same kind can be slow.
+const usualSamples = 3
+
+// kind groups the requests whose latencies are comparable. The rules of one service may differ by orders of magnitude: a
+// few requests of a short one would make those of a long one look slow.
+type kind struct {
+	rule  string
+	class Class
+}
+
+// maxKinds bounds the kinds of requests whose latencies are kept for one service. Configurations have hundreds of rules,
+// but only some of them see traffic.
+const maxKinds = 256
+
+// latenciesOf returns the latencies of requests of one kind. Beyond maxKinds it forgets the kind that was not used for
+// the longest time.
+func (s *Service) latenciesOf(now Instant, k kind) *latencies {
+	l := s.kinds[k]
+	if l == nil {
+		if len(s.kinds) >= maxKinds {
+			delete(s.kinds, s.longestUnused())
+		}
+		fresh := newLatencies(s.policy.HedgeQuantile)
+		l = &fresh
+		s.kinds[k] = l
+	}
+	l.usedAt = now
+	return l
+}
+
+func (s *Service) longestUnused() kind {
+	var oldest kind
+	at := never
+	for k, l := range s.kinds {
+		if l.usedAt < at {
+			oldest, at = k, l.usedAt
+		}
+	}
+	return oldest
 }
 
-// slowAfter returns the time from which an answer counts as slow. The quantile adapts it to services with widely spread
-// latencies, where a multiple of the median alone is exceeded all the time.
-func (s *Service) slowAfter() time.Duration { return max(s.tail.value, tailRatio*s.typicalLatency()) }
+// typicalLatency returns the median latency of the service.
+func (s *Service) typicalLatency() time.Duration { return s.latencies.typical() }
+
+// typicalFor returns the median latency of requests like r, or that of the service while it is not known.
+func (s *Service) typicalFor(r *request) time.Duration {
+	if r.latencies.median.samples == 0 {
+		return s.typicalLatency()
+	}
+	return r.latencies.typical()
+}
+
+// comparable converts the time that a request took into what one of the typical latency of the service would have taken,
+// so that the latencies of a target can be compared whatever it works on.
+func (s *Service) comparable(r *request, elapsed time.Duration) time.Duration {
+	return time.Duration(float64(elapsed) * float64(s.typicalLatency()) / float64(s.typicalFor(r)))
+}
 
 const (
-	// runSamples is the number of answers before the run time of a class is trusted.
+	// runSamples is the number of answers before the run time of a kind of requests is trusted.
 	runSamples = 3
 	// runEstimateMax is the highest estimate at which an answer counts as that of an undisturbed target. How much longer
 	// a disturbed one takes is known too roughly to tell the run time from it.
@@ -73,7 +152,7 @@
 
 // runTime returns the median time in which an undisturbed target answers requests like r.
 func (s *Service) runTime(r *request) time.Duration {
-	if q := &s.runs[r.class]; q.samples >= runSamples {
+	if q := &r.latencies.run; q.samples >= runSamples {
 		return q.value
 	}
 	return time.Duration(runShare * float64(r.objective-r.arrived))
@@ -82,7 +161,7 @@
 // observeRun takes the time to an answer as a run time if its target was undisturbed.
 func (s *Service) observeRun(a *attempt, elapsed time.Duration) {
 	if a.estimate > 0 && a.estimate <= runEstimateMax {
-		s.runs[a.request.class].observe(time.Duration(float64(elapsed) / a.estimate))
+		a.request.latencies.run.observe(time.Duration(float64(elapsed) / a.estimate))
 	}
 }
 
--- a/pkg/core/evidence.go
+++ b/pkg/core/evidence.go
@@ -37,24 +37,24 @@
 	case !ev.Failed && (ev.Outcome == OutcomeAnswered || a.answered != never):
 		return s.succeeded(now, a, elapsed, out)
 	}
-	return false, s.failed(now, t, max(elapsed, failureRatio*s.typicalLatency()), out)
+	return false, s.failed(now, t, max(s.comparable(a.request, elapsed), failureRatio*s.typicalLatency()), out)
 }
 
 // learnCancelled takes the evidence of an attempt that was ended early: it would have taken longer than it was given.
 func (s *Service) learnCancelled(now Instant, a *attempt, elapsed time.Duration, out []Effect) []Effect {
-	if elapsed > s.slowAfter() {
+	if elapsed > a.request.latencies.slowAfter() {
 		s.countSlow(now, a.target, true)
 	}
-	s.observeAtLeast(now, a.target, elapsed)
+	s.observeAtLeast(now, a.target, s.comparable(a.request, elapsed))
 	return s.updateEjection(now, a.target, ReasonSlow, out)
 }
 
 func (s *Service) succeeded(now Instant, a *attempt, elapsed time.Duration, out []Effect) (bool, []Effect) {
-	t := a.target
-	good := elapsed <= s.slowAfter()
-	s.median.observe(elapsed)
-	s.tail.observe(elapsed)
-	s.hedgeDelay[a.request.class].observe(elapsed)
+	t, l := a.target, a.request.latencies
+	// The first answers show what is usual.
+	good := l.median.samples < usualSamples || elapsed <= l.slowAfter()
+	l.observe(elapsed)
+	s.latencies.observe(elapsed)
 	s.observeRun(a, elapsed)
 	s.raiseLimit(t)
 	if a.sentAt >= t.shedAt {
@@ -64,7 +64,7 @@
 		return good, out
 	}
 	s.countSlow(now, t, !good)
-	s.observe(now, t, elapsed)
+	s.observe(now, t, s.comparable(a.request, elapsed))
 	return good, s.updateEjection(now, t, ReasonSlow, out)
 }
 
--- a/pkg/core/hedge_test.go
+++ b/pkg/core/hedge_test.go
@@ -7,6 +7,11 @@
 	"github.com/stretchr/testify/require"
 )
 
+// hedgeDelay returns the time after which a lookup is hedged.
+func (rt *runtime) hedgeDelay() time.Duration {
+	return rt.s.kinds[kind{class: ClassLookup}].hedge.value
+}
+
 // TestHedge guards against a lookup that waits for a slow target, a hedge on the same target and a late answer of the
 // loser being delivered.
 func TestHedge(t *testing.T) {
@@ -14,7 +19,7 @@
 	rt.settleLatency()
 	for range 8 {
 		r := rt.arrive(ClassLookup, time.Second)
-		rt.advance(2 * rt.s.hedgeDelay[ClassLookup].value)
+		rt.advance(2 * rt.hedgeDelay())
 		require.Len(t, rt.live, 2)
 		slow, hedge := rt.live[0], rt.live[1]
 		require.NotEqual(t, slow.target, hedge.target)
@@ -26,7 +31,7 @@
 	}
 
 	// The hedge falls due at the deadline of the request, which the attempt in flight outlives by the grace.
-	rt.arrive(ClassLookup, rt.s.hedgeDelay[ClassLookup].value)
+	rt.arrive(ClassLookup, rt.hedgeDelay())
 	rt.advance(time.Second)
 	require.Len(t, rt.live, 1)
 }
@@ -50,7 +55,7 @@
 func TestHedgeReserve(t *testing.T) {
 	rt := newTestRuntime(t, 15, func(p *Policy) { p.HedgeRatio, p.HedgeFloor = 0, 5 })
 	rt.settleLatency()
-	delay := rt.s.hedgeDelay[ClassLookup].value
+	delay := rt.hedgeDelay()
 	for range 10 {
 		rt.arrive(ClassLookup, time.Second)
 	}
--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -9,7 +9,7 @@
 	warmupFactor = 2
 	// fullFactor is the slowdown of a target whose last free slot is taken.
 	fullFactor = 1.7
-	// calmRuns is the number of typical latencies without a waiting request after which late requests are served: slots
+	// calmRuns is the number of run times without a waiting request after which late requests are served: slots
 	// that were full then have become free about twice.
 	calmRuns = 2
 	// remoteCost is the estimate added for a target in another zone: the traffic between zones costs more than the round
@@ -88,7 +88,7 @@
 // on a slow target for longest, which by the time it ends would be fast again. Otherwise it leaves room for one more, as
 // does a request while more urgent ones had to wait.
 func (s *Service) roomFor(now Instant, r *request) int {
-	calm := now - calmRuns*s.typicalLatency()
+	calm := now - calmRuns*s.runTime(r)
 	late := s.late(now, r)
 	for priority, at := range s.pressedAt {
 		if at <= calm || at == 0 {
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -147,7 +147,7 @@
 		return s.failed(now, t, failureRatio*s.typicalLatency(), out)
 	}
 	s.noteLoad(now, t, ev.Load, 0)
-	if !overtaken && ev.Latency <= s.slowAfter() {
+	if !overtaken && ev.Latency <= s.latencies.slowAfter() {
 		s.offerTrial(now, t)
 	}
 	return s.dispatch(now, nil, out)
--- a/pkg/core/replay_test.go
+++ b/pkg/core/replay_test.go
@@ -37,7 +37,9 @@
 
 // replayCall is one request with what became of it.
 type replayCall struct {
+	rule      string
 	class     Class
+	run       time.Duration // undisturbed time
 	arrived   Instant
 	answered  Instant // zero without an answer
 	refused   Instant // zero without a refusal
@@ -136,6 +138,11 @@
 
 // load sends requests at a rate per second for a time, to random instances.
 func (r *replay) load(perSecond float64, duration time.Duration, class Class, priority int) {
+	r.loadRule(perSecond, duration, replayCall{class: class, run: replayRun}, priority)
+}
+
+// loadRule sends requests like the given one.
+func (r *replay) loadRule(perSecond float64, duration time.Duration, like replayCall, priority int) {
 	end := r.now + duration
 	var next func()
 	next = func() {
@@ -143,11 +150,15 @@
 			return
 		}
 		i := r.instances[r.rng.IntN(len(r.instances))]
-		c := &replayCall{class: class, arrived: r.now, objective: r.now + replayObjective}
-		r.calls = append(r.calls, c)
+		c := like
+		c.arrived, c.objective = r.now, r.now+replayObjective
+		r.calls = append(r.calls, &c)
 		id := RequestID(len(r.calls))
-		i.calls[id] = c
-		i.apply(RequestArrived{Request: id, Class: class, Priority: priority, Deadline: r.now + replayDeadline, Objective: c.objective})
+		i.calls[id] = &c
+		i.apply(RequestArrived{
+			Request: id, Class: c.class, Rule: c.rule, Priority: priority,
+			Deadline: r.now + replayDeadline, Objective: c.objective,
+		})
 		r.after(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	next()
@@ -196,6 +207,7 @@
 			i.apply(AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load})
 		})
 	}
+	run := i.calls[e.Request].run
 	work := func() {
 		t.running++
 		pace := t.pace
@@ -203,7 +215,7 @@
 			pace *= fullFactor
 		}
 		spread := (0.7 + 0.6*i.rng.Float64()) * i.untold
-		i.after(time.Duration(pace*spread*float64(replayRun)), func() {
+		i.after(time.Duration(pace*spread*float64(run)), func() {
 			t.running--
 			end(OutcomeAnswered, "")
 			if len(t.held) > 0 {
@@ -311,3 +323,20 @@
 	t.Logf("in time after the slowness %.2f", after)
 	require.Greater(t, after, 0.95)
 }
+
+// Guards against latencies that are taken for those of all requests of a class: a rule whose requests take a hundredth of
+// the time, as checks of a new rule do after every start, must not make the others look hopeless or slow targets fast.
+func TestReplayOfRulesOfDifferentLength(t *testing.T) {
+	r := newReplay(SelectAsk, 14, 16)
+	short := replayCall{rule: "check", class: ClassLookup, run: replayRun / 100}
+	r.loadRule(10*14, time.Second, short, 0)
+	r.run(time.Second)
+	r.load(0.5*replayCapacity(16), 10*time.Second, ClassLookup, 0)
+	r.loadRule(2, 10*time.Second, short, 0)
+	r.run(15 * time.Second)
+	first := r.share(time.Second, 4*time.Second, ClassLookup, (*replayCall).inTime)
+	all := r.share(time.Second, 11*time.Second, ClassLookup, (*replayCall).inTime)
+	t.Logf("in time: %.3f in the first seconds, %.3f altogether", first, all)
+	require.Greater(t, first, 0.95)
+	require.Greater(t, all, 0.95)
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -37,6 +37,7 @@
 	priority    int
 	maxAttempts int
 	due         due
+	latencies   *latencies // of requests of its kind
 
 	asked       []*targetState // targets whose answers it waits for
 	askUntil    Instant
@@ -102,6 +103,7 @@
 		objective: ev.Objective, priority: ev.Priority, maxAttempts: ev.MaxAttempts,
 		attempts: attempts, targets: targets, asked: asked, retryAt: never, hedgeAt: never, askUntil: never,
 	}
+	r.latencies = s.latenciesOf(now, kind{rule: ev.Rule, class: r.class})
 	if r.objective == 0 {
 		r.objective = r.deadline
 	}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -41,7 +41,7 @@
 
 // planHedge sets the time of the hedge for the attempt just sent.
 func (s *Service) planHedge(now Instant, r *request) {
-	q := &s.hedgeDelay[r.class]
+	q := &r.latencies.hedge
 	r.hedgeAt = never
 	if r.class != ClassOnce && !r.hedged && q.p > 0 && q.samples >= hedgeSamples {
 		r.hedgeAt = now + q.value
--- a/pkg/core/selection_test.go
+++ b/pkg/core/selection_test.go
@@ -12,7 +12,7 @@
 	chosen := make(map[TargetID]int)
 	rt.s.rng.Seed(7, 7)
 	for range count {
-		chosen[rt.s.choose(rt.now, &request{class: class}, false).id]++
+		chosen[rt.s.choose(rt.now, &request{class: class, latencies: &rt.s.latencies}, false).id]++
 	}
 	return chosen
 }
@@ -37,7 +37,7 @@
 				rt.s.noteLoad(0, target, LoadReport{InUse: target.inFlight, Slots: 4}, 0)
 			}
 			rt.s.noteLoad(0, targets[1], LoadReport{InUse: 9, Slots: 4}, 0)
-			rt.s.median.observe(fast)
+			rt.s.latencies.median.observe(fast)
 			targets[2].latency, targets[2].hasLatency = 2*fast, true
 			chosen := rt.spread(600, ClassLookup)
 			for i, b := range want {
@@ -51,7 +51,7 @@
 // TestReportAge guards against avoiding or preferring a target for a load that it reported long ago.
 func TestReportAge(t *testing.T) {
 	rt := newTestRuntime(t, 2)
-	rt.s.median.observe(fast)
+	rt.s.latencies.median.observe(fast)
 	rt.step(LoadReported{Target: targetID(0), Load: LoadReport{InUse: 0, Slots: 4}})
 	rt.step(LoadReported{Target: targetID(1), Load: LoadReport{InUse: 8, Slots: 4}})
 	require.Zero(t, rt.spread(100, ClassLookup)[targetID(1)])
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -56,25 +56,20 @@
 	trials     []*targetState // ejected targets that wait for a trial
 	sinceTrial int            // requests since the last trial
 
-	meanOthers float64  // mean of the reported load without our own requests
-	median     quantile // of the latency of the service
-	tail       quantile
-	hedgeDelay [numClasses]quantile
-	runs       [numClasses]quantile // time to an answer on an undisturbed target
+	meanOthers float64 // mean of the reported load without our own requests
+	latencies  latencies
+	kinds      map[kind]*latencies
 }
 
 // NewService returns an empty service.
 func NewService(p Policy) *Service {
 	s := &Service{
-		armed:    never,
-		requests: make(map[RequestID]*request),
-		targets:  make(map[TargetID]*targetState),
-		lineages: make(map[TargetID]*lineage),
-		median:   quantile{p: 0.5},
-		tail:     quantile{p: tailQuantile},
-	}
-	for i := range s.runs {
-		s.runs[i].p = 0.5
+		armed:     never,
+		requests:  make(map[RequestID]*request),
+		targets:   make(map[TargetID]*targetState),
+		lineages:  make(map[TargetID]*lineage),
+		latencies: newLatencies(p.HedgeQuantile),
+		kinds:     make(map[kind]*latencies),
 	}
 	s.setPolicy(0, p)
 	return s
@@ -125,8 +120,9 @@
 
 func (s *Service) setPolicy(now Instant, p Policy) {
 	s.policy = p
-	for i := range s.hedgeDelay {
-		s.hedgeDelay[i].p = p.HedgeQuantile
+	s.latencies.hedge.p = p.HedgeQuantile
+	for _, l := range s.kinds {
+		l.hedge.p = p.HedgeQuantile
 	}
 	s.refreshTargets(now)
 	s.planProbe(now)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -159,6 +159,8 @@
 type RequestArrived struct {
 	Request RequestID
 	Class   Class
+	// Rule names the rule that the request matched; requests of one rule and class take about the same time.
+	Rule string
 	// Deadline is the time at which the caller stops waiting.
 	Deadline Instant
 	// Objective is the time until which an answer has its full value; zero stands for Deadline.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -78,7 +78,7 @@
 // arrival describes the request to the reducer.
 func (c *call) arrival(ck clock) core.RequestArrived {
 	ev := core.RequestArrived{
-		Class: c.rule.Class, Priority: c.rule.Priority, MaxAttempts: c.rule.MaxAttempts, Hops: c.stated.Hops,
+		Class: c.rule.Class, Rule: c.rule.Name, Priority: c.rule.Priority, MaxAttempts: c.rule.MaxAttempts, Hops: c.stated.Hops,
 	}
 	if c.rule.Objective > 0 {
 		ev.Objective = ck.instant(c.arrived.Add(c.rule.Objective))
