core: tell callers that come back after a refusal from first ones

Their objective of 0.3 s had passed, but they were treated as first attempts: ahead of late requests, and in the room of those that could still be in time. Change: RequestArrived carries the time that the caller states. A request that states less than queue.first_share of the longest time stated lately for its rule has come back; its objective began at least that much earlier. Logged as waited_before_ms.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -56,7 +56,7 @@
 
 // situation describes how r stands, without a target.
 func (s *Service) situation(now Instant, r *request) Basis {
-	b := Basis{Waited: now - r.arrived, Attempt: r.started, Waiting: len(s.backlog.waiting) + s.queue.length()}
+	b := Basis{Waited: now - r.arrived, WaitedBefore: r.waitedBefore, Attempt: r.started, Waiting: len(s.backlog.waiting) + s.queue.length()}
 	if s.asks() {
 		b.Run = s.runTime(r)
 	}
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -54,7 +54,8 @@
 	// hedge is the quantile after which a request is hedged.
 	hedge quantile
 	// run is the median time on an undisturbed target.
-	run quantile
+	run    quantile
+	stated statedWaits
 	// usedAt is the time of the latest request.
 	usedAt Instant
 }
@@ -155,7 +156,7 @@
 	if q := &r.latencies.run; q.samples >= runSamples {
 		return q.value
 	}
-	return time.Duration(runShare * float64(r.objective-r.arrived))
+	return time.Duration(runShare * float64(r.objective+r.waitedBefore-r.arrived))
 }
 
 // observeRun takes the time to an answer as a run time if its target was undisturbed.
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -31,6 +31,9 @@
 	SlotsPerTarget int
 	// Instances is the number of entry instances that share the targets.
 	Instances int
+	// FirstShare is the share of the longest stated wait that callers state at least with a first attempt. A caller that
+	// states less has come back, and its objective began earlier. 0 takes every request for a first attempt.
+	FirstShare float64
 	// QueueLimit bounds the waiting requests of each class.
 	QueueLimit int
 	// MaxAttempts bounds the attempts of one request, hedges included.
--- a/pkg/core/replay_test.go
+++ b/pkg/core/replay_test.go
@@ -45,6 +45,9 @@
 	answered  Instant // zero without an answer
 	refused   Instant // zero without a refusal
 	objective Instant
+	deadline  Instant
+	priority  int
+	returns   int // times that the caller comes back after a refusal
 }
 
 func (c *replayCall) inTime() bool { return c.answered > 0 && c.answered <= c.objective }
@@ -79,7 +82,8 @@
 	targets   map[TargetID]*replayTarget
 	instances []*replayInstance
 	calls     []*replayCall
-	attempts  int
+	sent      int     // requests of callers
+	attempts  int     // attempts of instances
 	untold    float64 // slowdown of all targets that their reports do not show
 }
 
@@ -139,32 +143,51 @@
 
 // load sends requests at a rate per second for a time, to random instances.
 func (r *replay) load(perSecond float64, duration time.Duration, class Class, priority int) {
-	r.loadRule(perSecond, duration, replayCall{class: class, run: replayRun}, priority)
+	r.loadRule(perSecond, duration, replayCall{class: class, run: replayRun, priority: priority})
 }
 
-// loadRule sends requests like the given one.
-func (r *replay) loadRule(perSecond float64, duration time.Duration, like replayCall, priority int) {
+// loadRule sends requests like the given one. Callers wait for replayDeadline or up to a fifth
+// longer.
+func (r *replay) loadRule(perSecond float64, duration time.Duration, like replayCall) {
 	end := r.now + duration
 	var next func()
 	next = func() {
 		if r.now >= end {
 			return
 		}
-		i := r.instances[r.rng.IntN(len(r.instances))]
 		c := like
 		c.arrived, c.objective = r.now, r.now+replayObjective
+		c.deadline = r.now + time.Duration((1+r.rng.Float64()/5)*float64(replayDeadline))
 		r.calls = append(r.calls, &c)
-		id := RequestID(len(r.calls))
-		i.calls[id] = &c
-		i.apply(RequestArrived{
-			Request: id, Class: c.class, Rule: c.rule, Priority: priority,
-			Deadline: r.now + replayDeadline, Objective: c.objective,
-		})
+		r.send(&c)
 		r.after(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	next()
 }
 
+// send sends an attempt of a caller to a random instance.
+func (r *replay) send(c *replayCall) {
+	i := r.instances[r.rng.IntN(len(r.instances))]
+	r.sent++
+	id := RequestID(r.sent)
+	i.calls[id] = c
+	c.refused = 0
+	i.apply(RequestArrived{
+		Request: id, Class: c.class, Rule: c.rule, Priority: c.priority,
+		Deadline: c.deadline, Stated: c.deadline - r.now, Objective: r.now + replayObjective,
+	})
+}
+
+// refuse ends an attempt of a caller, who comes back when told, but waits no longer than a third of the time left.
+func (r *replay) refuse(c *replayCall, e Effect) {
+	c.refused = r.now
+	if c.returns == 0 || !e.NotRun {
+		return
+	}
+	c.returns--
+	r.after(min(e.RetryAfter, (c.deadline-r.now)/3), func() { r.send(c) })
+}
+
 func (i *replayInstance) apply(ev Event) {
 	for _, e := range i.service.Reduce(Input{Now: i.now, Rand: i.rng.Uint64(), Event: ev}, nil) {
 		i.perform(e)
@@ -189,7 +212,7 @@
 			}
 		})
 	case Refuse:
-		i.calls[e.Request].refused = i.now
+		i.refuse(i.calls[e.Request], e)
 	}
 }
 
@@ -352,10 +375,10 @@
 func TestReplayOfRulesOfDifferentLength(t *testing.T) {
 	r := newReplay(SelectAsk, 14, 16)
 	short := replayCall{rule: "check", class: ClassLookup, run: replayRun / 100}
-	r.loadRule(10*14, time.Second, short, 0)
+	r.loadRule(10*14, time.Second, short)
 	r.run(time.Second)
 	r.load(0.5*replayCapacity(16), 10*time.Second, ClassLookup, 0)
-	r.loadRule(2, 10*time.Second, short, 0)
+	r.loadRule(2, 10*time.Second, short)
 	r.run(15 * time.Second)
 	first := r.share(time.Second, 4*time.Second, ClassLookup, (*replayCall).inTime)
 	all := r.share(time.Second, 11*time.Second, ClassLookup, (*replayCall).inTime)
@@ -363,3 +386,45 @@
 	require.Greater(t, first, 0.95)
 	require.Greater(t, all, 0.95)
 }
+
+// Guards against repeated requests that displace first ones in a burst: the callers who come back are late whatever
+// happens, the others can still be in time.
+func TestReplayOfReturningCallers(t *testing.T) {
+	inTime := make(map[float64]float64)
+	for _, share := range []float64{0, 0.8} {
+		r := newReplay(SelectAsk, 14, 16)
+		for _, i := range r.instances {
+			p := i.service.policy
+			p.FirstShare = share
+			i.apply(PolicyChanged{Policy: p})
+		}
+		call := replayCall{class: ClassLookup, run: replayRun, returns: 2}
+		r.loadRule(0.5*replayCapacity(16), 20*time.Second, call)
+		r.run(5 * time.Second)
+		r.loadRule(1.5*replayCapacity(16), 10*time.Second, call)
+		r.run(30 * time.Second)
+		inTime[share] = r.share(6*time.Second, 15*time.Second, ClassLookup, (*replayCall).inTime)
+	}
+	t.Logf("share in time without and with telling them apart: %v", inTime)
+	require.Greater(t, inTime[0.8], inTime[0]+0.05)
+}
+
+// Guards against taking callers for returned ones because they wait a little less than others, and for first ones
+// although they come back.
+func TestWaitedBefore(t *testing.T) {
+	rt := newTestRuntime(t, 2, func(p *Policy) { p.FirstShare = 0.8 })
+	objective := func(stated time.Duration) time.Duration {
+		r := rt.s.newRequest(rt.now, RequestArrived{
+			Request: 1, Rule: "look", Stated: stated, Deadline: rt.now + stated, Objective: rt.now + 300*time.Millisecond,
+		})
+		return r.objective - rt.now
+	}
+	require.Equal(t, 300*time.Millisecond, objective(900*time.Millisecond))
+	require.Equal(t, 300*time.Millisecond, objective(time.Second))
+	require.Equal(t, 300*time.Millisecond, objective(800*time.Millisecond))
+	require.Equal(t, 200*time.Millisecond, objective(700*time.Millisecond))
+	require.Equal(t, -200*time.Millisecond, objective(300*time.Millisecond))
+	require.Equal(t, 300*time.Millisecond, objective(0), "not stated")
+	rt.now += 2 * statedSpan
+	require.Equal(t, 300*time.Millisecond, objective(300*time.Millisecond), "the callers of long ago are forgotten")
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -32,12 +32,14 @@
 	phase    phase
 	arrived  Instant
 	deadline Instant
-	// objective is the time until which an answer has its full value.
-	objective   Instant
-	priority    int
-	maxAttempts int
-	due         due
-	latencies   *latencies // of requests of its kind
+	// objective is the time until which an answer has its full value. It may have passed before the arrival.
+	objective Instant
+	// waitedBefore is how long the caller has waited at least for earlier attempts.
+	waitedBefore time.Duration
+	priority     int
+	maxAttempts  int
+	due          due
+	latencies    *latencies // of requests of its kind
 
 	asked       []*targetState // targets whose answers it waits for
 	askUntil    Instant
@@ -106,6 +108,9 @@
 	r.latencies = s.latenciesOf(now, kind{rule: ev.Rule, class: r.class})
 	if r.objective == 0 {
 		r.objective = r.deadline
+	} else {
+		r.waitedBefore = s.waitedBefore(now, r.latencies, ev.Stated)
+		r.objective -= r.waitedBefore
 	}
 	if r.maxAttempts == 0 {
 		r.maxAttempts = s.policy.MaxAttempts
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -163,7 +163,10 @@
 	Rule string
 	// Deadline is the time at which the caller stops waiting.
 	Deadline Instant
-	// Objective is the time until which an answer has its full value; zero stands for Deadline.
+	// Stated is how long the caller says that it still waits; zero if it does not say so. It differs from Deadline where
+	// the rule allows less.
+	Stated time.Duration
+	// Objective is the time until which an answer to a first attempt has its full value; zero stands for Deadline.
 	Objective Instant
 	// Priority ranks requests that wait for room, 0 first.
 	Priority int
@@ -309,6 +312,8 @@
 	Estimate float64
 	// Waited is the time from the arrival of the request to the decision.
 	Waited time.Duration
+	// WaitedBefore is how long the caller has waited at least for earlier attempts; 0 for a first one.
+	WaitedBefore time.Duration
 	// Run is how long an undisturbed target is expected to work on the request; 0 if it is not estimated.
 	Run time.Duration
 	// Attempt numbers the attempts of the request from 1; on a refusal it is the number of attempts made.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -153,7 +153,7 @@
 	b := effect.Basis
 	log.Info("attempt sent", "request", x.attempt.RequestID, "attempt", b.Attempt, "target", effect.Target,
 		"in_use", b.Report.InUse, "slots", b.Report.Slots, "pace", b.Report.Pace, "report_age_ms", b.Age.Milliseconds(),
-		"estimate", b.Estimate, "waited_ms", b.Waited.Milliseconds(), "waiting", b.Waiting)
+		"estimate", b.Estimate, "waited_ms", b.Waited.Milliseconds(), "waited_before_ms", b.WaitedBefore.Milliseconds(), "waiting", b.Waiting)
 }
 
 // logEnd logs how an attempt ended.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -80,6 +80,9 @@
 	ev := core.RequestArrived{
 		Class: c.rule.Class, Rule: c.rule.Name, Priority: c.rule.Priority, MaxAttempts: c.rule.MaxAttempts, Hops: c.stated.Hops,
 	}
+	if c.stated.Bounded {
+		ev.Stated = c.stated.Remaining
+	}
 	if c.rule.Objective > 0 {
 		ev.Objective = ck.instant(c.arrived.Add(c.rule.Objective))
 	}
@@ -274,7 +277,8 @@
 		return
 	}
 	if basis := res.basis; res.reason != "" {
-		log = log.WithValues("waiting", basis.Waiting, "run_ms", basis.Run.Milliseconds(), "retry_after_ms", res.retryAfter.Milliseconds())
+		log = log.WithValues("waiting", basis.Waiting, "run_ms", basis.Run.Milliseconds(),
+			"waited_before_ms", basis.WaitedBefore.Milliseconds(), "retry_after_ms", res.retryAfter.Milliseconds())
 	}
 	log.Info("request", "request", c.id, "service", service, "rule", rule, "target", res.target, "attempts", res.attempts,
 		"outcome", res.outcome, "reason", res.reason, "status", res.status, "duration", time.Since(c.arrived).String())
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -59,6 +59,7 @@
 	{"memory.limit", 0, float64(1 << 40), "from 0B to 1TiB"},
 	{"memory.gc_percent", 1, 10_000, "from 1 to 10000"},
 	{"queue.limit", 1, 100_000, "from 1 to 100000"},
+	{"queue.first_share", 0, 1, "a share from 0 to 1"},
 	{"limits.body", 1, rules.MaxBody, "from 1B to 64MiB"},
 	{"limits.header", 1 << 10, 1 << 20, "from 1KiB to 1MiB"},
 	{"limits.header_timeout", float64(100 * time.Millisecond), float64(time.Minute), "from 100ms to 1m"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -221,6 +221,9 @@
 type Queue struct {
 	// Limit is the number of requests of each class that may wait per service. Default 256.
 	Limit int `toml:"limit"`
+	// FirstShare is the share of the longest time stated by callers of a rule that a first attempt states at least.
+	// Callers that state less have come back after a refusal, and their objective began earlier. Default 0: not told apart.
+	FirstShare float64 `toml:"first_share"`
 }
 
 // Limits bounds what a caller can send.
@@ -297,7 +300,7 @@
 	}
 	p.SlotsPerTarget = s.Targets.Slots
 	p.Instances = s.Instances
-	p.QueueLimit = s.Queue.Limit
+	p.QueueLimit, p.FirstShare = s.Queue.Limit, s.Queue.FirstShare
 	p.MaxAttempts = s.Retry.MaxAttempts
 	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
 	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
