--- a/cmd/standin/userplatform.go
+++ b/cmd/standin/userplatform.go
@@ -5,20 +5,27 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockpitch/burdockpitch/platform/standin"
 )
 
 // newStore runs the store of the users' platform.
 func newStore() *cobra.Command {
-	var listen string
+	var listen []string
 	cmd := &cobra.Command{
 		Use: "store", Short: "Store of the users' platform", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, standin.NewStore().Handler())
+			store := standin.NewStore()
+			group, ctx := errgroup.WithContext(cmd.Context())
+			for _, address := range listen {
+				group.Go(func() error { return serve(ctx, address, store.Handler()) })
+			}
+			return group.Wait()
 		},
 	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9802", "address to listen on")
+	cmd.Flags().StringSliceVar(&listen, "listen", []string{"127.0.0.1:9802"},
+		"addresses to listen on; the callers of each have faults of their own")
 	return cmd
 }
 
@@ -29,7 +36,7 @@
 	cmd := &cobra.Command{
 		Use: "server", Short: "Server of the users' platform; prints its ledger", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, standin.NewServer(cfg))
+			return serve(cmd.Context(), listen, standin.NewServer(cfg).Handler())
 		},
 	}
 	f := cmd.Flags()
