core, gateway: one linked list, request-head limits in one place

Change: list[T] with nodes in its owners serves both; gateway.Config.Heads holds the limits and HeadLimits.Apply sets them for callers and for administration.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -77,7 +77,14 @@
 }
 
 func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
-	return gateway.Config{Policy: s.Policy(), Target: s.Target(), ProbePath: s.Probe.Path, Dialect: a.Dialect}
+	return gateway.Config{
+		Policy: s.Policy(), Target: s.Target(), ProbePath: s.Probe.Path, Dialect: a.Dialect, Heads: headLimits(s),
+	}
+}
+
+// headLimits returns the settings' limits on request heads.
+func headLimits(s settings.Settings) gateway.HeadLimits {
+	return gateway.HeadLimits{Timeout: s.Limits.HeaderTimeout.Std(), Bytes: int(s.Limits.Header)}
 }
 
 // instance is one running entry instance.
@@ -170,8 +177,9 @@
 	if err != nil {
 		return err
 	}
-	callerServer := i.limited(i.gateway.NewServer())
-	adminServer := i.limited(&http.Server{Handler: admin.NewHandler(i, i.registry)})
+	callerServer := i.gateway.NewServer()
+	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry)}
+	headLimits(i.settings).Apply(adminServer)
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 
@@ -214,13 +222,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// limited applies the settings' limits on request heads.
-func (i *instance) limited(s *http.Server) *http.Server {
-	s.ReadHeaderTimeout = i.settings.Limits.HeaderTimeout.Std()
-	s.MaxHeaderBytes = int(i.settings.Limits.Header)
-	return s
-}
-
 // stop ends the instance without cutting a request. During the lame-duck period the platform's balancer sees the failing
 // readiness, and callers are moved off their kept-alive connections by the answers to their own requests: closing an idle
 // connection earlier could cut a request that is on its way.
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -19,7 +19,7 @@
 	// estimate is when the target was expected to answer, in multiples of an undisturbed run; 0 without an estimate.
 	estimate float64
 
-	older, newer *attempt // on the same target
+	place node[attempt] // on its target
 }
 
 // elapsed returns the time to the answer. The rest of the attempt depends on how fast the caller reads.
@@ -90,13 +90,8 @@
 		a, s.spare = s.spare[n-1], s.spare[:n-1]
 	}
 	s.lastID++
-	*a = attempt{id: s.lastID, request: r, target: t, start: t.starts.current, sentAt: now, answered: never, older: t.newest}
-	if t.newest == nil {
-		t.oldest = a
-	} else {
-		t.newest.newer = a
-	}
-	t.newest = a
+	*a = attempt{id: s.lastID, request: r, target: t, start: t.starts.current, sentAt: now, answered: never}
+	t.attempts.push(&a.place, a)
 	t.inFlight++
 	t.sentSince++
 	s.inFlight++
@@ -108,16 +103,7 @@
 
 func (s *Service) removeAttempt(a *attempt) {
 	t, r := a.target, a.request
-	if a.older == nil {
-		t.oldest = a.newer
-	} else {
-		a.older.newer = a.newer
-	}
-	if a.newer == nil {
-		t.newest = a.older
-	} else {
-		a.newer.older = a.older
-	}
+	t.attempts.remove(&a.place)
 	t.inFlight--
 	s.inFlight--
 	i := slices.Index(r.attempts, a)
--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -184,10 +184,11 @@
 // outstanding returns how long the oldest attempt on t has been in flight. Time during which this process was paused
 // does not count.
 func (s *Service) outstanding(t *targetState, now Instant) time.Duration {
-	if t.oldest == nil {
+	oldest := t.attempts.head()
+	if oldest == nil {
 		return 0
 	}
-	return now - max(t.oldest.sentAt, s.resumedAt)
+	return now - max(oldest.sentAt, s.resumedAt)
 }
 
 // observe adds a latency sample of t.
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -243,7 +243,7 @@
 		w.Fatalf("%d requests and %d queued are left", len(w.s.requests), w.s.queue.length())
 	}
 	for _, t := range w.s.order {
-		if t.inFlight != 0 || t.oldest != nil || t.newest != nil {
+		if t.inFlight != 0 || t.attempts != (list[attempt]{}) {
 			w.Fatalf("%d attempts are left on %s", t.inFlight, t.id)
 		}
 	}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -58,7 +58,7 @@
 	hedgeDenied bool
 	hedged      bool
 
-	prev, next *request // in its queue
+	place node[request] // in its queue
 }
 
 // tried reports whether an attempt of r was sent to t.
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -185,7 +185,7 @@
 // suspect reports whether t looks slow: by its estimate, or by an attempt that is outstanding for too long. The latter
 // is known before any answer, which matters when an instance sends a target only a few requests per second.
 func (s *Service) suspect(t *targetState, now Instant) bool {
-	if t.oldest != nil && s.outstanding(t, now) > suspectOutstandingRatio*s.typicalFor(t.oldest.request) {
+	if oldest := t.attempts.head(); oldest != nil && s.outstanding(t, now) > suspectOutstandingRatio*s.typicalFor(oldest.request) {
 		return true
 	}
 	return t.hasLatency && s.slowness(t, now) > suspectLatencyRatio
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -12,8 +12,7 @@
 	due     due
 
 	inFlight int
-	oldest   *attempt // attempts in flight in order of sending
-	newest   *attempt
+	attempts list[attempt] // in flight, in order of sending
 
 	slots         int // reported; 0 when unknown
 	reportedInUse int
--- a/pkg/discovery/confstate/confstate_test.go
+++ b/pkg/discovery/confstate/confstate_test.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// Guards against taking version 0.0 for newer than 0.1, which a zero value that stands for "none" invites.
+func TestVersionZeroIsTheLowest(t *testing.T) {
+	s := New()
+	require.Equal(t, []EffectKind{InForce}, kinds(s.Reduce(offer("a", 0, 1, ""), nil)))
+	require.Equal(t, []EffectKind{Lower}, kinds(s.Reduce(offer("a", 0, 0, ""), nil)))
+	d, _ := s.Get("a")
+	require.Equal(t, uint64(1), d.Revision)
+}
+
 // Guards against findings that vanish before the document was repaired, or that stay afterwards.
 func TestFindingsStayUntilANewerDocument(t *testing.T) {
 	s := New()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,8 +31,25 @@
 	Dialect wire.Dialect
 	// WriteStall bounds each write to a caller; zero means DefaultWriteStall.
 	WriteStall time.Duration
+	// Heads bounds the heads of requests; zero means DefaultHeadLimits.
+	Heads HeadLimits
 }
 
+// HeadLimits bounds the heads of requests to a server.
+type HeadLimits struct {
+	// Timeout is the time for a caller to send a head.
+	Timeout time.Duration
+	// Bytes is the size of a head; a longer one is answered with status 431.
+	Bytes int
+}
+
+// DefaultHeadLimits is long enough for a slow caller on a congested network, and large enough for the cookies and tokens
+// that common gateways let through.
+var DefaultHeadLimits = HeadLimits{Timeout: 10 * time.Second, Bytes: 64 << 10}
+
+// Apply sets the limits of a server.
+func (l HeadLimits) Apply(s *http.Server) { s.ReadHeaderTimeout, s.MaxHeaderBytes = l.Timeout, l.Bytes }
+
 // DefaultWriteStall is long enough for a congested network and short enough to free the slot of a target whose answer
 // nobody reads.
 const DefaultWriteStall = 10 * time.Second
@@ -60,6 +78,9 @@
 		cfg.Dialect = wire.Native{}
 	}
 	cfg.Target.Dialect = cfg.Dialect
+	if cfg.Heads == (HeadLimits{}) {
+		cfg.Heads = DefaultHeadLimits
+	}
 	if cfg.WriteStall == 0 {
 		cfg.WriteStall = DefaultWriteStall
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -18,21 +18,15 @@
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	// callerIdleTimeout is longer than the idle timeouts of common balancers, so that the balancer closes first and no
-	// request meets a connection that is being closed.
-	callerIdleTimeout = 10 * time.Minute
-	// maxHeaderBytes bounds the head of a caller's request; a longer one is answered with status 431.
-	maxHeaderBytes = 64 << 10
-)
+// callerIdleTimeout is longer than the idle timeouts of common balancers, so that the balancer closes first and no
+// request meets a connection that is being closed.
+const callerIdleTimeout = 10 * time.Minute
 
 // NewServer returns a server for callers with its limits on slow and oversized requests.
 func (g *Gateway) NewServer() *http.Server {
-	return &http.Server{
-		Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
-	}
+	s := &http.Server{Handler: g.Handler(), IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true}
+	g.cfg.Heads.Apply(s)
+	return s
 }
 
 // Handler returns the HTTP handler for callers.
