core: ask among 12 and 6 targets instead of 24 and 12

Change: the default of ask.subset is 12. Services of up to 18 targets are asked whole, as both small deployments are. Test: the subset tests name their size, so that they check the same subsets as before.

--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -93,7 +93,7 @@
 		ProbeCost:      5 * time.Millisecond,
 		AskLocal:       5,
 		AskRemote:      5,
-		AskSubset:      24,
+		AskSubset:      12,
 		AskPerTarget:   40,
 		Headroom:       0.8,
 	}
--- a/pkg/core/subset_test.go
+++ b/pkg/core/subset_test.go
@@ -9,7 +9,7 @@
 
 func subsetService(instance string, targets int) (*Service, []Target) {
 	p := DefaultPolicy()
-	p.Selection, p.Zone, p.Instance = SelectAsk, "a", instance
+	p.Selection, p.Zone, p.Instance, p.AskSubset = SelectAsk, "a", instance, 24
 	s := NewService(p)
 	var list []Target
 	for i := range targets {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -182,7 +182,7 @@
 	// Remote is the number of targets anywhere that are asked if no target in the zone is good. Default 5.
 	Remote int `toml:"remote"`
 	// Subset is the number of targets in the own zone among which an instance chooses whom to ask, with half as many
-	// elsewhere. 0 means all. Default 24.
+	// elsewhere. 0 means all. Default 12.
 	Subset int `toml:"subset"`
 	// PerTarget is the number of probes per second that a target gets from all instances at most. Default 40.
 	PerTarget float64 `toml:"per_target"`
