discovery: usual term for reading the source in place of the parent

Change: bypass, in names and comments. Conclusion: no change of behaviour; tests of the package pass.

--- a/pkg/discovery/upstream.go
+++ b/pkg/discovery/upstream.go
@@ -31,20 +31,20 @@
 )
 
 const (
-	// asideFirst and asideLimit bound the pause after a failed call of an instance that is not the root. Meanwhile it
+	// bypassFirst and bypassLimit bound the pause after a failed call of an instance that is not the root. Meanwhile it
 	// goes on hearing from its parent, so only the root has to try often while the source is away for all.
-	asideFirst = time.Second
-	asideLimit = 4 * time.Second
+	bypassFirst = time.Second
+	bypassLimit = 4 * time.Second
 )
 
 // choice is where to read from.
 type choice struct {
 	source Source // nil while it is too early to tell
 	name   string
-	// parent is the instance to read from otherwise, and aside is set if the source is read in its place because nothing
+	// parent is the instance to read from otherwise, and bypass is set if the source is read in its place because nothing
 	// recent comes from there.
 	parent string
-	aside  bool
+	bypass bool
 }
 
 // choose returns where to read from: another instance while what comes from there is recent, otherwise the source.
@@ -62,8 +62,8 @@
 		return choice{} // it is not known yet who else is there
 	case from == nil:
 		return own
-	case known && age > w.cfg.MaxAge+time.Duration(depth)*depthDelay+rand.N(depthDelay) && w.now() >= w.asideAt:
-		own.parent, own.aside = name, true
+	case known && age > w.cfg.MaxAge+time.Duration(depth)*depthDelay+rand.N(depthDelay) && w.now() >= w.bypassAt:
+		own.parent, own.bypass = name, true
 		return own
 	}
 	return choice{source: from, name: name}
@@ -72,7 +72,7 @@
 // leaveStaleParent looks for another parent after the source has answered in place of one that knows nothing recent: the
 // parent is cut off from the source, and would stay the parent of all its children otherwise.
 func (w *Watcher) leaveStaleParent(ctx context.Context, c choice) {
-	if c.aside && w.staleParent == c.parent {
+	if c.bypass && w.staleParent == c.parent {
 		w.upstream.Failed(ctx, c.parent)
 	}
 	w.staleParent = ""
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -53,9 +53,9 @@
 	once     sync.Once
 	asked    chan struct{}
 
-	// asideAt is the earliest time to read the source in place of the parent, and staleParent the parent that told
+	// bypassAt is the earliest time to read the source in place of the parent, and staleParent the parent that told
 	// nothing recent. Only Run uses them.
-	asideAt     time.Duration
+	bypassAt    time.Duration
 	staleParent string
 
 	mu       sync.Mutex // held while the view changes and is passed on
@@ -94,7 +94,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	go w.expireLost(ctx)
 	pauses := backoff{first: w.cfg.BackoffFirst, limit: w.cfg.BackoffLimit}
-	asides := backoff{first: asideFirst, limit: asideLimit}
+	bypasses := backoff{first: bypassFirst, limit: bypassLimit}
 	complete := false
 	for ctx.Err() == nil {
 		c := w.choose()
@@ -114,7 +114,7 @@
 			complete = !changes.Lost
 			if c.name == sourceName {
 				pauses.reset()
-				asides.reset()
+				bypasses.reset()
 				w.leaveStaleParent(ctx, c)
 			}
 			if c.name == sourceName && len(changes.Items) > 0 && w.cfg.Gather > 0 {
@@ -126,9 +126,9 @@
 		case errors.Is(err, ErrHistoryGone):
 			complete = false
 			sleep(ctx, rand.N(2*joinPoll))
-		case c.name == sourceName && c.aside && complete:
+		case c.name == sourceName && c.bypass && complete:
 			w.source.Reset()
-			w.asideAt = w.now() + asides.pause()
+			w.bypassAt = w.now() + bypasses.pause()
 		case c.name == sourceName:
 			w.source.Reset()
 			sleep(ctx, pauses.pause())
