discovery: an instance that the store refuses reads from others

The store refused single machines with 503 while planned work restarted two of them. An instance without a view called the store only; it took the configuration from a peer but had no targets, and refused 56 requests with no-target for 3 s. A root that the store refuses kept its old view likewise. Ruled out: overload (no waiting requests, other instances served), membership (peers were in contact 0.2 s after the start). Change: after a failed call of the store an instance reads once from a random instance in contact, whose answer carries its age, and then pauses as before. An instance that bypasses its parent is not affected. Tests: TestRestartedInstanceReadsOthersWhileTheStoreRefuses (both cases without a target after 1 s before), TestRefusedRootHearsChangesFromOthers (failed before), TestContact.

--- a/pkg/app/fleet.go
+++ b/pkg/app/fleet.go
@@ -103,6 +103,7 @@
 	mu      sync.Mutex
 	address string
 	source  *peer.Follower
+	other   *peer.Follower
 }
 
 // Choose implements discovery.Upstream.
@@ -124,6 +125,22 @@
 	return p.source, address, depth
 }
 
+// Other implements discovery.Upstream.
+func (p *parents) Other() (discovery.Source, string) {
+	address := p.node.Contact()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.other != nil {
+		p.other.Reset()
+		p.other = nil
+	}
+	if address == "" {
+		return nil, ""
+	}
+	p.other = p.node.NewFollower(address, p.timeout)
+	return p.other, address
+}
+
 // Joined implements discovery.Upstream.
 func (p *parents) Joined() bool { return closed(p.node.Asked()) }
 
--- a/pkg/discovery/upstream.go
+++ b/pkg/discovery/upstream.go
@@ -14,6 +14,8 @@
 	Choose() (from Source, name string, depth int)
 	// Joined reports whether another instance has told its members, so that the choice is more than a guess.
 	Joined() bool
+	// Other returns some other instance in contact with this one, and its name; nil if there is none.
+	Other() (from Source, name string)
 	// Failed notes that an instance could not be read, or knows nothing recent.
 	Failed(ctx context.Context, name string)
 }
@@ -45,6 +47,8 @@
 	// recent comes from there.
 	parent string
 	bypass bool
+	// wait is how long a watch waits for a change; 0 stands for the configured time.
+	wait time.Duration
 }
 
 // choose returns where to read from: another instance while what comes from there is recent, otherwise the source.
@@ -69,6 +73,29 @@
 	return choice{source: from, name: name}
 }
 
+// askOther reads from some other instance after a call of the source has failed, so that an instance that the source turns
+// away knows what the others know. It reports whether the view is complete afterwards.
+func (w *Watcher) askOther(ctx context.Context, complete bool) bool {
+	if w.upstream == nil {
+		return complete
+	}
+	from, name := w.upstream.Other()
+	if from == nil {
+		return complete
+	}
+	c := choice{source: from, name: name, wait: shortWait}
+	var err error
+	if complete {
+		_, err = w.watch(ctx, c)
+	} else {
+		err = w.read(ctx, c)
+	}
+	if err != nil {
+		from.Reset()
+	}
+	return complete || err == nil
+}
+
 // leaveStaleParent looks for another parent after the source has answered in place of one that knows nothing recent: the
 // parent is cut off from the source, and would stay the parent of all its children otherwise.
 func (w *Watcher) leaveStaleParent(ctx context.Context, c choice) {
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -131,6 +132,7 @@
 			w.bypassAt = w.now() + bypasses.pause()
 		case c.name == sourceName:
 			w.source.Reset()
+			complete = w.askOther(ctx, complete)
 			sleep(ctx, pauses.pause())
 		default:
 			c.source.Reset()
@@ -171,7 +173,7 @@
 
 // watch waits for changes and takes them.
 func (w *Watcher) watch(ctx context.Context, c choice) (changes Changes, err error) {
-	began, after, wait := w.now(), w.revision(), w.cfg.PeerWait
+	began, after, wait := w.now(), w.revision(), cmp.Or(c.wait, w.cfg.PeerWait)
 	if c.name == sourceName {
 		// A view whose last confirmation is old already is confirmed soon: an answer with changes proves nothing later
 		// than its beginning.
@@ -184,7 +186,7 @@
 	switch {
 	case c.name != sourceName:
 		confirmed = w.now() - changes.Age
-		if err == nil && changes.Age > w.cfg.MaxAge {
+		if err == nil && changes.Age > w.cfg.MaxAge && c.wait == 0 {
 			w.staleParent = c.name
 		}
 	case err == nil && len(changes.Items) == 0:
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -156,9 +156,12 @@
 type upstream struct {
 	mu     sync.Mutex
 	from   discovery.Source // nil: this instance is the root
+	other  discovery.Source // nil: no other instance is in contact
 	failed int
 }
 
+func (u *upstream) Other() (discovery.Source, string) { return u.other, "other" }
+
 func (u *upstream) Choose() (discovery.Source, string, int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -262,3 +265,37 @@
 		require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
 	})
 }
+
+// Guards against an instance that starts while the store turns it away and serves callers without any target, although
+// other instances know them.
+func TestRestartedInstanceReadsOthersWhileTheStoreRefuses(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	other, _ := startWatcher(t, s, nil)
+	refusing := &fakeSource{failing: errors.New("status 503")}
+	for name, from := range map[string]discovery.Source{"root": nil, "child": relayed{broken: errors.New("reset")}} {
+		t.Run(name, func(t *testing.T) {
+			cfg := watcherConfig
+			cfg.Patient = false
+			r := &recorder{}
+			up := &upstream{from: from, other: relayed{Watcher: other}}
+			w := discovery.NewWatcher(cfg, refusing, up, r, discovery.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+			go w.Run(t.Context())
+			require.Eventually(t, func() bool { return r.count() == 1 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
+// Guards against a root that the store turns away, and which therefore stays behind what the others know.
+func TestRefusedRootHearsChangesFromOthers(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	other, _ := startWatcher(t, s, nil)
+	own := &fakeSource{}
+	own.set("a")
+	_, r := startWatcher(t, own, &upstream{other: relayed{Watcher: other}})
+	require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+	own.change(func() { own.failing = errors.New("status 429") })
+	s.set("b")
+	require.Eventually(t, func() bool { return r.count() == 2 }, 2*time.Second, time.Millisecond)
+}
--- a/pkg/peer/membership/tree.go
+++ b/pkg/peer/membership/tree.go
@@ -57,6 +57,21 @@
 	return zone[(place-1)/treeFanout].address, depth
 }
 
+// Contact returns the instance that a random draw picks among those that answer; an empty address if there is none.
+func (s *State) Contact(now time.Duration, draw uint64) string {
+	var list []string
+	for _, address := range s.order {
+		m := s.members[address]
+		if m.start != "" && !m.leaving && now >= m.failedUntil && now < m.present {
+			list = append(list, address)
+		}
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return list[draw%uint64(len(list))]
+}
+
 // Known returns the instances in contact, this one left out.
 func (s *State) Known(now time.Duration) []Known {
 	var list []Known
--- a/pkg/peer/membership/tree_test.go
+++ b/pkg/peer/membership/tree_test.go
@@ -100,3 +100,20 @@
 		require.NotEqual(t, first, s.Fingerprint(time.Second))
 	}
 }
+
+// Guards against a contact that has failed or is this instance itself, and against asking the same one every time.
+func TestContact(t *testing.T) {
+	for address, s := range treeFleet(4, "a", "b") {
+		seen := make(map[string]bool)
+		for draw := range uint64(12) {
+			seen[s.Contact(time.Second, draw)] = true
+		}
+		require.Len(t, seen, 3)
+		require.NotContains(t, seen, address)
+		for other := range seen {
+			s.Reduce(Input{Now: time.Second, Event: Failed{Address: other}}, nil)
+			require.NotEqual(t, other, s.Contact(time.Second, 0))
+		}
+		require.Empty(t, s.Contact(time.Second, 0))
+	}
+}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -112,6 +112,13 @@
 	return n.state.Parent(time.Since(n.epoch))
 }
 
+// Contact returns a random instance in contact; an empty address if there is none.
+func (n *Node) Contact() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Contact(time.Since(n.epoch), rand.Uint64())
+}
+
 // Failed notes that an instance did not answer.
 func (n *Node) Failed(ctx context.Context, address string) {
 	n.dispatch(ctx, membership.Failed{Address: address})
