core: a choice looks at the targets with a recent report only

Change: the service keeps the targets that reported lately. Equal estimates are now decided by the order of the reports, which differs between instances, and no longer by the order of the list, which is the same for all.

--- a/pkg/core/ask.go
+++ b/pkg/core/ask.go
@@ -141,7 +141,7 @@
 // considerAnswers decides for a request that asked: a good answer is taken at once, otherwise the best one when all have
 // come or the time is over.
 func (s *Service) considerAnswers(now Instant, r *request, out []Effect) []Effect {
-	t, estimate := s.bestReported(now, r, askLimit+askReuse)
+	t, estimate := s.bestReported(now, r, reportLife)
 	if t != nil && estimate <= askGood {
 		return s.sendAsked(now, r, t, out)
 	}
@@ -157,7 +157,7 @@
 		if len(r.asked) > 0 && !r.answered() {
 			return out
 		}
-		t, _ = s.bestReported(now, r, askLimit+askReuse)
+		t, _ = s.bestReported(now, r, reportLife)
 	}
 	if t != nil {
 		return s.sendAsked(now, r, t, out)
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -102,7 +102,7 @@
 	if len(s.backlog.waiting) == 0 {
 		return out
 	}
-	room := slices.ContainsFunc(s.all, func(t *targetState) bool { return s.reportedRoom(t, now, askReuse) })
+	room := slices.ContainsFunc(s.recentReports(now), func(t *targetState) bool { return s.reportedRoom(t, now, askReuse) })
 	if !room && s.usable > 0 {
 		return out
 	}
--- a/pkg/core/bench_test.go
+++ b/pkg/core/bench_test.go
@@ -91,3 +91,23 @@
 		})
 	}
 }
+
+// BenchmarkAskWithoutRoom measures a choice among targets of which a few have told lately that they are full.
+func BenchmarkAskWithoutRoom(b *testing.B) {
+	for _, n := range []int{15, 275, 1100} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			s := benchService(n, SelectAsk)
+			now := 10 * time.Second
+			for i := range min(n, 36) {
+				s.noteLoad(now, s.order[i*(n/min(n, 36))], LoadReport{InUse: 4, Slots: 4, Pace: 1}, 0)
+			}
+			r := s.newRequest(now, RequestArrived{Request: 1, Class: ClassLookup, Deadline: now + time.Second, Objective: now + time.Second})
+			b.ReportAllocs()
+			for b.Loop() {
+				if t, _ := s.bestReported(now, r, askReuse); t != nil {
+					b.Fatal("unexpected target")
+				}
+			}
+		})
+	}
+}
--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file rates the targets that have told their load: when they would answer, and which of them a request may have.
 
@@ -72,13 +75,26 @@
 	return t.hasReport && now-t.reportedAt <= age && t.busy() < s.room(t)
 }
 
+// reportLife is the longest age at which a report is used to place a request.
+const reportLife = askLimit + askReuse
+
+// recentReports returns the targets whose report may still be used. Few of a large service are among them, so that a choice
+// need not look at all.
+func (s *Service) recentReports(now Instant) []*targetState {
+	s.reported = slices.DeleteFunc(s.reported, func(t *targetState) bool {
+		t.inReported = t.usable() && t.hasReport && now-t.reportedAt <= reportLife
+		return !t.inReported
+	})
+	return s.reported
+}
+
 // bestReported returns the target with the lowest estimate among those that told at most the given time ago that they
 // have room, and that would answer r in time.
 func (s *Service) bestReported(now Instant, r *request, age time.Duration) (best *targetState, estimate float64) {
 	limit := s.timeLimit(now, r)
 	run := s.runTime(r)
 	room := s.roomFor(now, r)
-	for _, t := range s.all {
+	for _, t := range s.recentReports(now) {
 		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || t.busy()+room > s.room(t) {
 			continue
 		}
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -45,6 +45,7 @@
 	local    []*targetState // usable targets in the own zone, in changing order
 	// near and nearLocal are the targets that this instance asks: anywhere, and in its zone.
 	near, nearLocal []*targetState
+	reported        []*targetState // targets with a recent report, and maybe others
 	usable          int
 	inFlight        int
 	limitSum        float64 // sum of the limits of the usable targets
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -23,6 +23,7 @@
 	othersInUse   int     // reported load without the requests of this instance
 	reportedAt    Instant
 	hasReport     bool
+	inReported    bool // in Service.reported
 
 	latency         time.Duration
 	latencyAt       Instant
@@ -176,6 +177,10 @@
 		s.setLimit(t, t.limit) // the bounds depend on the slots
 	}
 	t.hasReport = true
+	if !t.inReported {
+		t.inReported = true
+		s.reported = append(s.reported, t)
+	}
 	t.reportedAt = at
 	t.reportedInUse = load.InUse
 	t.sentSince = 0
