gateway: deadlines follow a step of the time of day

A deadline was made from the start of the process plus an instant, so its time of day lay 3 s back; the check before the first byte looks at both clocks and ended every probe before it was sent. Any correction of the time of day by more than a probe's limit since the start had this effect until it was undone. Change: clock.time adds what is left to the present time. The time of a connection's last byte is kept on the monotonic clock too; on the time of day a step made fresh connections look old, or silent ones fresh.

--- a/pkg/gateway/clock.go
+++ b/pkg/gateway/clock.go
@@ -11,4 +11,8 @@
 
 func (c clock) instant(t time.Time) time.Duration { return t.Sub(c.start) }
 
-func (c clock) time(at time.Duration) time.Time { return c.start.Add(at) }
+// time returns the time of an instant on both clocks as they are now: the time of day may have been set since the start.
+func (c clock) time(at time.Duration) time.Time {
+	now := time.Now()
+	return now.Add(at - now.Sub(c.start))
+}
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -33,7 +33,7 @@
 	pool *pool
 
 	sending  atomic.Pointer[sending] // the attempt that may write; nil while idle
-	lastByte atomic.Int64            // time of the last byte received, Unix nanoseconds
+	lastByte atomic.Int64            // time of the last byte received, in nanoseconds since processStart
 	raw      syscall.RawConn
 	receive  func(fd uintptr) bool // tryReceive, bound once
 	received received
@@ -166,7 +166,7 @@
 		return true
 	}
 	c.received.n = n
-	c.lastByte.Store(time.Now().UnixNano())
+	c.noteByte()
 	if s := c.sending.Load(); s == nil || s.written.Load() == 0 {
 		c.stray = true
 		c.received.err = errUnsolicited
@@ -182,7 +182,15 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) lastRead() time.Time { return time.Unix(0, c.lastByte.Load()) }
+// processStart is the origin of times that are kept as numbers. It carries the monotonic clock, which a step of the time of
+// day does not move.
+var processStart = time.Now()
+
+// noteByte notes that a byte was received, or that the connection is new.
+func (c *conn) noteByte() { c.lastByte.Store(int64(time.Since(processStart))) }
+
+// lastRead returns the time of the last byte received.
+func (c *conn) lastRead() time.Time { return processStart.Add(time.Duration(c.lastByte.Load())) }
 
 // expired compares both clocks: a suspended machine stops the monotonic clock, a stepped clock misleads the wall clock.
 func expired(deadline time.Time) bool {
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -139,7 +139,7 @@
 	}
 	c := &conn{Conn: nc, pool: p, raw: raw, leased: true}
 	c.receive = c.tryReceive
-	c.lastByte.Store(time.Now().UnixNano())
+	c.noteByte()
 	return c, nil
 }
 
