gateway: tell when probes are no longer answered

Ruled out: a line for each probe (up to 60 a second and target), and lines for a few targets that are down (probes of others lie between theirs). Test: TestUnansweredProbesAreLoggedOnce.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -26,6 +27,8 @@
 	log     logr.Logger
 	// probePath is the path of probes.
 	probePath atomicString
+	// unanswered is the number of probes in a row without an answer.
+	unanswered atomic.Int64
 
 	mu      sync.Mutex
 	service *core.Service
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -47,7 +49,8 @@
 			id := core.TargetID(server.Listener.Addr().String())
 			client := target.NewClient(string(id), target.DefaultConfig())
 			defer client.Close()
-			got := runProbe(client, id, "", "/health", time.Now().Add(10*time.Second))
+			got, err := runProbe(client, id, "", "/health", time.Now().Add(10*time.Second))
+			require.Equal(t, got.OK, err == nil, "%v", err)
 			got.Latency = 0
 			tc.want.Target = id
 			require.Equal(t, tc.want, got)
@@ -68,3 +71,21 @@
 	f.SetFleetSize(0)
 	require.Equal(t, 1, f.cfg.Policy.Instances)
 }
+
+// Guards against a log that does not tell why no target has room, and against a line for each probe that fails.
+func TestUnansweredProbesAreLoggedOnce(t *testing.T) {
+	var lines []string
+	e := &engine{log: funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})}
+	for range 5 * unansweredProbes {
+		e.noteProbe(core.ProbeEnded{Target: "t"}, errors.New("deadline has passed"))
+	}
+	require.Len(t, lines, 1)
+	require.Contains(t, lines[0], "deadline has passed")
+	for range 3 {
+		e.noteProbe(core.ProbeEnded{Target: "t", OK: true}, nil)
+	}
+	require.Len(t, lines, 2)
+	e.noteProbe(core.ProbeEnded{Target: "t"}, errors.New("reset"))
+	e.noteProbe(core.ProbeEnded{Target: "u", OK: true}, nil)
+	require.Len(t, lines, 2, "a single target that is down is no news")
+}
