core: targets that say they are ill are a last choice, not left out

Ruled out: using them like others (a failed check is a sign of trouble, so that others come first), believing traffic of the last seconds only (without any there is none to believe). Failures of its requests eject it as before.

--- a/pkg/core/ask.go
+++ b/pkg/core/ask.go
@@ -205,10 +205,14 @@
 func (s *Service) askEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
 	t.probing = false
 	s.learnStart(now, t, t.starts.current, ev.Start, ev.Leaving)
-	if ev.OK {
+	t.ill = !ev.OK
+	switch {
+	case ev.OK:
 		t.evidenceAt = now
 		s.noteLoad(now, t, ev.Load, 0)
-	} else {
+	case ev.Load.Slots > 0:
+		s.noteLoad(now, t, ev.Load, 0)
+	default:
 		t.hasReport = false
 		t.silentAt = now
 	}
--- a/pkg/core/replay_test.go
+++ b/pkg/core/replay_test.go
@@ -30,6 +30,8 @@
 	running, waiting int
 	pace             float64
 	held             []func() // work that waits for a slot
+	ill              bool     // probes are answered with a failure
+	served           int
 }
 
 func (t *replayTarget) report() LoadReport {
@@ -203,7 +205,7 @@
 		i.after(replayTrip, func() { i.serve(e) })
 	case SendProbe:
 		i.after(2*replayTrip, func() {
-			i.apply(ProbeEnded{Target: e.Target, OK: true, Load: i.targets[e.Target].report()})
+			i.apply(ProbeEnded{Target: e.Target, OK: !i.targets[e.Target].ill, Load: i.targets[e.Target].report()})
 		})
 	case SetTimer:
 		i.timer++
@@ -243,6 +245,7 @@
 		spread := (0.7 + 0.6*i.rng.Float64()) * i.untold
 		i.after(time.Duration(pace*spread*float64(run)), func() {
 			t.running--
+			t.served++
 			end(OutcomeAnswered, "")
 			if len(t.held) > 0 {
 				next := t.held[0]
@@ -467,3 +470,26 @@
 	}
 	require.Greater(t, len(seen), 5, "callers are spread")
 }
+
+// Guards against leaving out half of the targets because their health checks fail while they serve, and against sending to
+// them while the others have room.
+func TestReplayOfFailingHealthChecks(t *testing.T) {
+	r := newReplay(SelectAsk, 14, 16)
+	for i := range 8 {
+		r.targets[TargetID(fmt.Sprint("t", i))].ill = true
+	}
+	served := func(from int) (n int) {
+		for i := range 8 {
+			n += r.targets[TargetID(fmt.Sprint("t", from+i))].served
+		}
+		return n
+	}
+	r.load(0.15*replayCapacity(16), 5*time.Second, ClassLookup, 0)
+	r.run(6 * time.Second)
+	require.Less(t, served(0), served(8)/3, "the others have room")
+	r.load(0.75*replayCapacity(16), 10*time.Second, ClassLookup, 0)
+	r.run(20 * time.Second)
+	inTime := r.share(7*time.Second, 16*time.Second, ClassLookup, (*replayCall).inTime)
+	t.Logf("in time: %.3f", inTime)
+	require.Greater(t, inTime, 0.95)
+}
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -20,6 +20,7 @@
 	pace          float64 // how long work takes, in multiples of the usual time
 	warmUntil     Instant
 	silentAt      Instant // time of the latest probe without an answer
+	ill           bool    // its latest probe was answered with a failure
 	othersInUse   int     // reported load without the requests of this instance
 	reportedAt    Instant
 	hasReport     bool
@@ -103,7 +104,7 @@
 	s.release(t)
 	s.full = false
 	t.slots, t.reportedInUse, t.sentSince, t.pace, t.hasReport = 0, 0, 0, 1, false
-	t.hasLatency, t.consecutiveSlow = false, 0
+	t.ill, t.hasLatency, t.consecutiveSlow = false, false, 0
 	t.sheds, t.backoffUntil = 0, 0
 	t.ejection = ejection{}
 	s.setLimit(t, float64(s.slots(t)))
