discovery: thousands of targets can be read and passed on

A view remembered 512 changes; when more targets start together, whoever lags finds the history gone and reads everything again from its parent, whose link and timeout that exceeds, then from the store, where a read of seven pages had to end within the 0.5 s of one call. Change: the history holds twice as many changes as there are targets, at least 512; the timeout bounds each page of a read, and twenty times of it the read as a whole; a call that only asks for a confirmation no longer scans the history.

--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -13,9 +13,11 @@
 	// returnGrace is how long entries that a source lost while it was away are waited for after its return. The platform
 	// states that living targets are back within about two seconds.
 	returnGrace = 2200 * time.Millisecond
-	// historyItems bounds the changes that a view remembers for others. A fleet that starts brings one change for each
-	// target.
+	// historyItems and historyShare bound the changes that a view remembers for others: that many, or that many for each
+	// entry. Targets that start together bring one change each, and one more when they leave; whoever finds its history
+	// gone reads everything again, which a large fleet cannot bear at such a moment.
 	historyItems = 512
+	historyShare = 2
 )
 
 // View is what is known of a Source's items. It is a reducer: it takes snapshots and changes with their time and tells
@@ -77,6 +79,9 @@
 		return Changes{}, false
 	}
 	c := Changes{Revision: v.revision, Grace: v.Grace(now)}
+	if n := len(v.history); n == 0 || v.history[n-1].Revision <= after {
+		return c, true // most calls only ask for a confirmation
+	}
 	for _, i := range v.history {
 		if i.Revision > after {
 			c.Items = append(c.Items, i)
@@ -88,7 +93,8 @@
 // remember adds a change to the history.
 func (v *View) remember(i Item) {
 	v.history = append(v.history, i)
-	if excess := len(v.history) - historyItems; excess > 0 {
+	limit := max(historyItems, historyShare*len(v.entries))
+	if excess := len(v.history) - limit; excess > limit/4 { // not with every change, because the rest is copied
 		for _, dropped := range v.history[:excess] {
 			v.floor = max(v.floor, dropped.Revision)
 		}
--- a/pkg/discovery/view_test.go
+++ b/pkg/discovery/view_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,25 @@
 	}
 	follower.TakeSnapshot(0, v.Snapshot(0))
 }
+
+// Guards against a view that remembers fewer changes than its targets bring when they start together: all others would have
+// to read everything again.
+func TestHistoryHoldsTheStartOfAllTargets(t *testing.T) {
+	v := NewView()
+	v.TakeSnapshot(0, Snapshot{Revision: 1})
+	const targets = 3000
+	for i := range uint64(targets) {
+		key := fmt.Sprint("i", i)
+		item := Item{Key: key, Revision: i + 2, Target: &Instance{ID: key, State: StateLive}}
+		v.TakeChanges(0, Changes{Items: []Item{item}, Revision: i + 2})
+	}
+	changes, known := v.Since(0, 1)
+	require.True(t, known)
+	require.Len(t, changes.Items, targets)
+
+	for i := range uint64(4 * targets) { // one target that changes again and again
+		v.TakeChanges(0, Changes{Items: []Item{{Key: "i0", Revision: targets + 2 + i, Target: &Instance{ID: "i0"}}}, Revision: targets + 2 + i})
+	}
+	_, known = v.Since(0, 1)
+	require.False(t, known, "the history is bounded")
+}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -20,7 +20,7 @@
 	// MaxAge is the time since the last confirmation after which an instance that reads from another one reads the source
 	// itself.
 	MaxAge time.Duration
-	// Timeout bounds each read, and each watch beyond Wait.
+	// Timeout bounds each call of a read, and each watch beyond Wait.
 	Timeout time.Duration
 	// Patient lets an instance without a view wait for others before it reads the source. It saves calls when the whole
 	// fleet starts for the first time; after a loss of power each moment without a view costs callers.
@@ -39,6 +39,10 @@
 	SetInstances(list InstanceList)
 }
 
+// readCalls bounds a read in calls of the source, each of which the source bounds by the timeout: thousands of targets take
+// several, and on a slow link together longer than one may last.
+const readCalls = 20
+
 // sourceName stands for the source itself in logs, where another instance has its address.
 const sourceName = "store"
 
@@ -156,7 +160,7 @@
 // read takes a snapshot.
 func (w *Watcher) read(ctx context.Context, c choice) error {
 	began := w.now()
-	limited, cancel := context.WithTimeout(ctx, w.cfg.Timeout)
+	limited, cancel := context.WithTimeout(ctx, readCalls*w.cfg.Timeout)
 	defer cancel()
 	snapshot, err := c.source.Read(limited)
 	if err = w.account(ctx, c, "read", began-snapshot.Age, err); err != nil {
