core: a rule that looks slower than its objective does not starve

Its logs: run_ms=497 for lookups of 30 ms with an objective of 300 ms, learned while servers were delayed. Every lookup was late on arrival, so that it got no room while others had waited lately; and bookings did wait, behind the late lookups of the same priority. Change: a first attempt whose objective no target could meet is treated by its deadline. A request waits behind another only if that one gets room first, so that one in time does not wait behind a late one.

--- a/pkg/core/ask.go
+++ b/pkg/core/ask.go
@@ -67,7 +67,7 @@
 	if t := s.chooseTrial(now, r); t != nil {
 		return s.sendTrial(now, r, t, out)
 	}
-	if s.backlog.ahead(r) {
+	if s.ahead(now, r) {
 		return s.waitForRoom(now, r, out)
 	}
 	if t, estimate := s.bestReported(now, r, askReuse); t != nil && estimate <= askGood {
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -16,9 +16,9 @@
 	asked int
 }
 
-// ahead reports whether a request of at least the priority of r waits already.
-func (b *backlog) ahead(r *request) bool {
-	return slices.ContainsFunc(b.waiting, func(w *request) bool { return w.priority <= r.priority })
+// ahead reports whether a request waits already that gets room before r.
+func (s *Service) ahead(now Instant, r *request) bool {
+	return slices.ContainsFunc(s.backlog.waiting, func(w *request) bool { return !s.goesBefore(now, r, w) })
 }
 
 func (b *backlog) add(r *request) { b.waiting = append(b.waiting, r) }
--- a/pkg/core/replay_test.go
+++ b/pkg/core/replay_test.go
@@ -493,3 +493,24 @@
 	t.Logf("in time: %.3f", inTime)
 	require.Greater(t, inTime, 0.95)
 }
+
+// Guards against a rule that starves for ever: once its run time was taken for longer than its objective, each of its
+// requests looked late, and while others had to wait now and then none was sent that could show the contrary.
+func TestReplayOfARuleThatLookedSlow(t *testing.T) {
+	r := newReplay(SelectAsk, 4, 3)
+	look := replayCall{rule: "look", class: ClassLookup, run: replayRun}
+	book := replayCall{rule: "book", class: ClassOnce, run: replayRun / 4}
+	r.untold = 4
+	r.loadRule(6, 5*time.Second, look)
+	r.run(8 * time.Second)
+	r.untold = 1
+	r.loadRule(30, 20*time.Second, book)
+	r.loadRule(4, 20*time.Second, look)
+	r.run(40 * time.Second)
+	answered := func(c *replayCall) bool { return c.answered > 0 }
+	looked := r.share(10*time.Second, 28*time.Second, ClassLookup, answered)
+	booked := r.share(10*time.Second, 28*time.Second, ClassOnce, (*replayCall).inTime)
+	t.Logf("lookups answered %.3f, bookings in time %.3f", looked, booked)
+	require.Greater(t, looked, 0.9)
+	require.Greater(t, booked, 0.9)
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -111,6 +111,11 @@
 	} else {
 		r.waitedBefore = s.waitedBefore(now, r.latencies, ev.Stated)
 		r.objective -= r.waitedBefore
+		if r.waitedBefore == 0 && s.late(now, r) {
+			// No target could meet the objective, so that it says nothing about this request. If it were late from the
+			// start, it would yield to all others and never show that its run time was taken for too long.
+			r.objective = r.deadline
+		}
 	}
 	if r.maxAttempts == 0 {
 		r.maxAttempts = s.policy.MaxAttempts
