--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -20,8 +20,8 @@
 	// calmRuns is the number of run times without a waiting request after which late requests are served: slots
 	// that were full then have become free about twice.
 	calmRuns = 2
-	// illCost is the estimate added for a target that answers probes but says that it is ill. Such a target may serve all the
-	// same, so it is taken when no other has room; if it does not serve, its failures eject it.
+	// illCost is the estimate added for a target that answers probes but says that it is ill: more than askGood allows, so
+	// that others come first. It may serve all the same; if it does not, its failures eject it.
 	illCost = 0.5
 	// remoteCost is the estimate added for a target in another zone: the traffic between zones costs more than the round
 	// trip takes.
