core, discovery, membership: one piece for what stood twice

Cause: read of the whole change. The room of a target was compared twice for each candidate of a choice; the order of waiting requests was a comparison of two directions, with the lateness of both worked out for each; watching or reading by whether the view is complete stood in Run and in askOther; what makes a member one to read from stood in Parent and in Contact. Change: reportedRoom takes the number of requests, compareTurns replaces goesBefore, follow serves both callers, and member has inContact and answers. Ruled out: a change of behaviour. Result: tests of the packages pass.

--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,9 +17,9 @@
 	asked int
 }
 
-// ahead reports whether a request waits already that gets room before r.
+// ahead reports whether a request waits already that r does not go before.
 func (s *Service) ahead(now Instant, r *request) bool {
-	return slices.ContainsFunc(s.backlog.waiting, func(w *request) bool { return !s.goesBefore(now, r, w) })
+	return slices.ContainsFunc(s.backlog.waiting, func(w *request) bool { return s.compareTurns(now, w, r) <= 0 })
 }
 
 func (b *backlog) add(r *request) { b.waiting = append(b.waiting, r) }
@@ -29,30 +30,21 @@
 	}
 }
 
-// goesBefore reports whether a gets room before b.
-func (s *Service) goesBefore(now Instant, a, b *request) bool {
-	lateA, lateB := s.late(now, a), s.late(now, b)
-	switch {
-	case lateA != lateB:
-		return lateB
-	case a.priority != b.priority:
-		return a.priority < b.priority
+// compareTurns is negative if a gets room before b, and 0 if neither goes first.
+func (s *Service) compareTurns(now Instant, a, b *request) int {
+	if late := s.late(now, a); late != s.late(now, b) {
+		if late {
+			return 1
+		}
+		return -1
 	}
-	return a.arrived < b.arrived
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrived, b.arrived))
 }
 
 // inOrder returns the waiting requests in the order in which they get room.
 func (s *Service) inOrder(now Instant) []*request {
 	order := slices.Clone(s.backlog.waiting)
-	slices.SortStableFunc(order, func(a, b *request) int {
-		switch {
-		case s.goesBefore(now, a, b):
-			return -1
-		case s.goesBefore(now, b, a):
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(order, func(a, b *request) int { return s.compareTurns(now, a, b) })
 	return order
 }
 
@@ -89,7 +81,7 @@
 func (s *Service) backlogWait(now Instant, r *request) time.Duration {
 	ahead := 0
 	for _, w := range s.backlog.waiting {
-		if s.goesBefore(now, w, r) {
+		if s.compareTurns(now, w, r) < 0 {
 			ahead++
 		}
 	}
@@ -102,7 +94,7 @@
 	if len(s.backlog.waiting) == 0 {
 		return out
 	}
-	room := slices.ContainsFunc(s.recentReports(now), func(t *targetState) bool { return s.reportedRoom(t, now, askReuse) })
+	room := slices.ContainsFunc(s.recentReports(now), func(t *targetState) bool { return s.reportedRoom(t, now, askReuse, 1) })
 	if !room && s.usable > 0 {
 		return out
 	}
--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -76,9 +76,9 @@
 	return !t.ejection.active && now >= t.backoffUntil && !r.tried(t)
 }
 
-// reportedRoom reports whether t has told at most the given time ago that it has room.
-func (s *Service) reportedRoom(t *targetState, now Instant, age time.Duration) bool {
-	return t.hasReport && now-t.reportedAt <= age && t.busy() < s.room(t)
+// reportedRoom reports whether t has told at most the given time ago that it has room for n requests.
+func (s *Service) reportedRoom(t *targetState, now Instant, age time.Duration, n int) bool {
+	return t.hasReport && now-t.reportedAt <= age && t.busy()+n <= s.room(t)
 }
 
 // reportLife is the longest age at which a report is used to place a request.
@@ -101,7 +101,7 @@
 	run := s.runTime(r)
 	room := s.roomFor(now, r)
 	for _, t := range s.recentReports(now) {
-		if !s.reportedRoom(t, now, age) || !s.candidate(t, now, r) || t.busy()+room > s.room(t) {
+		if !s.reportedRoom(t, now, age, room) || !s.candidate(t, now, r) {
 			continue
 		}
 		e := s.estimate(t, now)
--- a/pkg/discovery/upstream.go
+++ b/pkg/discovery/upstream.go
@@ -83,13 +83,7 @@
 	if from == nil {
 		return complete
 	}
-	c := choice{source: from, name: name, wait: shortWait}
-	var err error
-	if complete {
-		_, err = w.watch(ctx, c)
-	} else {
-		err = w.read(ctx, c)
-	}
+	_, err := w.follow(ctx, choice{source: from, name: name, wait: shortWait}, complete)
 	if err != nil {
 		from.Reset()
 	}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -107,13 +107,7 @@
 			sleep(ctx, joinPoll)
 			continue
 		}
-		var err error
-		var changes Changes
-		if complete {
-			changes, err = w.watch(ctx, c)
-		} else {
-			err = w.read(ctx, c)
-		}
+		changes, err := w.follow(ctx, c, complete)
 		switch {
 		case err == nil:
 			complete = !changes.Lost
@@ -145,6 +139,14 @@
 	}
 }
 
+// follow watches for changes of a complete view, and reads everything for another.
+func (w *Watcher) follow(ctx context.Context, c choice, complete bool) (Changes, error) {
+	if complete {
+		return w.watch(ctx, c)
+	}
+	return Changes{}, w.read(ctx, c)
+}
+
 // Refresh reads everything from the source once, for an instance that was paused and cannot trust its view.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	w.source.Reset()
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -147,6 +147,14 @@
 	retryAt, pause time.Duration
 }
 
+// inContact reports whether somebody has exchanged with m lately.
+func (m *member) inContact(now time.Duration) bool { return m.start != "" && now < m.present }
+
+// answers reports whether m can be read from: in contact, not leaving, and without a failure lately.
+func (m *member) answers(now time.Duration) bool {
+	return m.inContact(now) && !m.leaving && now >= m.failedUntil
+}
+
 // State is what one instance knows about the others.
 type State struct {
 	cfg     Config
@@ -402,8 +410,7 @@
 	list := make([]Member, 0, len(s.order))
 	for _, address := range s.order {
 		m := s.members[address]
-		inContact := m.start != "" && now < m.present
-		list = append(list, Member{m.address, m.zone, m.start, m.listed, inContact, m.leaving})
+		list = append(list, Member{m.address, m.zone, m.start, m.listed, m.inContact(now), m.leaving})
 	}
 	return list
 }
--- a/pkg/peer/membership/tree.go
+++ b/pkg/peer/membership/tree.go
@@ -32,7 +32,7 @@
 	self := node{s.cfg.Self, s.cfg.Zone, rank(s.cfg.Self, s.cfg.Start)}
 	nodes := []node{self}
 	for _, m := range s.members {
-		if m.start != "" && !m.leaving && now >= m.failedUntil && now < m.present {
+		if m.answers(now) {
 			nodes = append(nodes, node{m.address, m.zone, rank(m.address, m.start)})
 		}
 	}
@@ -62,7 +62,7 @@
 	var list []string
 	for _, address := range s.order {
 		m := s.members[address]
-		if m.start != "" && !m.leaving && now >= m.failedUntil && now < m.present {
+		if m.answers(now) {
 			list = append(list, address)
 		}
 	}
@@ -77,7 +77,7 @@
 	var list []Known
 	for _, address := range s.order {
 		m := s.members[address]
-		if m.start != "" && now < m.present && !m.leaving {
+		if m.inContact(now) && !m.leaving {
 			age := max(contactMemory-(m.present-now), 0)
 			list = append(list, Known{Address: m.address, Zone: m.zone, Start: m.start, Age: age})
 		}
