standin: one way to read the body of a control call

Cause: read of the whole change: three handlers of the stand-ins decoded their body and answered 400 in the same lines. Change: decodeBody serves the three. Result: the tests of the package pass; the answers are the same.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -186,8 +186,7 @@
 
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
 	var instances []discovery.Instance
-	if err := json.NewDecoder(r.Body).Decode(&instances); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeBody(w, r, &instances) {
 		return
 	}
 	p.SetInstances(instances)
@@ -228,3 +227,12 @@
 	}
 	return path
 }
+
+// decodeBody reads the JSON body of a request into v. It answers 400 and returns false if that fails.
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(r.Body).Decode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
--- a/internal/standin/platform_faults.go
+++ b/internal/standin/platform_faults.go
@@ -61,8 +61,7 @@
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f PlatformFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeBody(w, r, &f) {
 		return
 	}
 	p.SetFaults(f)
--- a/internal/standin/target_faults.go
+++ b/internal/standin/target_faults.go
@@ -116,8 +116,7 @@
 
 func (t *Target) putFault(w http.ResponseWriter, r *http.Request) {
 	var fault Fault
-	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeBody(w, r, &fault) {
 		return
 	}
 	if !knownFaults[fault.Kind] {
