--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -127,6 +128,36 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Pause sends SIGSTOP and waits until every thread of the process has stopped. On a busy machine, threads run on for
+// some time after the signal was sent, and the process may still read what is sent to it meanwhile.
+func (p *Process) Pause(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return eris.Wrap(err, "send SIGSTOP")
+	}
+	tasks := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "task")
+	return WaitFor(ctx, "stop of all threads", func() error { return checkStopped(tasks) })
+}
+
+// checkStopped returns an error unless every thread listed in a task directory of /proc is stopped.
+func checkStopped(tasks string) error {
+	threads, err := os.ReadDir(tasks)
+	if err != nil {
+		return eris.Wrap(err, "list threads")
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+		if err != nil {
+			return eris.Wrap(err, "read state of thread")
+		}
+		// The state follows the command name, which is in parentheses and may contain spaces.
+		fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+		if len(fields) == 0 || fields[0] != "T" {
+			return eris.Errorf("thread %s is not stopped: %v", thread.Name(), fields[:min(1, len(fields))])
+		}
+	}
+	return nil
+}
+
 // Done returns a channel that is closed when the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/internal/e2e/pause_test.go
+++ b/internal/e2e/pause_test.go
@@ -126,7 +126,8 @@
 	for _, r := range expired {
 		require.NoError(t, r.awaitContinue()) // the instance has read the head before the pause
 	}
-	require.NoError(t, paused.Signal(syscall.SIGSTOP))
+	// A request whose head is read before the pause has an expired deadline after it, like those of expired.
+	require.NoError(t, paused.Pause(ctx))
 	resume := time.After(pause)
 	require.NoError(t, PublishDocument(d.PlatformAddress, updatedDocument))
 	// The first list, which only marks a target as leaving, completes the watch that was pending at the pause. The
