--- /dev/null
+++ b/internal/sockets/refuse.go
@@ -0,0 +1,48 @@
+package sockets
+
+import (
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// RefuseConnections makes a TCP listener drop the first packet of each new connection from now on. Connections whose
+// handshake has begun are still established and can be accepted. Closing a listener resets the connections that wait to
+// be accepted, whose callers may already have sent a request; once the listener refuses connections, those can be
+// accepted first.
+//
+// It returns an error if the kernel does not support socket filters.
+func RefuseConnections(listener syscall.Conn) error {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return eris.Wrap(err, "access socket of listener")
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, dropSYN())
+	})
+	if err != nil {
+		return eris.Wrap(err, "access socket of listener")
+	}
+	return eris.Wrap(optErr, "attach filter to listener")
+}
+
+const (
+	tcpFlagsOffset = 13 // in bytes from the start of the TCP header, where filters of TCP sockets begin
+	tcpSYN         = 0x02
+	tcpACK         = 0x10
+	keepWhole      = 0xffff // larger than any packet
+)
+
+// dropSYN returns a filter program that drops packets with SYN and without ACK, and keeps all others.
+func dropSYN() *unix.SockFprog {
+	program := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: tcpSYN | tcpACK},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: tcpSYN, Jt: 0, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: keepWhole},
+	}
+	return &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -20,9 +20,11 @@
 func Dialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout} }
 
 // ListenConfig returns a listen configuration that sets UserTimeout and the keep-alive options. Accepted sockets
-// inherit them from the listener.
+// inherit them from the listener. It turns off Multipath TCP, whose sockets do not support RefuseConnections.
 func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	c := &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	c.SetMultipathTCP(false)
+	return c
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -229,7 +229,7 @@
 // check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end of the
 // period, because closing one could abort a request that the caller has already sent. Requests that are still active
 // after StopLimit, which includes the lame-duck period, are aborted and counted.
-func (i *instance) stop(server *http.Server) {
+func (i *instance) stop(server *gateway.Server) {
 	i.stopping.Store(true)
 	i.gateway.Drain()
 	i.log.Info("instance stopping")
@@ -248,8 +248,11 @@
 	i.log.Info("instance stopped")
 }
 
+// httpServer is implemented by http.Server and gateway.Server.
+type httpServer interface{ Serve(net.Listener) error }
+
 // serve runs s on l. It returns nil after s was closed or shut down.
-func serve(s *http.Server, l net.Listener) error {
+func serve(s httpServer, l net.Listener) error {
 	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
 		return eris.Wrapf(err, "serve %s", l.Addr())
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -23,11 +23,7 @@
 const callerIdleTimeout = 10 * time.Minute
 
 // NewServer returns a server for callers that limits slow and oversized requests.
-func (g *Gateway) NewServer() *http.Server {
-	s := &http.Server{Handler: g.Handler(), IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true}
-	g.cfg.HeaderLimits.Apply(s)
-	return s
-}
+func (g *Gateway) NewServer() *Server { return newServer(g.Handler(), g.cfg.HeaderLimits, g.log) }
 
 // Handler returns the HTTP handler for callers. It has none of the limits that NewServer sets.
 func (g *Gateway) Handler() http.Handler {
@@ -211,6 +207,9 @@
 	}
 	g.recordResult(c, result{target: d.target, attempts: d.attemptsStarted, outcome: outcome, status: d.response.Status})
 	if end != delivered {
+		if !c.r.ProtoAtLeast(1, 1) {
+			resetConnection(c.r.Context()) // without chunks, the body seems complete when the connection ends cleanly
+		}
 		panic(http.ErrAbortHandler) // closes the connection, so that the caller can detect the truncation
 	}
 }
--- /dev/null
+++ b/pkg/gateway/server_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
+)
+
+// startServer serves handler on a loopback address until the test ends.
+func startServer(t *testing.T, handler http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := newServer(handler, DefaultHeaderLimits, logr.Discard())
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return s, l.Addr().String()
+}
+
+// Guards against a planned stop under load that resets connections which the kernel has accepted: their callers have
+// sent a request and get no response. Once the server stops, a caller is either refused a connection or answered.
+func TestShutdownAnswersAcceptedConnections(t *testing.T) {
+	const callers, stops = 16, 5
+	for range stops {
+		var stopping atomic.Bool
+		s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			if stopping.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+		aborted := make(chan error, callers)
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				for {
+					c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+					if err != nil {
+						return // refused
+					}
+					if err := exchange(c); err != nil {
+						aborted <- err
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		stopping.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		require.NoError(t, s.Shutdown(ctx))
+		cancel()
+		group.Wait()
+		select {
+		case err := <-aborted:
+			require.NoError(t, err, "request aborted by the stop")
+		default:
+		}
+	}
+}
+
+// exchange sends a request on c, reads the response and closes c.
+func exchange(c net.Conn) error {
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, get("/")); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Guards against a stop that closes a kept connection as idle although its next request has arrived, wholly or in part:
+// the caller cannot know whether the request ran.
+func TestShutdownAnswersRequestsOnKeptConnections(t *testing.T) {
+	for name, sentBeforeStop := range map[string]int{"whole request": len(get("/")), "part of the head": 10} {
+		t.Run(name, func(t *testing.T) {
+			s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+			c, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer c.Close()
+			reader := bufio.NewReader(c)
+			request := get("/")
+			_, err = io.WriteString(c, request)
+			require.NoError(t, err)
+			first, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, first.Body)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.idleConns() == 1 }, 10*time.Second, time.Millisecond)
+
+			_, err = io.WriteString(c, request[:sentBeforeStop])
+			require.NoError(t, err)
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(t.Context()) }()
+			time.Sleep(2 * handshakeTime)
+			_, err = io.WriteString(c, request[sentBeforeStop:])
+			require.NoError(t, err)
+			second, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, second.StatusCode)
+			c.Close()
+			require.NoError(t, <-stopped)
+		})
+	}
+}
+
+func (s *Server) idleConns() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against connections that a stop leaves open for ever, because a caller sent bytes that are no request.
+func TestShutdownEndsWithMalformedRequests(t *testing.T) {
+	for name, text := range map[string]string{"malformed": "\x00\x01\x02\x03\r\n\r\n", "two bytes": "GE"} {
+		t.Run(name, func(t *testing.T) {
+			s, address := startServer(t, func(http.ResponseWriter, *http.Request) {})
+			c, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			_, err = io.WriteString(c, text)
+			require.NoError(t, err)
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
+			_, _ = io.Copy(io.Discard, c)
+			c.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			require.NoError(t, s.Shutdown(ctx))
+		})
+	}
+}
+
+// Guards against a truncated response that an HTTP/1.0 caller takes for a complete one: without chunks, its body ends
+// with the connection.
+func TestTruncationIsVisibleToOldCallers(t *testing.T) {
+	chunk := strings.Repeat("x", maxBufferedBytes)
+	f := newFixture(t, logr.Discard(), Config{}, newRawTarget(t,
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n5\r\nab", len(chunk), chunk)))
+	_, _, err := f.exchangeRaw(t, http.MethodGet, "GET /r/1 HTTP/1.0\r\nHost: registry\r\n\r\n")
+	require.Error(t, err)
+}
