--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -77,6 +77,15 @@
 	return s
 }
 
+// Successor returns a service with the policy and the leaving signals of s, but without targets and requests. It replaces
+// a service whose state may be inconsistent after a panic.
+func (s *Service) Successor() *Service {
+	successor := NewService(s.policy)
+	successor.startHistories = s.startHistories
+	successor.stopping = s.stopping
+	return successor
+}
+
 // Reduce applies one event and appends its effects to out, so that a step need not allocate.
 func (s *Service) Reduce(in Input, out []Effect) []Effect {
 	s.rng.Seed(in.Rand, uint64(in.Now))
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -107,6 +107,7 @@
 	ReasonLoop              Reason = "loop"           // the request passed too many instances
 	ReasonNestedGiveUp      Reason = "nested-give-up" // another instance gave up on a nested call of the target
 	ReasonCallerLeft        Reason = "caller-left"
+	ReasonInternal          Reason = "internal-error" // the reducer failed; set by the runtime
 )
 
 // Reasons for retries and hedges.
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -23,6 +23,7 @@
 type Metrics struct {
 	offers *prometheus.CounterVec
 	reads  *prometheus.CounterVec
+	panics prometheus.Counter
 }
 
 // countRead counts a read from the platform's store or from another instance. For the latter, the label has the prefix
@@ -41,7 +42,12 @@
 		reg.MustRegister(c)
 		return c
 	}
+	panics := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "burdockpitch", Name: "platform_panics_total", Help: "Contained panics while the platform was read.",
+	})
+	reg.MustRegister(panics)
 	return &Metrics{
+		panics: panics,
 		offers: counter("configuration_offers_total", "Offered documents by what became of them.", "result"),
 		reads:  counter("platform_reads_total", "Reads of the platform by result.", "result"),
 	}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
 )
 
 // WatcherConfig configures a Watcher.
@@ -141,8 +143,16 @@
 	}
 }
 
-// readOrWatch watches for changes if the view is complete, and otherwise reads a full snapshot.
-func (w *Watcher) readOrWatch(ctx context.Context, c sourceChoice, complete bool) (Changes, error) {
+// readOrWatch watches for changes if the view is complete, and otherwise reads a full snapshot. It turns a panic into an
+// error, so that an entry of the store that triggers a defect does not end the process.
+func (w *Watcher) readOrWatch(ctx context.Context, c sourceChoice, complete bool) (changes Changes, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Errorf("panic: %v", cause)
+			w.metrics.panics.Inc()
+			w.log.Info("panic contained", "task", "read from "+c.name, "cause", err.Error(), "stack", string(debug.Stack()))
+		}
+	}()
 	if complete {
 		return w.watch(ctx, c)
 	}
@@ -152,7 +162,8 @@
 // Refresh reads a full snapshot from the source, for an instance that was paused and whose view may be outdated.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	w.source.Reset()
-	return w.read(ctx, sourceChoice{source: w.source, name: sourceName})
+	_, err := w.readOrWatch(ctx, sourceChoice{source: w.source, name: sourceName}, false)
+	return err
 }
 
 func (w *Watcher) revision() uint64 {
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -23,6 +23,7 @@
 	silent      bool // watches return no changes although there are some
 	historyGone bool // the next watch returns ErrHistoryGone
 	incomplete  bool // the next watch returns a higher revision without changes
+	panics      bool // the next read or watch panics
 	calls       int
 }
 
@@ -48,6 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.panicOnce()
 	snapshot := discovery.Snapshot{Revision: s.revision}
 	for _, i := range s.items {
 		snapshot.Items = append(snapshot.Items, i)
@@ -69,6 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.panicOnce()
 	switch {
 	case s.callErr != nil:
 		return c, true, s.callErr
@@ -90,6 +93,13 @@
 	return c, len(c.Items) > 0, nil
 }
 
+func (s *fakeSource) panicOnce() {
+	if s.panics {
+		s.panics = false
+		panic("unexpected entry")
+	}
+}
+
 func (s *fakeSource) Reset() {}
 
 // recorder keeps the last list of targets.
@@ -126,13 +136,14 @@
 }
 
 // Guards against a change that never arrives because watches return nothing or fail, the source no longer has the
-// history, or its revision rises without changes in the answer.
+// history, its revision rises without changes in the answer, or an entry triggers a panic.
 func TestWatcherReceivesChangesDespiteFaults(t *testing.T) {
 	faults := map[string]func(s *fakeSource){
 		"none":                      func(*fakeSource) {},
 		"history gone":              func(s *fakeSource) { s.historyGone = true },
 		"revision without changes":  func(s *fakeSource) { s.incomplete = true },
 		"temporarily down":          func(s *fakeSource) { s.callErr = errors.New("down") },
+		"panic":                     func(s *fakeSource) { s.panics = true },
 		"silent, then history gone": func(s *fakeSource) { s.silent = true },
 	}
 	for name, fault := range faults {
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -31,6 +31,7 @@
 
 	mu      sync.Mutex
 	service *core.Service
+	targets []core.Target // of the latest core.TargetsChanged
 	pending map[core.RequestID]*pendingRequest
 	lastID  core.RequestID
 	timer   *time.Timer
@@ -86,11 +87,15 @@
 
 // apply is dispatch for callers that hold the lock.
 func (e *engine) apply(ev core.Event) {
+	defer e.recoverReducer()
 	in := core.Input{Now: e.clock.now(), Rand: rand.Uint64(), Event: ev}
 	e.effects = e.service.Reduce(in, e.effects[:0])
 	for _, effect := range e.effects {
 		e.perform(effect)
 	}
+	if changed, ok := ev.(core.TargetsChanged); ok {
+		e.targets = changed.Targets
+	}
 }
 
 // submit starts a request. It sets the event's request ID and deadline.
@@ -203,6 +208,7 @@
 // runAttempt sends an attempt and reports its end, unless the response is delivered: then the caller's goroutine
 // reports it.
 func (e *engine) runAttempt(ctx context.Context, c *target.Client, p *pendingRequest, id core.AttemptID, state *attemptState, a target.Attempt) {
+	defer e.recoverAttempt(p, id)
 	response, err := c.Send(ctx, a)
 	if failure := (*target.Error)(nil); errors.As(err, &failure) && failure.Reason == target.ReasonResumed {
 		e.pauses.awaitRefresh(ctx) // so that the reducer selects again from the refreshed targets
@@ -243,6 +249,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := p.attempts[id]
+	if state == nil {
+		return // ended by recoverAttempt
+	}
 	state.cancel()
 	delete(p.attempts, id)
 	e.logAttemptEnded(p, state, ev)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,6 +17,7 @@
 	probes       *prometheus.CounterVec
 	budgetDenied *prometheus.CounterVec
 	aborted      prometheus.Counter
+	panics       *prometheus.CounterVec
 
 	requestSeconds *prometheus.HistogramVec
 	attemptSeconds *prometheus.HistogramVec
@@ -42,6 +43,7 @@
 		hedges:       counter("hedges_total", "Hedged attempts by reason.", "service", "reason"),
 		probes:       counter("probes_total", "Probes of targets by result.", "service", "result"),
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
+		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -19,6 +19,7 @@
 	client, identity := e.clients.get(effect.Target)
 	deadline := e.clock.timeAt(effect.At)
 	go func() {
+		defer e.recoverProbe(effect.Target)
 		ev, err := runProbe(client, effect.Target, identity, e.probePath.Load(), deadline)
 		e.metrics.probes.WithLabelValues(e.name, probeResult(ev)).Inc()
 		e.logProbeOutage(ev, err)
--- a/pkg/peer/follow_test.go
+++ b/pkg/peer/follow_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
@@ -108,3 +109,62 @@
 		require.NotErrorIs(t, err, discovery.ErrHistoryGone)
 	})
 }
+
+// panickingFeed panics on every call.
+type panickingFeed struct{}
+
+func (panickingFeed) Snapshot() (discovery.Snapshot, error) { panic("unexpected state") }
+
+func (panickingFeed) Since(context.Context, uint64, time.Duration) (discovery.Changes, error) {
+	panic("unexpected state")
+}
+
+// Guards against a message of a peer that ends the process because it triggers a defect.
+func TestPanicOfAPeerCallIsContained(t *testing.T) {
+	server, address := startOpenNode(t, panickingFeed{})
+	n, _ := startOpenNode(t, nil)
+	for range 2 {
+		f := n.NewFollower(address, 5*time.Second)
+		_, err := f.Read(t.Context())
+		require.Error(t, err)
+		f.Reset()
+	}
+	require.Eventually(t, func() bool {
+		return testutil.ToFloat64(server.metrics.panics.WithLabelValues("serve peer")) == 2
+	}, 10*time.Second, time.Millisecond)
+}
+
+// Guards against messages whose content is not validated: a negative age would make old data look new, and a long wait
+// would occupy the connection of the called instance.
+func TestInvalidFollowMessagesAreRejected(t *testing.T) {
+	n, _ := startOpenNode(t, nil)
+	cases := map[string]struct {
+		feed    Feed
+		request *Follow
+	}{
+		"negative age":   {&stubFeed{hasData: true, changes: answerWith(discovery.Changes{Age: -time.Second})}, &Follow{Wait: time.Millisecond}},
+		"negative grace": {&stubFeed{hasData: true, changes: answerWith(discovery.Changes{Grace: -time.Second})}, &Follow{Wait: time.Millisecond}},
+		"empty key":      {&stubFeed{hasData: true, changes: answerWith(discovery.Changes{Items: []discovery.Item{{}}})}, &Follow{Wait: time.Millisecond}},
+		"negative wait":  {&stubFeed{hasData: true}, &Follow{Wait: -time.Second}},
+		"long wait":      {&stubFeed{hasData: true}, &Follow{Wait: time.Hour}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, address := startOpenNode(t, c.feed)
+			f := n.NewFollower(address, 5*time.Second)
+			defer f.Reset()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := f.call(ctx, c.request)
+			require.Error(t, err)
+			require.NoError(t, ctx.Err(), "rejected at once")
+		})
+	}
+}
+
+// answerWith returns the channel of a stubFeed that holds one answer.
+func answerWith(c discovery.Changes) chan discovery.Changes {
+	answers := make(chan discovery.Changes, 1)
+	answers <- c
+	return answers
+}
--- a/pkg/peer/metrics.go
+++ b/pkg/peer/metrics.go
@@ -8,6 +8,7 @@
 	droppedConnections *prometheus.CounterVec
 	pulledDocuments    prometheus.Counter
 	fleetSize          prometheus.Gauge
+	panics             *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with reg.
@@ -19,10 +20,11 @@
 		contacts:           prometheus.NewCounterVec(opts("peer_contacts_total", "Contacts to other instances by result."), []string{"result"}),
 		droppedConnections: prometheus.NewCounterVec(opts("peer_dropped_total", "Accepted connections dropped by reason."), []string{"reason"}),
 		pulledDocuments:    prometheus.NewCounter(opts("peer_pulled_total", "Documents pulled from other instances.")),
+		panics:             prometheus.NewCounterVec(opts("peer_panics_total", "Contained panics by task."), []string{"task"}),
 		fleetSize: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "burdockpitch", Name: "fleet_size", Help: "Largest number of entry instances seen in ten minutes.",
 		}),
 	}
-	reg.MustRegister(m.contacts, m.droppedConnections, m.pulledDocuments, m.fleetSize)
+	reg.MustRegister(m.contacts, m.droppedConnections, m.pulledDocuments, m.fleetSize, m.panics)
 	return m
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -225,6 +225,7 @@
 	go func() {
 		defer func() { <-n.contactSlots }()
 		defer n.endContact(address)
+		defer n.recoverPanic("contact peer", address)
 		n.contactPeer(ctx, address)
 	}()
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/rpc"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 )
@@ -49,10 +51,20 @@
 		defer conn.Close()
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		defer stop()
+		defer n.recoverPanic("serve peer", conn.RemoteAddr().String())
 		n.serveConnection(ctx, conn)
 	}()
 }
 
+// recoverPanic ends a panic in a task for one peer, so that a message that triggers a defect costs one connection and
+// not the process. It must be deferred.
+func (n *Node) recoverPanic(task, peer string) {
+	if cause := recover(); cause != nil {
+		n.metrics.panics.WithLabelValues(task).Inc()
+		n.log.Info("panic contained", "task", task, "peer", peer, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+}
+
 // serveConnection handles the requests on a connection one after another. Any error ends the connection.
 func (n *Node) serveConnection(ctx context.Context, conn net.Conn) {
 	server := rpc.NewServer()
