--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	budgetBucketWidth = 100 * time.Millisecond
@@ -51,18 +55,43 @@
 	b.total.requests++
 }
 
+// limitOf returns a limit from its parts, of which only the floor is a whole number. The parts of an instance are small
+// in a large fleet, where rounding all of them down would leave a large share of the budget unused. With a limit that
+// the fleet shares, each instance rounds up or down by its ID, so that the sum over the fleet stays the same.
+//
+// An instance that has just started gets no share of the slack: it may have used its share before a restart, and it does
+// not know the size of the fleet yet.
+func (b *budget) limitOf(p *Policy, floor int, ratio, slack float64) int {
+	limit := ratio * float64(b.completeRequests())
+	if b.newestBucket >= int64(BudgetWindow/budgetBucketWidth) {
+		limit += p.instanceShare(slack)
+	}
+	if p.RetriesIncludeHedges {
+		limit += float64(xxhash.Sum64String(p.InstanceID)) / (1 << 64)
+	}
+	return floor + int(limit)
+}
+
 func (b *budget) retryLimit(p *Policy) int {
-	return p.RetryFloor + int(p.RetryRatio*float64(b.completeRequests())+p.instanceShare(p.RetrySlack))
+	return b.limitOf(p, p.RetryFloor, p.RetryRatio, p.RetrySlack)
 }
 
 func (b *budget) hedgeLimit(p *Policy) int {
-	return p.HedgeFloor + int(p.HedgeRatio*float64(b.completeRequests())+p.instanceShare(p.HedgeSlack))
+	return b.limitOf(p, p.HedgeFloor, p.HedgeRatio, p.HedgeSlack)
+}
+
+// retriesUsed returns the retries in the window that count against the retry budget.
+func (b *budget) retriesUsed(p *Policy) int {
+	if p.RetriesIncludeHedges {
+		return b.total.retries + b.total.hedges
+	}
+	return b.total.retries
 }
 
 // takeRetry reports whether one more retry is allowed, and counts it if so.
 func (b *budget) takeRetry(now Instant, p *Policy) bool {
 	b.advance(now)
-	if b.total.retries >= b.retryLimit(p) {
+	if b.retriesUsed(p) >= b.retryLimit(p) {
 		return false
 	}
 	b.bucket(b.newestBucket).retries++
@@ -73,6 +102,9 @@
 // allowsHedge reports whether one more hedge fits into the given share of the hedge budget.
 func (b *budget) allowsHedge(now Instant, p *Policy, budgetShare float64) bool {
 	b.advance(now)
+	if p.RetriesIncludeHedges && b.retriesUsed(p) >= b.retryLimit(p) {
+		return false
+	}
 	return float64(b.total.hedges+1) <= budgetShare*float64(b.hedgeLimit(p))
 }
 
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -49,6 +49,9 @@
 	// addition to the ratios. Each instance uses 1/InstanceCount of them, so the bound holds if InstanceCount is at
 	// least the true number of instances.
 	RetrySlack, HedgeSlack float64
+	// RetriesIncludeHedges makes the retry budget a limit for retries and hedges together. The hedge budget is then a
+	// part of it, and retries use what hedges leave.
+	RetriesIncludeHedges bool
 	// HedgeRatio is the share of requests that may be hedged over BudgetWindow.
 	HedgeRatio float64
 	// HedgeFloor is the number of hedges that each instance may always make per BudgetWindow.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -141,8 +141,8 @@
 
 // Fleet holds limits for all instances together.
 type Fleet struct {
-	// RepeatRatio is the share of requests that may be sent again over 10 s, by retries and hedges: 6/10 of it for
-	// retries, 3/10 for hedges. It replaces the ratios and floors of Retry and Hedge. Default 0: these apply as they are.
+	// RepeatRatio is the share of requests that may be sent again over 10 s, by retries and hedges: 9/10 of it
+	// together, of which hedges may use 3/10 of the whole. It replaces the ratios and floors of Retry and Hedge. Default 0: these apply as they are.
 	RepeatRatio float64 `toml:"repeat_ratio"`
 	// RepeatSlack is the number of requests that may be sent again per service and 10 s in addition to RepeatRatio. It
 	// has no effect if RepeatRatio is 0. Each instance takes its share. Default 0.
@@ -291,11 +291,12 @@
 	return Parse(path, text)
 }
 
-// Fractions of Fleet.RepeatRatio and Fleet.RepeatSlack for retries and for hedges. The remaining tenth covers requests
-// that two instances count at different times, and replaced instances whose counts are lost.
+// Fractions of Fleet.RepeatRatio and Fleet.RepeatSlack for retries and hedges together, and for hedges alone. The
+// remaining tenth covers requests that two instances count at different times, and replaced instances whose counts are
+// lost.
 const (
-	retryFraction = 0.6
-	hedgeFraction = 0.3
+	repeatFraction = 0.9
+	hedgeFraction  = 0.3
 )
 
 // Policy returns the policy that applies to every service.
@@ -312,9 +313,10 @@
 	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
 	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
 	if f := s.Fleet; f.RepeatRatio > 0 {
-		p.RetryRatio, p.HedgeRatio = f.RepeatRatio*retryFraction, f.RepeatRatio*hedgeFraction
+		p.RetriesIncludeHedges = true
+		p.RetryRatio, p.HedgeRatio = f.RepeatRatio*repeatFraction, f.RepeatRatio*hedgeFraction
 		p.RetryFloor, p.HedgeFloor = 0, 0
-		p.RetrySlack, p.HedgeSlack = f.RepeatSlack*retryFraction, f.RepeatSlack*hedgeFraction
+		p.RetrySlack, p.HedgeSlack = f.RepeatSlack*repeatFraction, f.RepeatSlack*hedgeFraction
 	}
 	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
 	p.LoadProbesLocal, p.LoadProbesRemote, p.LoadProbeSubset = s.LoadProbes.Local, s.LoadProbes.Remote, s.LoadProbes.Subset
