--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -150,6 +150,9 @@
 // MarkFailed implements discovery.PeerSelector.
 func (p *peerSelector) MarkFailed(ctx context.Context, name string) { p.node.ReportFailure(ctx, name) }
 
+// MarkStale implements discovery.PeerSelector.
+func (p *peerSelector) MarkStale(ctx context.Context, name string) { p.node.ReportStale(ctx, name) }
+
 func newDiscoveryReader(
 	s settings.Settings, configStore *discovery.ConfigStore, g *gateway.Gateway, n *peer.Node, m *discovery.Metrics, log logr.Logger,
 ) *discovery.Reader {
--- a/pkg/discovery/peer_selector.go
+++ b/pkg/discovery/peer_selector.go
@@ -16,13 +16,16 @@
 	Joined() bool
 	// RandomPeer returns another instance in contact with this one, and its name; nil if there is none.
 	RandomPeer() (from Source, name string)
-	// MarkFailed reports that an instance could not be read or has no recent data.
+	// MarkFailed reports that an instance could not be read.
 	MarkFailed(ctx context.Context, name string)
+	// MarkStale reports that an instance had no recent data although the source answers.
+	MarkStale(ctx context.Context, name string)
 }
 
 const (
 	// joinTimeout is how long an instance waits for the list of members from another instance before it assumes that it
-	// is the only one.
+	// is the only one. An instance that has a view waits until the view is older than WatcherConfig.MaxAge, if that is
+	// longer: when a large fleet restarts, the first contacts to its seeds take about a second.
 	joinTimeout = time.Second
 	// joinPollInterval is the interval at which an instance that waits for the list of members checks whether it has
 	// received one. It is also the average pause after a peer has answered with ErrHistoryGone.
@@ -65,7 +68,7 @@
 	switch {
 	case !hasView && (!w.cfg.WaitForPeers || age >= joinTimeout):
 		return direct
-	case age < joinTimeout && !w.peers.Joined():
+	case !w.peers.Joined() && (age < joinTimeout || hasView && age < w.cfg.MaxAge):
 		return sourceChoice{} // the other instances are not known yet
 	case from == nil:
 		return direct
@@ -93,11 +96,11 @@
 	return complete || err == nil
 }
 
-// dropStaleParent marks the parent as failed if its data was stale and the source has answered in its place. Such a
+// dropStaleParent marks the parent as stale if its data was stale and the source has answered in its place. Such a
 // parent is cut off from the source, and would otherwise stay the parent of all its children.
 func (w *Watcher) dropStaleParent(ctx context.Context, c sourceChoice) {
 	if c.bypass && w.staleParent == c.parent {
-		w.peers.MarkFailed(ctx, c.parent)
+		w.peers.MarkStale(ctx, c.parent)
 	}
 	w.staleParent = ""
 }
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -132,6 +132,7 @@
 		case c.name == sourceName && c.bypass && complete:
 			w.source.Reset()
 			w.nextBypassAt = w.now() + bypassBackoff.pause()
+			w.readFromPeer(ctx, complete) // the source may refuse this instance and serve others
 		case c.name == sourceName:
 			w.source.Reset()
 			complete = w.readFromPeer(ctx, complete)
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -166,10 +166,11 @@
 
 // fakePeers is a PeerSelector with a fixed parent and a fixed other instance.
 type fakePeers struct {
-	mu       sync.Mutex
-	parent   discovery.Source // nil: this instance is the root
-	other    discovery.Source // nil: no other instance is in contact
-	failures int
+	mu        sync.Mutex
+	parent    discovery.Source // nil: this instance is the root
+	other     discovery.Source // nil: no other instance is in contact
+	notJoined bool
+	failures  int
 }
 
 func (p *fakePeers) RandomPeer() (discovery.Source, string) { return p.other, "other" }
@@ -180,7 +181,7 @@
 	return p.parent, "peer", 1
 }
 
-func (p *fakePeers) Joined() bool { return true }
+func (p *fakePeers) Joined() bool { return !p.notJoined }
 
 func (p *fakePeers) MarkFailed(context.Context, string) {
 	p.mu.Lock()
@@ -189,6 +190,8 @@
 	time.Sleep(time.Millisecond) // keeps Run from spinning, because Parent returns the same instance again
 }
 
+func (p *fakePeers) MarkStale(ctx context.Context, name string) { p.MarkFailed(ctx, name) }
+
 // peerSource is a watcher as other instances read it, or one that fails with err.
 type peerSource struct {
 	*discovery.Watcher
@@ -227,6 +230,21 @@
 	}
 }
 
+// Guards against a restarted fleet whose instances all call the store a second time, because they have not heard from
+// another instance yet although their views are recent.
+func TestUnjoinedInstanceReliesOnRecentView(t *testing.T) {
+	cfg := watcherConfig
+	cfg.WaitForPeers, cfg.MaxAge = false, 1500*time.Millisecond
+	s := &fakeSource{}
+	s.set("a")
+	w := discovery.NewWatcher(cfg, s, &fakePeers{notJoined: true}, &recorder{}, discovery.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	started := time.Now()
+	go w.Run(t.Context())
+	calls := func() (n int) { s.change(func() { n = s.calls }); return n }
+	require.Eventually(t, func() bool { return calls() > 1 }, 10*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(started), cfg.MaxAge)
+}
+
 // Guards against a fleet in which every instance calls the store, and against an instance that relies on a parent that
 // fails or has no recent data.
 func TestInstancesReadFromPeers(t *testing.T) {
@@ -311,3 +329,20 @@
 	s.set("b")
 	require.Eventually(t, func() bool { return r.count() == 2 }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against an instance that keeps the targets of an outdated parent, because the store refuses its own calls, while
+// other instances know the change.
+func TestRefusedChildReceivesChangesFromPeers(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	other, _ := startWatcher(t, s, nil)
+	cutOffSource := &fakeSource{}
+	cutOffSource.set("a")
+	parent, _ := startWatcher(t, cutOffSource, nil)
+	ownSource := &fakeSource{callErr: errors.New("status 503")}
+	_, r := startWatcher(t, ownSource, &fakePeers{parent: peerSource{Watcher: parent}, other: peerSource{Watcher: other}})
+	require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+	cutOffSource.change(func() { cutOffSource.callErr = errors.New("status 503") })
+	s.set("b")
+	require.Eventually(t, func() bool { return r.count() == 2 }, 2*time.Second, time.Millisecond)
+}
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -25,6 +25,10 @@
 	// failureTTL is how long an instance that did not answer is left out of the tree, unless it answers earlier. Each
 	// retry costs the instances that choose it as their parent the time of a call.
 	failureTTL = 10 * time.Second
+	// staleTTL is how long an instance that had no recent data is left out of the tree. Unlike failureTTL, it does not
+	// end with an exchange: an instance that the platform refuses answers its peers all the time, and would become the
+	// root again and again.
+	staleTTL = 30 * time.Second
 	// MaxMembers is the maximum number of known instances. It bounds the memory for addresses from outside.
 	MaxMembers = 4096
 	// pushFanout is the number of peers that are told about a change. With three, a change reaches 14 instances in
@@ -100,6 +104,9 @@
 // ContactFailed reports that an instance did not answer.
 type ContactFailed struct{ Address string }
 
+// SourceStale reports that the data of an instance was old while the platform answered this one.
+type SourceStale struct{ Address string }
+
 // RoundStarted removes expired state and asks for the contacts of one anti-entropy round.
 type RoundStarted struct{}
 
@@ -112,6 +119,7 @@
 func (InstanceListReceived) event() {}
 func (ExchangeCompleted) event()    {}
 func (ContactFailed) event()        {}
+func (SourceStale) event()          {}
 func (SeedsReplaced) event()        {}
 func (RoundStarted) event()         {}
 func (LocalStateChanged) event()    {}
@@ -146,6 +154,8 @@
 	presentUntil time.Duration
 	// failedUntil is the time until which a member that did not answer is left out of the tree.
 	failedUntil time.Duration
+	// staleUntil is the time until which a member whose data was old is left out of the tree.
+	staleUntil time.Duration
 	// retryAt is the earliest time of the next contact, backoff the delay that led to it.
 	retryAt, backoff time.Duration
 }
@@ -158,6 +168,11 @@
 	return m.isInContact(now) && !m.leaving && now >= m.failedUntil
 }
 
+// canBeParent reports whether m belongs to the tree.
+func (m *member) canBeParent(now time.Duration) bool {
+	return m.isReachable(now) && now >= m.staleUntil
+}
+
 // State is what one instance knows about the others.
 type State struct {
 	cfg            Config
@@ -194,6 +209,10 @@
 		out = s.applyExchange(in.Now, ev, out)
 	case ContactFailed:
 		s.recordFailure(in.Now, ev)
+	case SourceStale:
+		if m := s.members[ev.Address]; m != nil {
+			m.staleUntil = in.Now + staleTTL
+		}
 	case SeedsReplaced:
 		s.replaceSeeds(in.Now, ev.Seeds)
 	case RoundStarted:
@@ -258,7 +277,7 @@
 		if m.start != "" {
 			out = append(out, Effect{Kind: PeerRestarted, Address: m.address})
 		}
-		m.leaving = false
+		m.leaving, m.staleUntil = false, 0
 	}
 	m.start, m.zone = ev.Start, ev.Zone
 	m.presentUntil = now + contactTTL
@@ -295,7 +314,7 @@
 			continue
 		}
 		if m.start != k.Start {
-			m.start, m.leaving, m.failedUntil = k.Start, false, 0
+			m.start, m.leaving, m.failedUntil, m.staleUntil = k.Start, false, 0, 0
 		}
 		m.zone, m.presentUntil = k.Zone, presentUntil
 	}
--- a/pkg/peer/membership/tree.go
+++ b/pkg/peer/membership/tree.go
@@ -32,7 +32,7 @@
 	self := treeNode{s.cfg.Self, s.cfg.Zone, rank(s.cfg.Self, s.cfg.Start)}
 	nodes := []treeNode{self}
 	for _, m := range s.members {
-		if m.isReachable(now) {
+		if m.canBeParent(now) {
 			nodes = append(nodes, treeNode{m.address, m.zone, rank(m.address, m.start)})
 		}
 	}
--- a/pkg/peer/membership/tree_test.go
+++ b/pkg/peer/membership/tree_test.go
@@ -75,6 +75,30 @@
 	}
 }
 
+// Guards against an instance that becomes a parent again with each exchange although it has no recent data, because the
+// platform refuses it: all that read from it would call the platform themselves each time.
+func TestStaleParentStaysReplaced(t *testing.T) {
+	for address, s := range connectedStates(13, "a", "b", "c") {
+		parent, _ := s.Parent(time.Second)
+		if parent == "" {
+			continue
+		}
+		exchange := ExchangeCompleted{Address: parent, Start: s.members[parent].start, Zone: s.members[parent].zone}
+		s.Reduce(Input{Now: time.Second, Event: SourceStale{Address: parent}}, nil)
+		s.Reduce(Input{Now: 2 * time.Second, Event: exchange}, nil)
+		next, _ := s.Parent(2 * time.Second)
+		require.NotEqual(t, parent, next, address)
+		late := time.Second + staleTTL
+		s.Reduce(Input{Now: late, Event: exchange}, nil)
+		back, _ := s.Parent(late)
+		require.Equal(t, parent, back, "the time is over")
+		s.Reduce(Input{Now: late, Event: SourceStale{Address: parent}}, nil)
+		exchange.Start += "-next"
+		s.Reduce(Input{Now: late, Event: exchange}, nil)
+		require.Zero(t, s.members[parent].staleUntil, "it has restarted")
+	}
+}
+
 // Guards against an instance that is gone but never removed, because peers still report it.
 func TestIndirectReportsDoNotKeepInstancesAlive(t *testing.T) {
 	s := New(Config{Self: "self:1", Start: "s0", Zone: "a"})
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -129,6 +129,11 @@
 	n.dispatch(ctx, membership.ContactFailed{Address: address})
 }
 
+// ReportStale records that the instance at address had no recent data of the platform although the platform answers.
+func (n *Node) ReportStale(ctx context.Context, address string) {
+	n.dispatch(ctx, membership.SourceStale{Address: address})
+}
+
 const maxConcurrentContacts = 16
 
 // NewNode returns a node that calls onTargetLeaving once for each new leaving signal of a target.
