--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strconv"
@@ -20,6 +21,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/admin"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -185,9 +187,28 @@
 	require.NoError(t, WaitStatus(ctx, "http://"+d.TargetAddresses[0]+"/control/counts", http.StatusOK))
 }
 
+// killAndRestartInstance kills an instance, starts it again with the same settings and returns as soon as it accepts
+// connections.
+func (d *Deployment) killAndRestartInstance(ctx context.Context, t *testing.T, instance int) {
+	t.Helper()
+	require.NoError(t, d.InstanceProcesses[instance].Signal(syscall.SIGKILL))
+	<-d.InstanceProcesses[instance].Done()
+	settingsFile := filepath.Join(d.workDir, fmt.Sprintf("entry%d.toml", instance))
+	p, err := d.Start("burdockpitch", "serve", "--settings", settingsFile)
+	require.NoError(t, err)
+	d.InstanceProcesses[instance] = p
+	require.NoError(t, WaitFor(ctx, "the listener for callers", func() error {
+		c, err := net.Dial("tcp", d.CallerAddresses[instance])
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}))
+}
+
 // Guards against requests that start on a leaving target more than 3 s after the first leaving signal, whether the
 // signal comes from the instance list, a response or a peer; against a signal that is forgotten before the target
-// restarts or kept after the restart; and against failed requests.
+// restarts, also by an instance that restarts, or kept after the restart of the target; and against failed requests.
 func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
 	viaDeclaration, viaHeader := injectTargetFault(standin.Fault{Kind: standin.FaultDrain}),
 		injectTargetFault(standin.Fault{Kind: standin.FaultLeaving})
@@ -257,6 +278,18 @@
 				d.waitForExecution(ctx, t, 1)
 			}
 			require.Len(t, d.executions(t, 0), len(executions), "requests to a leaving target with the same start ID")
+			// A restarted instance has forgotten the signal and reads the outdated list.
+			require.Empty(t, load.finish(), "bookings that failed")
+			d.killAndRestartInstance(ctx, t, 1)
+			load = startBookingLoad(d.CallerAddresses[1]) // requests may arrive before the instance is ready
+			for range 4 * len(d.TargetAddresses) {
+				d.waitForExecution(ctx, t, 1)
+			}
+			require.Len(t, d.executions(t, 0), len(executions), "requests of a restarted instance to a leaving target")
+			for _, failure := range load.finish() {
+				require.Contains(t, failure, gateway.ReasonNoConfiguration, "bookings that failed")
+			}
+			load = startBookingLoad(d.CallerAddresses...)
 			d.restartFirstTarget(ctx, t, "2")
 			require.NoError(t, d.publishFirstTargetAndWait(ctx, "2", discovery.StateLive, "restarted"))
 			d.waitForExecution(ctx, t, 0)
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -80,6 +80,7 @@
 func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
 	return gateway.Config{
 		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect, HeaderLimits: headerLimits(s),
+		HoldUntilSynced: s.Adapter == "", // the project's own platform may be behind the other instances
 	}
 }
 
--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -246,9 +246,27 @@
 	if peerListener != nil {
 		go c.node.Run(ctx, peerListener)
 	}
+	go c.markSynced(ctx)
 	c.observeTargets(ctx)
 }
 
+// syncPollInterval is the interval at which a starting instance checks whether it is ready.
+const syncPollInterval = 5 * time.Millisecond
+
+// markSynced lets the gateway send requests once the instance is ready.
+func (c *controlPlane) markSynced(ctx context.Context) {
+	ticker := time.NewTicker(syncPollInterval)
+	defer ticker.Stop()
+	for c.ready() != nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	c.gateway.MarkSynced()
+}
+
 // observeTargets passes the state of targets seen by the gateway to the membership, and the number of instances from
 // the membership to the gateway, until ctx ends.
 func (c *controlPlane) observeTargets(ctx context.Context) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,6 +35,9 @@
 	WriteTimeout time.Duration
 	// HeaderLimits bounds the headers of requests; zero means DefaultHeaderLimits.
 	HeaderLimits HeaderLimits
+	// HoldUntilSynced makes requests wait until MarkSynced, for at most a second each. Without it, an instance that has
+	// just started may send requests to targets of which only the other instances know that they are leaving.
+	HoldUntilSynced bool
 }
 
 // HeaderLimits bounds the request line and headers of requests to a server.
@@ -71,6 +74,9 @@
 	draining       atomic.Bool
 	activeRequests atomic.Int64 // requests from callers in progress
 
+	synced     chan struct{} // closed by MarkSynced
+	syncedOnce sync.Once
+
 	minFleetSize int // InstanceCount of the configured policy
 
 	mu      sync.Mutex
@@ -92,7 +98,10 @@
 	ck := newClock()
 	g := &Gateway{
 		cfg: cfg, clock: ck, pauses: &pauseDetector{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
-		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine),
+		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), synced: make(chan struct{}),
+	}
+	if !cfg.HoldUntilSynced {
+		g.MarkSynced()
 	}
 	g.ruleTable.Store(rules.NewTable(nil))
 	return g
@@ -152,6 +161,9 @@
 	}
 }
 
+// MarkSynced ends the wait of Config.HoldUntilSynced. Calls after the first have no effect.
+func (g *Gateway) MarkSynced() { g.syncedOnce.Do(func() { close(g.synced) }) }
+
 // engine returns the engine of a service and creates it if necessary.
 func (g *Gateway) engine(name string) *engine {
 	g.mu.Lock()
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -81,6 +81,7 @@
 // acceptOnCurrentView accepts a request under rules that were read after the last pause. If the process is paused while
 // the body is read, it matches the request again.
 func (g *Gateway) acceptOnCurrentView(c *call) ([]byte, *rejection) {
+	g.awaitSync(c.r.Context())
 	g.pauses.awaitRefresh(c.r.Context())
 	generation := g.pauses.generation()
 	body, rejected := g.accept(c)
@@ -92,6 +93,28 @@
 	return body, rejected
 }
 
+// maxSyncWait is how long a request waits for MarkSynced.
+const maxSyncWait = time.Second
+
+// awaitSync waits for MarkSynced, unless there is no configuration yet, without which a request is rejected at once.
+func (g *Gateway) awaitSync(ctx context.Context) {
+	select {
+	case <-g.synced:
+		return
+	default:
+	}
+	if g.ruleTable.Load().Empty() {
+		return
+	}
+	timer := time.NewTimer(maxSyncWait)
+	defer timer.Stop()
+	select {
+	case <-g.synced:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // rematch matches a request whose body was already read under an earlier rule, and checks the body's length in bytes
 // against the new rule.
 func (g *Gateway) rematch(c *call, length int) *rejection {
