--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Make targets for developers and CI. "make test" is what CI runs.
 GO ?= go
 
-.PHONY: build test lint unit models known-red demo measure bench capacity soak
+.PHONY: build test lint unit models known-red demo measure bench capacity soak fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -55,3 +55,12 @@
 SEEDS ?= 10
 soak:
 	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform/soak -args -soak.seeds=$(SEEDS) -soak.logs=$(CURDIR)/tmp/soak $(SOAK_FLAGS)
+
+# Runs each fuzz target for FUZZ_TIME. Inputs that fail are kept in the testdata folder of the package.
+FUZZ_TIME ?= 30s
+fuzz:
+	@for p in $$($(GO) list ./...); do \
+		for f in $$($(GO) test -list '^Fuzz' $$p | grep '^Fuzz'); do \
+			echo "$$p $$f"; $(GO) test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) $$p || exit 1; \
+		done; \
+	done
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -111,6 +111,10 @@
 // String returns the header form "in-use/slots".
 func (l LoadReport) String() string { return fmt.Sprintf("%d/%d", l.InUse, l.Slots) }
 
+// maxLoadValue is the largest value of a load report that is believed. Larger ones, from a target in trouble, would
+// overflow the sums in which they are used.
+const maxLoadValue = 1_000_000
+
 // ParseLoad parses the load report in h; ok is false if it is absent or malformed.
 func ParseLoad(h http.Header) (l LoadReport, ok bool) {
 	used, slots, found := strings.Cut(h.Get(HeaderLoad), "/")
@@ -119,7 +123,7 @@
 	}
 	n, err1 := strconv.Atoi(used)
 	m, err2 := strconv.Atoi(slots)
-	if err1 != nil || err2 != nil || n < 0 || m <= 0 {
+	if err1 != nil || err2 != nil || n < 0 || m <= 0 || max(n, m) > maxLoadValue {
 		return LoadReport{}, false
 	}
 	return LoadReport{InUse: n, Slots: m}, true
