--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -207,12 +207,12 @@
 	return list
 }
 
-// Documents returns the texts of the configuration documents by key.
-func (v *View) Documents() map[string][]byte {
-	docs := make(map[string][]byte)
-	for key, e := range v.entries {
+// Documents returns the items with a configuration document, in no particular order.
+func (v *View) Documents() []Item {
+	var docs []Item
+	for _, e := range v.entries {
 		if e.Document != nil {
-			docs[key] = e.Document
+			docs = append(docs, e.Item)
 		}
 	}
 	return docs
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -69,8 +69,9 @@
 
 	mu         sync.Mutex // held while the view changes and is published
 	view       *View
-	decodeErrs map[string]error // decode errors of the last published view, by key
-	changed    chan struct{}    // closed when the view changes or is confirmed
+	decodeErrs map[string]error  // decode errors of the last published view, by key
+	offered    map[string]uint64 // revisions of the documents that were passed to the sink, by key
+	changed    chan struct{}     // closed when the view changes or is confirmed
 	// confirmedAt is the latest time at which the view is known to have matched the source.
 	confirmedAt time.Duration
 	failures    int    // consecutive failed calls of the source
@@ -272,14 +273,25 @@
 func (w *Watcher) publish(cause, from string) {
 	w.notifyWaiters()
 	w.logDecodeErrors()
-	for _, text := range w.view.Documents() {
-		w.sink.OfferDocument("store", "", text) // the service name comes from the document, not from its key
-	}
+	w.offerDocuments()
 	list := w.view.Instances()
 	w.log.Info("view changed", "cause", cause, "from", from, "revision", list.Sequence, "targets", len(list.Instances))
 	w.sink.SetInstances(list)
 }
 
+// offerDocuments passes the documents to the sink that have changed since the last call. Targets change far more often
+// than documents, and a sink takes long to check a document with a thousand rules.
+func (w *Watcher) offerDocuments() {
+	offered := make(map[string]uint64)
+	for _, item := range w.view.Documents() {
+		offered[item.Key] = item.Revision
+		if revision, ok := w.offered[item.Key]; !ok || revision != item.Revision {
+			w.sink.OfferDocument("store", "", item.Document) // the service name comes from the document, not from its key
+		}
+	}
+	w.offered = offered
+}
+
 // logDecodeErrors logs the entries that could not be decoded, once for each version of an entry.
 func (w *Watcher) logDecodeErrors() {
 	decodeErrs := w.view.DecodeErrors()
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -102,13 +103,24 @@
 
 func (s *fakeSource) Reset() {}
 
-// recorder keeps the last list of targets.
+// recorder keeps the last list of targets and all offered documents.
 type recorder struct {
-	mu   sync.Mutex
-	list discovery.InstanceList
+	mu        sync.Mutex
+	list      discovery.InstanceList
+	documents []string
+}
+
+func (r *recorder) OfferDocument(_, _ string, text []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.documents = append(r.documents, string(text))
 }
 
-func (r *recorder) OfferDocument(string, string, []byte) {}
+func (r *recorder) offered() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.documents)
+}
 
 func (r *recorder) SetInstances(list discovery.InstanceList) {
 	r.mu.Lock()
@@ -346,3 +358,28 @@
 	s.set("b")
 	require.Eventually(t, func() bool { return r.count() == 2 }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against an instance that checks an unchanged document again with each change of a target: with a thousand
+// routes and targets that come and go, that occupies a small machine.
+func TestDocumentIsOfferedOncePerChange(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	setDocument := func(text string) {
+		s.change(func() {
+			s.revision++
+			s.items["doc"] = discovery.Item{Key: "doc", Revision: s.revision, Document: []byte(text)}
+		})
+	}
+	setDocument("first")
+	_, r := startWatcher(t, s, nil)
+	for n, key := range []string{"b", "c", "d"} {
+		s.set(key)
+		require.Eventually(t, func() bool { return r.count() == n+2 }, 10*time.Second, time.Millisecond)
+	}
+	s.change(func() { s.historyGone = true }) // the view is read again as a whole
+	setDocument("second")
+	require.Eventually(t, func() bool { return len(r.offered()) > 1 }, 10*time.Second, time.Millisecond)
+	s.set("e")
+	require.Eventually(t, func() bool { return r.count() == 5 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, []string{"first", "second"}, r.offered())
+}
