--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,7 +20,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newPlatformCmd(), newTargetCmd(), newStoreCmd(), newServerCmd(), newLoadCmd(), newDemoCmd(), newMeasureCmd(), newFleetCmd(), newCapacityCmd())
+	root.AddCommand(newPlatformCmd(), newTargetCmd(), newStoreCmd(), newServerCmd(), newLoadCmd(), newDemoCmd(), newMeasureCmd(), newFleetCmd(), newCapacityCmd(), newSimulateCmd())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/simulation/model.go
@@ -0,0 +1,300 @@
+// Package simulation plays load patterns through the reducers of a whole fleet, against a model of targets whose speed
+// changes several times a second. This is the load that the selection "ask" and the backlog are made for. It models what
+// callers see and does not measure the program.
+package simulation
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+const (
+	slowdownInterval = 300 * time.Millisecond // time between two changes of a target's slowdown
+	slowShare        = 0.33                   // share of the targets that are slow at a time
+	highSlowdown     = 4.0                    // slowdown of such a target
+	lastSlotSlowdown = 1.6                    // slowdown of a request that takes the last slot
+	oneWayDelay      = 500 * time.Microsecond // between instance and target
+	zone             = "a"                    // of all instances and targets
+)
+
+// target is the model of one target. Up to queueLimit requests beyond its slots wait in it.
+type target struct {
+	slots, queueLimit int
+	running, waiting  int
+	slowdown          float64
+	queuedWork        []func() // functions that start the waiting requests, in order
+	unhealthy         bool     // probes are answered with a failure
+	shedShare         float64  // share of the requests that it sheds although it has room
+	served            int
+}
+
+func (t *target) report() core.LoadReport {
+	return core.LoadReport{InUse: t.running + t.waiting, Slots: t.slots, Slowdown: t.slowdown}
+}
+
+// call is one request of a caller, with its repetitions after refusals, and its result.
+type call struct {
+	load        *Load
+	retriesLeft int
+	arrived     core.Instant
+	objective   core.Instant
+	deadline    core.Instant
+	answeredAt  core.Instant // zero without an answer
+	refusedAt   core.Instant // zero without a refusal
+	sent        bool         // an attempt was sent to a target
+}
+
+func (c *call) answered() bool { return c.answeredAt > 0 }
+
+func (c *call) inTime() bool { return c.answered() && c.answeredAt <= c.objective }
+
+type event struct {
+	at     core.Instant
+	seq    int
+	action func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// fleet is one run of the model.
+type fleet struct {
+	pattern        *Pattern
+	now            core.Instant
+	seq            int
+	queue          eventQueue
+	rng            *rand.Rand
+	targetIDs      []core.TargetID
+	targets        map[core.TargetID]*target
+	instances      []*instance
+	calls          []*call
+	sentRequests   int     // requests sent by callers, retries included
+	attempts       int     // attempts sent by instances
+	hiddenSlowdown float64 // slowdown of all targets that their reports do not show
+}
+
+// instance is one instance of the load balancer.
+type instance struct {
+	*fleet
+	service     *core.Service
+	callsByID   map[core.RequestID]*call
+	timerNumber int // number of the latest timer; earlier ones are ignored
+}
+
+func newFleet(p *Pattern, o Options, seed uint64) *fleet {
+	f := &fleet{pattern: p, hiddenSlowdown: 1, rng: rand.New(rand.NewPCG(seed, 2)), targets: make(map[core.TargetID]*target)}
+	var list []core.Target
+	for i := range p.Targets {
+		id := core.TargetID(fmt.Sprint("t", i))
+		f.targetIDs = append(f.targetIDs, id)
+		f.targets[id] = &target{slots: p.Slots, queueLimit: p.Queue, slowdown: 1}
+		list = append(list, core.Target{ID: id, Zone: zone})
+	}
+	for n := range p.Instances {
+		policy := o.policy(p)
+		policy.InstanceID = fmt.Sprint("instance-", n)
+		i := &instance{fleet: f, service: core.NewService(policy), callsByID: make(map[core.RequestID]*call)}
+		f.instances = append(f.instances, i)
+		i.apply(core.TargetsChanged{Targets: list})
+	}
+	f.changeSlowdowns()
+	for i := range p.Loads {
+		f.at(p.Loads[i].From.Std(), func() { f.startLoad(&p.Loads[i]) })
+	}
+	for i := range p.Faults {
+		fault := &p.Faults[i]
+		f.at(fault.From.Std(), func() { f.setFault(fault, true) })
+		f.at((fault.From + fault.For).Std(), func() { f.setFault(fault, false) })
+	}
+	return f
+}
+
+// at runs an action at a time from the start, or at once if the time is 0.
+func (f *fleet) at(when time.Duration, action func()) {
+	if when == 0 {
+		action()
+		return
+	}
+	f.schedule(when, action)
+}
+
+// setFault begins or ends a fault.
+func (f *fleet) setFault(fault *Fault, active bool) {
+	value := 0.0
+	if active {
+		value = fault.Strength
+	}
+	if fault.Kind == FaultHiddenSlowdown {
+		f.hiddenSlowdown = max(value, 1)
+		return
+	}
+	for _, id := range f.targetIDs[:int(fault.Share*float64(len(f.targetIDs))+0.5)] {
+		switch fault.Kind {
+		case FaultShed:
+			f.targets[id].shedShare = value
+		case FaultUnhealthy:
+			f.targets[id].unhealthy = active
+		}
+	}
+}
+
+func (f *fleet) schedule(d time.Duration, action func()) {
+	f.seq++
+	heap.Push(&f.queue, event{f.now + d, f.seq, action})
+}
+
+func (f *fleet) runUntil(until core.Instant) {
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.action()
+	}
+	f.now = until
+}
+
+// changeSlowdowns gives each target a new slowdown.
+func (f *fleet) changeSlowdowns() {
+	for _, id := range f.targetIDs {
+		t := f.targets[id]
+		t.slowdown = 1
+		if f.rng.Float64() < slowShare {
+			t.slowdown = highSlowdown
+		}
+	}
+	f.schedule(slowdownInterval, f.changeSlowdowns)
+}
+
+// startLoad sends requests to random instances. Callers wait for the deadline of the load or up to a fifth longer.
+func (f *fleet) startLoad(l *Load) {
+	perSecond := l.PerSecond + l.Rate*f.pattern.capacity()
+	end := f.now + l.For.Std()
+	var next func()
+	next = func() {
+		if f.now >= end {
+			return
+		}
+		c := &call{load: l, retriesLeft: l.CallerRetries, arrived: f.now, objective: f.now + l.Objective.Std()}
+		c.deadline = f.now + time.Duration((1+f.rng.Float64()/5)*float64(l.Deadline))
+		f.calls = append(f.calls, c)
+		f.send(c)
+		f.schedule(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+}
+
+// send sends a request of a caller to a random instance.
+func (f *fleet) send(c *call) {
+	i := f.instances[f.rng.IntN(len(f.instances))]
+	f.sentRequests++
+	id := core.RequestID(f.sentRequests)
+	i.callsByID[id] = c
+	c.refusedAt = 0
+	i.apply(core.RequestArrived{
+		Request: id, Class: c.load.class, Rule: c.load.Rule, Priority: c.load.Priority,
+		Deadline: c.deadline, CallerTimeout: c.deadline - f.now, Objective: f.now + c.load.Objective.Std(),
+	})
+}
+
+// handleRefusal ends a request of a caller. If the request did not run and the caller has retries left, the caller
+// retries after the RetryAfter of the refusal, or after a third of the time left if that is shorter.
+func (f *fleet) handleRefusal(c *call, e core.Effect) {
+	c.refusedAt = f.now
+	if c.retriesLeft == 0 || !e.NotRun {
+		return
+	}
+	c.retriesLeft--
+	f.schedule(min(e.RetryAfter, (c.deadline-f.now)/3), func() { f.send(c) })
+}
+
+func (i *instance) apply(ev core.Event) {
+	for _, e := range i.service.Reduce(core.Input{Now: i.now, Rand: i.rng.Uint64(), Event: ev}, nil) {
+		i.performEffect(e)
+	}
+}
+
+func (i *instance) performEffect(e core.Effect) {
+	switch e.Kind {
+	case core.SendAttempt:
+		i.attempts++
+		i.callsByID[e.Request].sent = true
+		i.schedule(oneWayDelay, func() { i.serve(e) })
+	case core.SendProbe:
+		i.schedule(2*oneWayDelay, func() {
+			i.apply(core.ProbeEnded{Target: e.Target, OK: !i.targets[e.Target].unhealthy, Load: i.targets[e.Target].report()})
+		})
+	case core.SetTimer:
+		i.timerNumber++
+		number := i.timerNumber
+		i.schedule(max(e.At-i.now, 0), func() {
+			if number == i.timerNumber {
+				i.apply(core.TimerFired{})
+			}
+		})
+	case core.Refuse:
+		i.handleRefusal(i.callsByID[e.Request], e)
+	}
+}
+
+// serve runs an attempt on its target, or rejects it if the target is full.
+func (i *instance) serve(e core.Effect) {
+	t := i.targets[e.Target]
+	end := func(outcome core.AttemptOutcome, reason core.Reason) {
+		load := t.report()
+		i.schedule(oneWayDelay, func() {
+			if outcome == core.OutcomeAnswered {
+				i.apply(core.AttemptCommitted{Request: e.Request, Attempt: e.Attempt})
+				if c := i.callsByID[e.Request]; c.refusedAt == 0 && c.answeredAt == 0 {
+					c.answeredAt = i.now
+				}
+			}
+			i.apply(core.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load})
+		})
+	}
+	run := i.callsByID[e.Request].load.RunTime.Std()
+	work := func() {
+		t.running++
+		slowdown := t.slowdown
+		if t.running == t.slots {
+			slowdown *= lastSlotSlowdown
+		}
+		runTimeFactor := (0.7 + 0.6*i.rng.Float64()) * i.hiddenSlowdown
+		i.schedule(time.Duration(slowdown*runTimeFactor*float64(run)), func() {
+			t.running--
+			t.served++
+			end(core.OutcomeAnswered, "")
+			if len(t.queuedWork) > 0 {
+				next := t.queuedWork[0]
+				t.queuedWork = t.queuedWork[1:]
+				t.waiting--
+				next()
+			}
+		})
+	}
+	switch {
+	case t.shedShare > 0 && i.rng.Float64() < t.shedShare:
+		end(core.OutcomeRefused, core.ReasonShed)
+	case t.running < t.slots:
+		work()
+	case t.waiting < t.queueLimit:
+		t.waiting++
+		t.queuedWork = append(t.queuedWork, work)
+	default:
+		end(core.OutcomeRefused, core.ReasonShed)
+	}
+}
--- /dev/null
+++ b/internal/simulation/result.go
@@ -0,0 +1,132 @@
+package simulation
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+)
+
+// Result is what the callers of one run got.
+type Result struct {
+	calls    []*call
+	attempts int
+	// servedByTarget is the number of requests that each target has answered.
+	servedByTarget []int
+}
+
+// Run plays a pattern with the given options. The same seed gives the same result.
+func Run(p *Pattern, o Options, seed uint64) *Result {
+	f := newFleet(p, o, seed)
+	f.runUntil(p.Duration.Std())
+	r := &Result{calls: f.calls, attempts: f.attempts}
+	for _, id := range f.targetIDs {
+		r.servedByTarget = append(r.servedByTarget, f.targets[id].served)
+	}
+	return r
+}
+
+// Check returns the expectations of a pattern that a run does not meet. The baseline is the run with p.Baseline, or nil.
+func Check(p *Pattern, r, baseline *Result) []string {
+	var unmet []string
+	for _, e := range p.Expect {
+		report := func(ok bool, format string, args ...any) {
+			if !ok {
+				unmet = append(unmet, fmt.Sprintf("%s, %s, %s to %s: ", p.Name, e.Class, e.From.Std(), e.To.Std())+fmt.Sprintf(format, args...))
+			}
+		}
+		inTime, answered := r.share(e, (*call).inTime), r.share(e, (*call).answered)
+		report(e.InTime == 0 || inTime > e.InTime, "%.3f in time, want above %.3f", inTime, e.InTime)
+		report(e.Answered == 0 || answered > e.Answered, "%.3f answered, want above %.3f", answered, e.Answered)
+		if e.AboveBaseline > 0 {
+			before := baseline.share(e, (*call).inTime)
+			report(inTime > before+e.AboveBaseline, "%.3f in time, want above the baseline's %.3f by %.3f", inTime, before, e.AboveBaseline)
+		}
+		if e.RefusedWithin > 0 {
+			early := func(c *call) bool { return c.refusedAt == 0 || c.sent || c.refusedAt-c.arrived < e.RefusedWithin.Std() }
+			share := r.share(e, early)
+			report(share == 1, "%.3f refused within %s, want all", share, e.RefusedWithin.Std())
+		}
+		if e.AttemptsPerRequest > 0 {
+			attempts := float64(r.attempts) / float64(len(r.calls))
+			report(attempts <= e.AttemptsPerRequest, "%.2f attempts per request, want at most %.2f", attempts, e.AttemptsPerRequest)
+		}
+	}
+	return unmet
+}
+
+// share returns the share of the requests of an expectation for which accept holds.
+func (r *Result) share(e Expectation, accept func(*call) bool) float64 {
+	class, known := core.ParseClass(e.Class)
+	return shareOf(r.calls, func(c *call) bool {
+		return c.arrived >= e.From.Std() && c.arrived < e.To.Std() && (!known || c.load.class == class)
+	}, accept)
+}
+
+func shareOf(calls []*call, among, accept func(*call) bool) float64 {
+	all, good := 0, 0
+	for _, c := range calls {
+		if !among(c) {
+			continue
+		}
+		all++
+		if accept(c) {
+			good++
+		}
+	}
+	return float64(good) / float64(max(all, 1))
+}
+
+// WriteTable writes a markdown table with a row for each class and each stretch of time: the share of its requests that
+// were answered in time, answered at all, refused, and the quantiles of the time to the answer.
+func (r *Result) WriteTable(w io.Writer, stretch time.Duration) error {
+	if _, err := fmt.Fprint(w, "| from | class | requests | in time | answered | refused | p50 ms | p99 ms |\n|---|---|---|---|---|---|---|---|\n"); err != nil {
+		return err
+	}
+	for from, end := time.Duration(0), r.lastArrival(); from <= end; from += stretch {
+		for _, class := range []core.Class{core.ClassOnce, core.ClassLookup, core.ClassPatient} {
+			calls := slices.DeleteFunc(slices.Clone(r.calls), func(c *call) bool {
+				return c.load.class != class || c.arrived < from || c.arrived >= from+stretch
+			})
+			if len(calls) == 0 {
+				continue
+			}
+			if err := writeRow(w, from, class, calls); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Result) lastArrival() (last time.Duration) {
+	for _, c := range r.calls {
+		last = max(last, c.arrived)
+	}
+	return last
+}
+
+func writeRow(w io.Writer, from time.Duration, class core.Class, calls []*call) error {
+	all := func(*call) bool { return true }
+	refused := func(c *call) bool { return !c.answered() && c.refusedAt > 0 }
+	var times []time.Duration
+	for _, c := range calls {
+		if c.answered() {
+			times = append(times, c.answeredAt-c.arrived)
+		}
+	}
+	slices.Sort(times)
+	_, err := fmt.Fprintf(w, "| %s | %s | %d | %.3f | %.3f | %.3f | %s | %s |\n", from, class, len(calls), shareOf(calls, all, (*call).inTime),
+		shareOf(calls, all, (*call).answered), shareOf(calls, all, refused), quantileText(times, 0.5), quantileText(times, 0.99))
+	return err
+}
+
+// quantileText returns a quantile of sorted times in milliseconds, or "-" without any.
+func quantileText(sorted []time.Duration, quantile float64) string {
+	if len(sorted) == 0 {
+		return "-"
+	}
+	return fmt.Sprint(sorted[int(quantile*float64(len(sorted)-1))].Milliseconds())
+}
