--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -206,10 +207,9 @@
 // HasDocument implements discovery.Sink.
 func (s sink) HasDocument(e discovery.IndexEntry) bool { return s.configStore.Has(e) }
 
-// SetInstances implements discovery.Sink. It passes the leaving signals in effect to the gateway again, because the
-// list may contain targets that the gateway did not know when the signal arrived.
+// SetInstances implements discovery.Sink. The list may be outdated, so targets with a leaving signal in effect count as
+// leaving from the start.
 func (s sink) SetInstances(list discovery.InstanceList) {
-	s.gateway.SetTargets(list)
 	var received membership.InstanceListReceived
 	for _, inst := range list.Instances {
 		process := membership.Process{
@@ -222,11 +222,28 @@
 		}
 	}
 	s.node.SetInstanceList(context.Background(), received)
-	for _, sign := range s.node.LeavingSignals() {
+	s.gateway.SetTargets(markLeaving(list, s.node.LeavingSignals()))
+	for _, sign := range s.node.LeavingSignals() { // signals that arrived in between, and those of unlisted targets
 		s.gateway.MarkTargetLeaving(core.TargetID(sign.Target), sign.Start)
 	}
 }
 
+// markLeaving returns a copy of a list in which the targets with a leaving signal for their start are leaving.
+func markLeaving(list discovery.InstanceList, signals []membership.Sign) discovery.InstanceList {
+	leaving := make(map[membership.Sign]bool, len(signals))
+	for _, sign := range signals {
+		leaving[sign] = true
+	}
+	list.Instances = slices.Clone(list.Instances)
+	for i := range list.Instances {
+		inst := &list.Instances[i]
+		if leaving[membership.Sign{Target: inst.Identity(), Start: inst.Start}] {
+			inst.State = discovery.StateLeaving
+		}
+	}
+	return list
+}
+
 // listenPeers opens the listener for other instances. It returns nil if the settings have no peer_listen.
 func (c *controlPlane) listenPeers() (net.Listener, error) {
 	if c.settings.PeerListen == "" {
--- a/pkg/app/control_plane_test.go
+++ b/pkg/app/control_plane_test.go
@@ -8,9 +8,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
 
@@ -55,3 +57,31 @@
 		})
 	}
 }
+
+// Guards against a moment in which an instance uses a target that is leaving: the list that it has just read is
+// outdated, and only a leaving signal from another instance tells.
+func TestOutdatedListDoesNotReviveLeavingTarget(t *testing.T) {
+	s, log := settings.Default(), logr.Discard()
+	s.PeerListen = "127.0.0.1:1"
+	list := discovery.InstanceList{Sequence: 1, Instances: []discovery.Instance{
+		{Service: "s", Address: "127.0.0.1:2", Start: "1", State: discovery.StateLive},
+	}}
+	for range 300 {
+		reg := prometheus.NewRegistry()
+		g := gateway.New(gateway.Config{Policy: core.DefaultPolicy()}, gateway.NewMetrics(reg), log)
+		configStore := newConfigStore(s, Adapter{}, g, discovery.NewMetrics(reg), log)
+		node := newNode(s, Adapter{}, configStore, g, peer.NewMetrics(reg), log)
+		node.ObserveTargets(t.Context(), []membership.Process{{Address: "127.0.0.1:2", Start: "1", Leaving: true}})
+		done := make(chan struct{})
+		go func() {
+			sink{configStore, g, node}.SetInstances(list)
+			close(done)
+		}()
+		for finished := false; !finished; {
+			finished = isClosed(done)
+			for _, target := range g.Status()["s"].Targets {
+				require.Equal(t, core.TargetStatusLeaving, target.Status)
+			}
+		}
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,7 +35,7 @@
 	WriteTimeout time.Duration
 	// HeaderLimits bounds the headers of requests; zero means DefaultHeaderLimits.
 	HeaderLimits HeaderLimits
-	// HoldUntilSynced makes requests wait until MarkSynced, for at most a second each. Without it, an instance that has
+	// HoldUntilSynced makes requests wait until MarkSynced, or until their deadlines. Without it, an instance that has
 	// just started may send requests to targets of which only the other instances know that they are leaving.
 	HoldUntilSynced bool
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -81,7 +81,7 @@
 // acceptOnCurrentView accepts a request under rules that were read after the last pause. If the process is paused while
 // the body is read, it matches the request again.
 func (g *Gateway) acceptOnCurrentView(c *call) ([]byte, *rejection) {
-	g.awaitSync(c.r.Context())
+	g.awaitSync(c)
 	g.pauses.awaitRefresh(c.r.Context())
 	generation := g.pauses.generation()
 	body, rejected := g.accept(c)
@@ -93,28 +93,36 @@
 	return body, rejected
 }
 
-// maxSyncWait is how long a request waits for MarkSynced.
-const maxSyncWait = time.Second
-
-// awaitSync waits for MarkSynced, unless there is no configuration yet, without which a request is rejected at once.
-func (g *Gateway) awaitSync(ctx context.Context) {
+// awaitSync waits for MarkSynced, but not beyond the deadline of the request. A request that matches no rule does not
+// wait, because it is rejected.
+func (g *Gateway) awaitSync(c *call) {
 	select {
 	case <-g.synced:
 		return
 	default:
 	}
-	if g.ruleTable.Load().Empty() {
+	rule := g.ruleTable.Load().MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
+	if rule == nil {
 		return
 	}
-	timer := time.NewTimer(maxSyncWait)
+	timer := time.NewTimer(c.timeLimit(rule))
 	defer timer.Stop()
 	select {
 	case <-g.synced:
 	case <-timer.C:
-	case <-ctx.Done():
+	case <-c.r.Context().Done():
 	}
 }
 
+// timeLimit returns the time from the arrival of the request to its deadline: the rule's, or the caller's if it is
+// shorter.
+func (c *call) timeLimit(rule *rules.Rule) time.Duration {
+	if c.metadata.HasCallerTimeout {
+		return min(rule.Deadline, c.metadata.CallerTimeout)
+	}
+	return rule.Deadline
+}
+
 // rematch matches a request whose body was already read under an earlier rule, and checks the body's length in bytes
 // against the new rule.
 func (g *Gateway) rematch(c *call, length int) *rejection {
@@ -192,10 +200,6 @@
 // newAttemptTemplate returns the request as it is sent to targets. The deadline is the earlier of the rule's and the
 // caller's.
 func (c *call) newAttemptTemplate(body []byte) target.Attempt {
-	limit := c.rule.Deadline
-	if c.metadata.HasCallerTimeout && c.metadata.CallerTimeout < limit {
-		limit = c.metadata.CallerTimeout
-	}
 	header := c.r.Header.Clone()
 	removeHopByHop(header)
 	wire.SanitizeRequest(c.r.Trailer)
@@ -203,7 +207,7 @@
 	return target.Attempt{
 		RequestID: c.requestID,
 		Method:    c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header, Body: body, Trailer: c.r.Trailer,
-		Deadline: c.arrived.Add(limit),
+		Deadline: c.arrived.Add(c.timeLimit(c.rule)),
 	}
 }
 
