--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -24,23 +24,6 @@
 	written     atomic.Int64  // bytes accepted by the kernel
 }
 
-func (e *endlessTarget) listen(t *testing.T) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (e *endlessTarget) serve(c net.Conn) {
 	defer c.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
@@ -83,7 +66,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			target := &endlessTarget{start: c.start, part: c.part, closed: make(chan struct{}, 16)}
-			f := newFixture(t, logr.Discard(), Config{}, target.listen(t))
+			f := newFixture(t, logr.Discard(), Config{}, acceptAll(t, target.serve))
 			before := heapBytes()
 			sent := time.Now()
 			resp, body, err := f.exchangeRaw(t, http.MethodPost, "POST /q/1 HTTP/1.1\r\nHost: registry\r\nContent-Length: 0\r\n\r\n")
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -67,6 +67,16 @@
 
 // newRawTarget starts a target that sends fixed bytes for the first request on each connection and closes it.
 func newRawTarget(t *testing.T, response string) string {
+	return acceptAll(t, func(c net.Conn) {
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	})
+}
+
+// acceptAll serves each connection to a loopback address in a goroutine until the test ends.
+func acceptAll(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -77,12 +87,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, response)
-				}
-			}()
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
