--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -73,8 +73,10 @@
 	metrics *Metrics
 	log     logr.Logger
 
-	synced     chan struct{} // closed after the first complete read of the index and its documents
+	synced     chan struct{} // closed once indexRead and listRead are set
 	syncedOnce sync.Once
+	indexRead  atomic.Bool // the index and its documents were read once
+	listRead   atomic.Bool // the instance list was read once and, if there is one, passed to the sink
 
 	mu      sync.Mutex
 	fetched map[string]IndexEntry // entries whose documents were fetched
@@ -101,7 +103,8 @@
 	return &http.Client{Transport: transport}
 }
 
-// Synced returns a channel that is closed after the platform's index and all its documents were read once.
+// Synced returns a channel that is closed after the platform's index, all its documents and the instance list were read
+// once.
 func (r *Reader) Synced() <-chan struct{} { return r.synced }
 
 // Run watches the index and the instance list until ctx ends.
@@ -125,7 +128,8 @@
 			return err
 		}
 		after = index.Sequence
-		r.markSynced()
+		r.indexRead.Store(true)
+		r.closeSyncedIfRead()
 		return nil
 	})
 }
@@ -142,6 +146,8 @@
 		if list.Sequence == after || r.deliverList(readID, list) {
 			after = list.Sequence
 		}
+		r.listRead.Store(true)
+		r.closeSyncedIfRead()
 		return nil
 	})
 }
@@ -180,7 +186,11 @@
 	return errList
 }
 
-func (r *Reader) markSynced() { r.syncedOnce.Do(func() { close(r.synced) }) }
+func (r *Reader) closeSyncedIfRead() {
+	if r.indexRead.Load() && r.listRead.Load() {
+		r.syncedOnce.Do(func() { close(r.synced) })
+	}
+}
 
 // watchLoop repeats step until ctx ends, with growing pauses while it fails. Of consecutive failures only the 1st, 2nd,
 // 4th, 8th and so on are logged, since a platform can be down for hours; the metrics count all.
--- a/pkg/discovery/reader_test.go
+++ b/pkg/discovery/reader_test.go
@@ -275,3 +275,34 @@
 	defer f.mu.Unlock()
 	require.Equal(t, []discovery.InstanceList{{Sequence: 2}}, f.lists)
 }
+
+// Guards against an instance that counts as synced before it has the instance list: it would refuse requests for lack of
+// targets, or send them by a list that it has from before.
+func TestSyncedNeedsIndexAndInstanceList(t *testing.T) {
+	for name, watches := range map[string][]func(*fixture, context.Context){
+		"index first": {watchIndex, watchInstances}, "list first": {watchInstances, watchIndex},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1)
+			f.platform.SetInstances([]discovery.Instance{{Service: "s", Address: "127.0.0.1:1", State: discovery.StateLive}})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go watches[0](f, ctx)
+			select {
+			case <-f.reader.Synced():
+				t.Fatal("synced after one of two reads")
+			case <-time.After(200 * time.Millisecond):
+			}
+			go watches[1](f, ctx)
+			select {
+			case <-f.reader.Synced():
+			case <-time.After(testTimeout):
+				t.Fatal("not synced")
+			}
+		})
+	}
+}
+
+func watchIndex(f *fixture, ctx context.Context)     { f.reader.WatchIndex(ctx) }
+func watchInstances(f *fixture, ctx context.Context) { f.reader.WatchInstances(ctx) }
