--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -273,23 +273,28 @@
 func (w *Watcher) publish(cause, from string) {
 	w.notifyWaiters()
 	w.logDecodeErrors()
-	w.offerDocuments()
 	list := w.view.Instances()
 	w.log.Info("view changed", "cause", cause, "from", from, "revision", list.Sequence, "targets", len(list.Instances))
 	w.sink.SetInstances(list)
+	w.offerDocuments()
 }
 
 // offerDocuments passes the documents to the sink that have changed since the last call. Targets change far more often
-// than documents, and a sink takes long to check a document with a thousand rules.
+// than documents, and a sink takes long to check a document with a thousand rules. A document on which the sink panics
+// counts as passed.
 func (w *Watcher) offerDocuments() {
-	offered := make(map[string]uint64)
+	before := w.offered
+	w.offered = make(map[string]uint64)
+	var changed []Item
 	for _, item := range w.view.Documents() {
-		offered[item.Key] = item.Revision
-		if revision, ok := w.offered[item.Key]; !ok || revision != item.Revision {
-			w.sink.OfferDocument("store", "", item.Document) // the service name comes from the document, not from its key
+		w.offered[item.Key] = item.Revision
+		if revision, ok := before[item.Key]; !ok || revision != item.Revision {
+			changed = append(changed, item)
 		}
 	}
-	w.offered = offered
+	for _, item := range changed {
+		w.sink.OfferDocument("store", "", item.Document) // the service name comes from the document, not from its key
+	}
 }
 
 // logDecodeErrors logs the entries that could not be decoded, once for each version of an entry.
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -116,6 +116,24 @@
 	r.documents = append(r.documents, string(text))
 }
 
+// panickingRecorder is a recorder that panics on every document.
+type panickingRecorder struct{ recorder }
+
+func (*panickingRecorder) OfferDocument(string, string, []byte) { panic("unexpected rule") }
+
+// Guards against a document that triggers a panic and keeps the changes of targets from taking effect.
+func TestTargetsChangeDespitePanickingDocument(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	s.items["doc"] = discovery.Item{Key: "doc", Revision: s.revision, Document: []byte("text")}
+	r := &panickingRecorder{}
+	w := discovery.NewWatcher(watcherConfig, s, nil, r, discovery.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	go w.Run(t.Context())
+	require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+	s.set("b")
+	require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+}
+
 func (r *recorder) offered() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -142,7 +142,8 @@
 // Fleet holds limits for all instances together.
 type Fleet struct {
 	// RepeatRatio is the share of requests that may be sent again over 10 s, by retries and hedges: 9/10 of it
-	// together, of which hedges may use 3/10 of the whole. It replaces the ratios and floors of Retry and Hedge. Default 0: these apply as they are.
+	// together, of which hedges may use 3/10 of the whole. It replaces the ratios and floors of Retry and Hedge.
+	// Default 0: these apply as they are.
 	RepeatRatio float64 `toml:"repeat_ratio"`
 	// RepeatSlack is the number of requests that may be sent again per service and 10 s in addition to RepeatRatio. It
 	// has no effect if RepeatRatio is 0. Each instance takes its share. Default 0.
