core, gateway: report the source of a leaving signal

Change: the reducer reports the first signal of each target with its source, which is logged and counted. The list is passed to the gateway before the membership, whose signals would otherwise take the place of the list as the source; the signals that it holds are applied to the list as before.

Result: TestLeavingSourceIsReported; the tests of core, gateway, peer and app pass.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -221,8 +221,8 @@
 			received.Targets = append(received.Targets, process)
 		}
 	}
-	s.node.SetInstanceList(context.Background(), received)
 	s.gateway.SetTargets(markLeaving(list, s.node.LeavingSignals()))
+	s.node.SetInstanceList(context.Background(), received)
 	for _, sign := range s.node.LeavingSignals() { // signals that arrived in between, and those of unlisted targets
 		s.gateway.MarkTargetLeaving(core.TargetID(sign.Target), sign.Start)
 	}
--- a/pkg/core/leaving.go
+++ b/pkg/core/leaving.go
@@ -107,18 +107,20 @@
 }
 
 // targetLeaving applies a leaving signal from a peer or an operator.
-func (s *Service) targetLeaving(now Instant, ev TargetLeaving) {
+func (s *Service) targetLeaving(now Instant, ev TargetLeaving, out []Effect) []Effect {
 	s.startHistory(now, ev.Target).markLeaving(ev.Start)
-	s.applyStartChange(now, s.targets[ev.Target], false)
+	return s.applyStartChange(now, s.targets[ev.Target], false, ReasonPeer, out)
 }
 
 // recordStart applies what a response to a request or probe states about the start of t. The parameter knownStart is
 // the start ID that was current when the request was sent or, for a probe, when its response arrived. A response with
 // the same start ID is no sign of a restart, even if another start has become current since the request was sent. A
-// leaving target that states no start ID is taken for knownStart.
-func (s *Service) recordStart(now Instant, t *targetState, knownStart, start string, leaving bool) {
+// leaving target that states no start ID is taken for knownStart. The source tells where the response comes from.
+func (s *Service) recordStart(
+	now Instant, t *targetState, knownStart, start string, leaving bool, source Reason, out []Effect,
+) []Effect {
 	if start == "" && !leaving {
-		return
+		return out
 	}
 	if start == "" {
 		start = knownStart
@@ -127,13 +129,13 @@
 	if leaving {
 		t.starts.markLeaving(start)
 	}
-	s.applyStartChange(now, s.targets[t.id], restarted)
+	return s.applyStartChange(now, s.targets[t.id], restarted, source, out)
 }
 
 // applyStartChange updates t, which may be nil, after a change of its start history.
-func (s *Service) applyStartChange(now Instant, t *targetState, restarted bool) {
+func (s *Service) applyStartChange(now Instant, t *targetState, restarted bool, source Reason, out []Effect) []Effect {
 	if t == nil {
-		return
+		return out
 	}
 	if restarted {
 		s.resetTarget(now, t)
@@ -141,5 +143,15 @@
 	if leaving := t.starts.leaving(); leaving != t.leaving {
 		t.leaving = leaving
 		s.refreshTargets(now)
+		out = countLeaving(t, source, out)
+	}
+	return out
+}
+
+// countLeaving reports t if it is leaving.
+func countLeaving(t *targetState, source Reason, out []Effect) []Effect {
+	if !t.leaving {
+		return out
 	}
+	return append(out, Effect{Kind: CountLeaving, Target: t.id, Reason: source})
 }
--- a/pkg/core/leaving_test.go
+++ b/pkg/core/leaving_test.go
@@ -84,3 +84,23 @@
 	require.Equal(t, TargetStatusRamping, view.Status)
 	require.Equal(t, rt.s.typicalLatency(), view.Latency)
 }
+
+// TestLeavingSourceIsReported guards against an incident in which nobody can tell how an instance learned that a target
+// leaves.
+func TestLeavingSourceIsReported(t *testing.T) {
+	start := startID("t0", 0)
+	for source, ev := range map[Reason]Event{
+		ReasonList:     TargetsChanged{Targets: []Target{{ID: "t0", Start: start, Leaving: true}}},
+		ReasonPeer:     TargetLeaving{Target: "t0", Start: start},
+		ReasonProbe:    ProbeEnded{Target: "t0", OK: true, Start: start, Leaving: true},
+		ReasonResponse: AttemptEnded{Request: 1, Attempt: 1, Outcome: OutcomeAnswered, Start: start, Leaving: true},
+	} {
+		t.Run(string(source), func(t *testing.T) {
+			rt := newTestRuntime(t, 1)
+			rt.submit(ClassLookup, time.Second)
+			first, repeated := rt.s.Reduce(Input{Event: ev}, nil), rt.s.Reduce(Input{Event: TargetLeaving{Target: "t0", Start: start}}, nil)
+			require.Contains(t, first, Effect{Kind: CountLeaving, Target: "t0", Reason: source})
+			require.NotContains(t, repeated, Effect{Kind: CountLeaving, Target: "t0", Reason: ReasonPeer})
+		})
+	}
+}
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -6,7 +6,7 @@
 func (s *Service) recordAttempt(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
 	t.observedAt, t.trafficObservedAt = now, now
-	s.recordStart(now, t, a.targetStart, ev.Start, ev.Leaving || ev.Reason == ReasonDraining)
+	out = s.recordStart(now, t, a.targetStart, ev.Start, ev.Leaving || ev.Reason == ReasonDraining, ReasonResponse, out)
 	s.recordLoad(now, t, ev.Load, 0)
 	good := false
 	if a.sentAt >= s.resumedAt { // a time that spans a pause of this process says nothing about the target
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -146,7 +146,7 @@
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.observedAt = now
-	s.recordStart(now, t, t.starts.current, ev.Start, ev.Leaving)
+	out = s.recordStart(now, t, t.starts.current, ev.Start, ev.Leaving, ReasonProbe, out)
 	if !ev.OK {
 		if outdated {
 			return out // newer traffic, or a pause of this process, outweighs the probe
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -107,13 +107,13 @@
 	case TimerFired:
 		s.timerAt = never
 	case TargetsChanged:
-		s.setTargets(now, ev.Targets)
+		out = s.setTargets(now, ev.Targets, out)
 		return s.dispatch(now, nil, out)
 	case PolicyChanged:
 		s.setPolicy(now, ev.Policy)
 		return s.dispatch(now, nil, out)
 	case TargetLeaving:
-		s.targetLeaving(now, ev)
+		out = s.targetLeaving(now, ev, out)
 		return s.dispatch(now, nil, out)
 	case LoadReported:
 		if t := s.targets[ev.Target]; t != nil {
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -50,27 +50,28 @@
 func (t *targetState) usable() bool { return t.listed && !t.leaving }
 
 // setTargets replaces the list of targets and drops the state of those no longer listed.
-func (s *Service) setTargets(now Instant, entries []Target) {
+func (s *Service) setTargets(now Instant, entries []Target, out []Effect) []Effect {
 	wasEmpty := len(s.listedTargets) == 0
 	for _, t := range s.listedTargets {
 		t.listed = false
 	}
 	s.listedTargets = s.listedTargets[:0]
 	for _, entry := range entries {
-		s.listTarget(now, entry, wasEmpty)
+		out = s.listTarget(now, entry, wasEmpty, out)
 	}
 	s.removeUnlistedTargets()
 	s.expireStartHistories(now)
 	s.refreshTargets(now)
 	s.scheduleProbes(now)
+	return out
 }
 
 // listTarget adds one entry of the list. A new target gets no slow start if the list was empty before, because no other
 // target could take the load.
-func (s *Service) listTarget(now Instant, entry Target, wasEmpty bool) {
+func (s *Service) listTarget(now Instant, entry Target, wasEmpty bool, out []Effect) []Effect {
 	t := s.targets[entry.ID]
 	if t != nil && t.listed {
-		return // duplicate entry
+		return out // duplicate entry
 	}
 	if t == nil {
 		t = s.newTarget(now, entry.ID)
@@ -88,8 +89,13 @@
 	if entry.Leaving {
 		starts.markLeaving(entry.Start)
 	}
+	wasLeaving := t.leaving
 	t.leaving = starts.leaving()
 	s.listedTargets = append(s.listedTargets, t)
+	if wasLeaving {
+		return out
+	}
+	return countLeaving(t, ReasonList, out)
 }
 
 func (s *Service) newTarget(now Instant, id TargetID) *targetState {
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -91,7 +91,8 @@
 // ProvesNotRun reports whether the outcome is proof that the attempt did not run.
 func (o AttemptOutcome) ProvesNotRun() bool { return o == OutcomeNotSent || o == OutcomeRefused }
 
-// Reason explains a refusal, retry, hedge, ejection or denial. It is a metric label, so the set is closed.
+// Reason explains a refusal, retry, hedge, ejection or denial, or names the source of a leaving signal. It is a metric
+// label, so the set is closed.
 type Reason string
 
 // Reasons for refusals.
@@ -123,6 +124,13 @@
 // ReasonProbe is the reason of CountDenied when a budget denied a probe.
 const ReasonProbe Reason = "probe"
 
+// Sources of leaving signals. A probe is one as well (ReasonProbe).
+const (
+	ReasonList     Reason = "list"     // the target list
+	ReasonResponse Reason = "response" // a response to a request
+	ReasonPeer     Reason = "peer"     // a TargetLeaving event
+)
+
 // LoadReport is the load that a target reported about itself, as of the time it was sent.
 type LoadReport struct {
 	// InUse is the number of requests on the target, running or queued.
@@ -296,6 +304,8 @@
 	CountEjection
 	// CountDenied: a retry, hedge or probe was denied by its budget.
 	CountDenied
+	// CountLeaving: Target is leaving since this step. Reason is the source of the signal.
+	CountLeaving
 )
 
 // Effect is one action for the runtime, as plain data. Fields that the kind does not use are zero.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -126,6 +126,9 @@
 		e.startProbe(effect)
 	case core.SetTimer:
 		e.timer.Reset(max(effect.At-e.clock.now(), 0))
+	case core.CountLeaving:
+		e.log.Info("target is leaving", "target", effect.Target, "source", effect.Reason)
+		e.metrics.countEffect(e.name, effect)
 	default:
 		e.metrics.countEffect(e.name, effect)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,6 +16,7 @@
 	ejections    *prometheus.CounterVec
 	probes       *prometheus.CounterVec
 	budgetDenied *prometheus.CounterVec
+	leaving      *prometheus.CounterVec
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -44,6 +45,7 @@
 		probes:       counter("probes_total", "Probes of targets by result.", "service", "result"),
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
+		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
@@ -75,5 +77,7 @@
 		m.ejections.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.CountDenied:
 		m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
+	case core.CountLeaving:
+		m.leaving.WithLabelValues(service, string(effect.Reason)).Inc()
 	}
 }
