core, gateway, target: apply a leaving signal before the body of its response ends

Cause: what a target states on a response reached the reducer only at the end of the attempt. With a response that is passed on as it arrives, that is when the caller has read it, so a target that had announced that it leaves could get new requests for as long as a caller was slow. If the response broke off, the statement was lost.

Change: core.Statement holds what a target states besides its load. AttemptCommitted carries it, and AttemptEnded applies it only if that has not happened, so that an old statement does not follow a newer one. An error after the headers carries their metadata.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -16,6 +16,8 @@
 	cancelled   bool
 	dropped     bool // its 5xx response is not delivered, because another attempt is in flight or follows
 	trial       bool // a trial request to an ejected target
+	// statementRecorded is set once the statement on the response has been applied.
+	statementRecorded bool
 	// estimate is the DecisionInfo.Estimate with which the attempt was sent; 0 without an estimate.
 	estimate float64
 
@@ -134,7 +136,11 @@
 		return out
 	}
 	a := r.findAttempt(ev.Attempt)
-	if a == nil || a.cancelled || a.dropped {
+	if a == nil {
+		return out
+	}
+	out = s.recordAttemptStatement(now, a, ev.Statement, out)
+	if a.cancelled || a.dropped {
 		return out
 	}
 	a.respondedAt = min(a.respondedAt, now)
--- a/pkg/core/leaving_test.go
+++ b/pkg/core/leaving_test.go
@@ -16,7 +16,7 @@
 	listedWithoutT0 := TargetsChanged{Targets: []Target{{ID: "t1", Start: "x"}}}
 	peer := func(start string) Event { return TargetLeaving{Target: "t0", Start: start} }
 	probe := func(start string, leaving bool) Event {
-		return ProbeEnded{Target: "t0", OK: true, Start: start, Leaving: leaving}
+		return ProbeEnded{Target: "t0", OK: true, Statement: Statement{Start: start, Leaving: leaving}}
 	}
 	for name, tc := range map[string]struct {
 		events  []Event
@@ -61,7 +61,7 @@
 	rt := newTestRuntime(t, 1)
 	rt.submit(ClassLookup, time.Second)
 	rt.submit(ClassLookup, time.Second)
-	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonDraining, Start: startID("t0", 0)})
+	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonDraining, Statement: Statement{Start: startID("t0", 0)}})
 	require.Equal(t, TargetStatusLeaving, rt.state(0))
 	for i := range maxRememberedStarts + 2 {
 		rt.step(TargetsChanged{Targets: []Target{{ID: "t0", Start: startID("between", i)}}})
@@ -69,17 +69,36 @@
 	rt.step(TargetsChanged{Targets: []Target{{ID: "t0", Start: "second"}}})
 	rt.step(TargetLeaving{Target: "t0", Start: "second"})
 	require.Equal(t, TargetStatusLeaving, rt.state(0))
-	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeUnknown, Reason: ReasonFailed, Start: startID("t0", 0)})
+	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeUnknown, Reason: ReasonFailed, Statement: Statement{Start: startID("t0", 0)}})
 	require.Equal(t, TargetStatusLeaving, rt.state(0))
 	require.Equal(t, "second", rt.s.View(rt.now).Targets[0].Start)
 }
 
+// TestLeavingAppliesBeforeBodyEnds guards against new requests to a target that has announced that it drains while the
+// body of the response with the announcement still passes to a slow caller, and against an announcement that is applied
+// to the next start of the target when that body ends.
+func TestLeavingAppliesBeforeBodyEnds(t *testing.T) {
+	rt := newTestRuntime(t, 1)
+	rt.submit(ClassLookup, time.Minute)
+	slow := rt.inFlight[0]
+	slow.committed = true
+	announcement := Statement{Start: startID("t0", 0), Leaving: true}
+	rt.step(AttemptCommitted{Request: slow.request.id, Attempt: slow.id, Statement: announcement})
+	require.Equal(t, TargetStatusLeaving, rt.state(0))
+	rt.submit(ClassLookup, time.Second)
+	require.Equal(t, ReasonNoTarget, rt.refusal().Reason)
+
+	rt.step(TargetsChanged{Targets: []Target{{ID: "t0", Start: "second"}}})
+	rt.endAttempt(slow, AttemptEnded{Outcome: OutcomeAnswered, Statement: announcement})
+	require.NotEqual(t, TargetStatusLeaving, rt.state(0))
+}
+
 // TestRestartResetsTargetState guards against rating a new process by the observations of its predecessor.
 func TestRestartResetsTargetState(t *testing.T) {
 	rt := newTestRuntime(t, 6)
 	rt.trainLatency()
 	rt.ejectFirstTarget()
-	rt.step(ProbeEnded{Target: targetID(0), OK: true, Start: "second"})
+	rt.step(ProbeEnded{Target: targetID(0), OK: true, Statement: Statement{Start: "second"}})
 	view := rt.s.View(rt.now).Targets[0]
 	require.Equal(t, TargetStatusRamping, view.Status)
 	require.Equal(t, rt.s.typicalLatency(), view.Latency)
@@ -92,8 +111,8 @@
 	for source, ev := range map[Reason]Event{
 		ReasonList:     TargetsChanged{Targets: []Target{{ID: "t0", Start: start, Leaving: true}}},
 		ReasonPeer:     TargetLeaving{Target: "t0", Start: start},
-		ReasonProbe:    ProbeEnded{Target: "t0", OK: true, Start: start, Leaving: true},
-		ReasonResponse: AttemptEnded{Request: 1, Attempt: 1, Outcome: OutcomeAnswered, Start: start, Leaving: true},
+		ReasonProbe:    ProbeEnded{Target: "t0", OK: true, Statement: Statement{Start: start, Leaving: true}},
+		ReasonResponse: AttemptEnded{Request: 1, Attempt: 1, Outcome: OutcomeAnswered, Statement: Statement{Start: start, Leaving: true}},
 	} {
 		t.Run(string(source), func(t *testing.T) {
 			rt := newTestRuntime(t, 1)
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -215,7 +215,7 @@
 // loadProbeEnded applies the result of a load probe of t.
 func (s *Service) loadProbeEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
 	t.probing = false
-	out = s.recordStart(now, t, t.starts.current, ev.Start, ev.Leaving, ReasonProbe, out)
+	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
 	t.unhealthy = !ev.OK
 	switch {
 	case ev.OK:
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -6,7 +6,8 @@
 func (s *Service) recordAttempt(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
 	t.observedAt, t.trafficObservedAt = now, now
-	out = s.recordStart(now, t, a.targetStart, ev.Start, ev.Leaving || ev.Reason == ReasonDraining, ReasonResponse, out)
+	ev.Statement.Leaving = ev.Statement.Leaving || ev.Reason == ReasonDraining
+	out = s.recordAttemptStatement(now, a, ev.Statement, out)
 	s.recordLoad(now, t, ev.Load, 0)
 	good := false
 	if a.sentAt >= s.resumedAt { // a time that spans a pause of this process says nothing about the target
@@ -18,6 +19,15 @@
 	return out
 }
 
+// recordAttemptStatement applies the statement on the response to a, once.
+func (s *Service) recordAttemptStatement(now Instant, a *attempt, st Statement, out []Effect) []Effect {
+	if a.statementRecorded {
+		return out
+	}
+	a.statementRecorded = true
+	return s.recordStatement(now, a.target, a.targetStart, st, ReasonResponse, out)
+}
+
 // recordOutcome updates the state of the target from the outcome and reports whether the outcome was good: a response
 // that was not slow. A response that broke off after AttemptCommitted counts as a failure only if AttemptEnded marks it
 // as one, because the caller may be the cause.
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -135,8 +135,8 @@
 func (s *Service) probeEnded(now Instant, ev ProbeEnded, out []Effect) []Effect {
 	t := s.targets[ev.Target]
 	if t == nil {
-		if ev.Leaving {
-			s.startHistory(now, ev.Target).markLeaving(ev.Start)
+		if ev.Statement.Leaving {
+			s.startHistory(now, ev.Target).markLeaving(ev.Statement.Start)
 		}
 		return out
 	}
@@ -146,7 +146,7 @@
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.observedAt = now
-	out = s.recordStart(now, t, t.starts.current, ev.Start, ev.Leaving, ReasonProbe, out)
+	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
 	if !ev.OK {
 		if outdated {
 			return out // newer traffic, or a pause of this process, outweighs the probe
--- a/pkg/core/probe_test.go
+++ b/pkg/core/probe_test.go
@@ -15,7 +15,7 @@
 		rt.advance(min(interval, end-rt.now))
 		for i := range rt.maxTargets {
 			if id := targetID(i); rt.probing[id] {
-				rt.step(ProbeEnded{Target: id, OK: true, Start: startID(id, 0), Latency: time.Millisecond})
+				rt.step(ProbeEnded{Target: id, OK: true, Statement: Statement{Start: startID(id, 0)}, Latency: time.Millisecond})
 			}
 		}
 	}
@@ -117,7 +117,7 @@
 			require.False(t, seen[id], "each target is probed once before any is probed twice")
 			seen[id] = true
 			n++
-			rt.step(ProbeEnded{Target: id, OK: true, Start: startID(id, 0)})
+			rt.step(ProbeEnded{Target: id, OK: true, Statement: Statement{Start: startID(id, 0)}})
 		}
 	}
 }
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -144,13 +144,13 @@
 			AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonDeadline},
 			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonShed},
 			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonExpired},
-			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonDraining, Leaving: true})
+			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonDraining, Statement: Statement{Leaving: true}})
 	}
 	ev := rapid.SampledFrom(ends).Draw(t, "end")
-	ev.Start = startID(a.target, a.start)
+	ev.Statement.Start = startID(a.target, a.start)
 	ev.Load = LoadReport{InUse: rapid.IntRange(0, 9).Draw(t, "inUse"), Slots: rapid.IntRange(0, 4).Draw(t, "slots")}
-	if ev.Leaving {
-		sc.leavingStarts[ev.Start] = true
+	if ev.Statement.Leaving {
+		sc.leavingStarts[ev.Statement.Start] = true
 	}
 	sc.endAttempt(a, ev)
 }
@@ -200,7 +200,7 @@
 	sc.currentStarts[i]++
 	if rapid.Bool().Draw(t, "byProbe") && sc.inList[i] {
 		sc.knownStarts[id] = sc.currentStarts[i]
-		sc.step(ProbeEnded{Target: id, OK: true, Start: startID(id, sc.currentStarts[i])})
+		sc.step(ProbeEnded{Target: id, OK: true, Statement: Statement{Start: startID(id, sc.currentStarts[i])}})
 		return
 	}
 	sc.sendTargetList()
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -142,6 +142,14 @@
 	Slowdown float64
 }
 
+// Statement is what a target states about itself on a response to a request or probe, apart from its load.
+type Statement struct {
+	// Start is the start ID of the target that responded; empty when unknown.
+	Start string
+	// Leaving is set if the target drains.
+	Leaving bool
+}
+
 // Input is one event with the time and the random draw that make its processing deterministic.
 type Input struct {
 	// Now is the time of the event.
@@ -204,6 +212,9 @@
 	// GaveUp marks a response that relays that another instance, further down the call chain, gave up on a nested call
 	// of the target. The response is delivered even if Failed is set, because the request is not retried.
 	GaveUp bool
+	// Statement is what the target states on the response. It applies before the body has been passed on, which can take
+	// as long as the caller reads.
+	Statement Statement
 }
 
 // AttemptEnded reports the final outcome of an attempt and frees its slot.
@@ -221,10 +232,8 @@
 	GaveUp bool
 	// Load is the load report on the response, if any.
 	Load LoadReport
-	// Start is the start ID of the target that responded; empty when unknown.
-	Start string
-	// Leaving marks a target that announced on the response that it drains.
-	Leaving bool
+	// Statement is what the target states on the response. It is ignored if AttemptCommitted has reported it.
+	Statement Statement
 }
 
 // CallerLeft reports that the caller no longer waits for the response.
@@ -249,11 +258,10 @@
 type ProbeEnded struct {
 	Target TargetID
 	// OK is false when the probe failed or timed out.
-	OK      bool
-	Latency time.Duration
-	Load    LoadReport
-	Leaving bool
-	Start   string
+	OK        bool
+	Latency   time.Duration
+	Load      LoadReport
+	Statement Statement
 }
 
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -139,7 +139,7 @@
 	case resp.gaveUp:
 		ev.Outcome, ev.Reason = core.OutcomeUnknown, core.ReasonNestedGiveUp
 	}
-	ev.Load, ev.Start, ev.Leaving = targetState(resp.Metadata)
+	ev.Load, ev.Statement = loadReport(resp.Metadata), statement(resp.Metadata)
 	return ev
 }
 
@@ -149,14 +149,17 @@
 	var failure *target.Error
 	if errors.As(err, &failure) {
 		ev.Outcome, ev.Reason, ev.Failed = failure.Outcome, failure.Reason, failure.Failed
-		ev.Load, ev.Start, ev.Leaving = targetState(failure.Metadata)
+		ev.Load, ev.Statement = loadReport(failure.Metadata), statement(failure.Metadata)
 	}
 	return ev
 }
 
-// targetState returns what a target reports: its load, its start ID and whether it takes no more requests. A target
-// also counts as leaving if the response declares the request misdirected, because another target then has its address.
-func targetState(m wire.ResponseMetadata) (load core.LoadReport, start string, leaving bool) {
-	load = core.LoadReport{InUse: m.Load.InUse, Slots: m.Load.Slots, Slowdown: m.Load.Slowdown}
-	return load, m.StartID, m.Leaving || m.Declaration == wire.DeclareMisdirected
+func loadReport(m wire.ResponseMetadata) core.LoadReport {
+	return core.LoadReport{InUse: m.Load.InUse, Slots: m.Load.Slots, Slowdown: m.Load.Slowdown}
+}
+
+// statement returns what the target states about itself. It also counts as leaving if the response declares the request
+// misdirected, because another target then has its address.
+func statement(m wire.ResponseMetadata) core.Statement {
+	return core.Statement{Start: m.StartID, Leaving: m.Leaving || m.Declaration == wire.DeclareMisdirected}
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -233,7 +233,9 @@
 func (e *engine) offerResponse(p *pendingRequest, id core.AttemptID, state *attemptState, response *bufferedResponse) {
 	e.mu.Lock()
 	state.response = response
-	e.apply(core.AttemptCommitted{Request: p.id, Attempt: id, Failed: response.isServerError(), GaveUp: response.gaveUp})
+	e.apply(core.AttemptCommitted{
+		Request: p.id, Attempt: id, Failed: response.isServerError(), GaveUp: response.gaveUp, Statement: statement(response.Metadata),
+	})
 	claimed := state.claimed
 	e.mu.Unlock()
 	if claimed {
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -76,16 +76,16 @@
 		buffered := bufferResponse(response)
 		buffered.close()
 		ev.OK = buffered.err == nil && response.Status < http.StatusInternalServerError
-		ev.Load, ev.Start, ev.Leaving = targetState(response.Metadata)
+		ev.Load, ev.Statement = loadReport(response.Metadata), statement(response.Metadata)
 		if err = buffered.err; err == nil && !ev.OK {
 			err = errProbeServerError
 		}
 		if other := response.Metadata.TargetIdentity; identity != "" && other != "" && other != identity {
-			ev.OK, ev.Leaving, err = false, true, errProbeOtherTarget
+			ev.OK, ev.Statement.Leaving, err = false, true, errProbeOtherTarget
 		}
 	case errors.As(err, &failure) && failure.Outcome == core.OutcomeRefused:
 		ev.OK, err = true, nil
-		ev.Load, ev.Start, ev.Leaving = targetState(failure.Metadata)
+		ev.Load, ev.Statement = loadReport(failure.Metadata), statement(failure.Metadata)
 	}
 	return ev, err
 }
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -29,10 +29,10 @@
 			w.WriteHeader(status)
 		}
 	}
-	healthy := core.ProbeEnded{OK: true, Load: core.LoadReport{InUse: 2, Slots: 4}, Start: "s1"}
+	healthy := core.ProbeEnded{OK: true, Load: core.LoadReport{InUse: 2, Slots: 4}, Statement: core.Statement{Start: "s1"}}
 	failing, leaving := healthy, healthy
 	failing.OK = false
-	leaving.Leaving = true
+	leaving.Statement.Leaving = true
 	for name, tc := range map[string]struct {
 		handler http.HandlerFunc
 		want    core.ProbeEnded
@@ -92,3 +92,13 @@
 	e.logProbeOutage(core.ProbeEnded{Target: "u", OK: true}, nil)
 	require.Len(t, lines, 2, "a single target that is down is not logged")
 }
+
+// Guards against an announcement that a target leaves which is lost because the rest of its response is.
+func TestTruncatedResponseAnnouncesLeaving(t *testing.T) {
+	leaving := newRawTarget(t, "HTTP/1.1 200 OK\r\nBurdockpitch-Leaving: 1\r\nContent-Length: 9\r\n\r\nok")
+	f := newFixture(t, logr.Discard(), Config{}, leaving)
+	resp, err := http.Get("http://" + f.addr + "/r/1")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, core.TargetStatusLeaving, f.Status()["registry"].Targets[0].Status)
+}
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -110,7 +110,8 @@
 	// Failed is set if the error counts as a failure of the target. A timeout on a reused connection that received
 	// nothing does not count, because the connection may be unresponsive although the target is healthy.
 	Failed bool
-	// Metadata is what the target reported when it refused the attempt by declaration.
+	// Metadata is what the target reported in its headers, if they arrived: on a refusal by declaration, or on a response
+	// that broke off.
 	Metadata wire.ResponseMetadata
 	// Err is the cause; nil for a declaration.
 	Err error
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -228,7 +228,9 @@
 		b.response.Trailer = b.httpResp.Trailer
 		return n, err
 	}
-	return n, b.fail(err)
+	failure := b.fail(err)
+	failure.Metadata = b.response.Metadata
+	return n, failure
 }
 
 // Close returns the connection to the pool, or closes it if the body was not read to its end. Calls after the first
