core, gateway, platform: read and report the request rate that a target accepts

The reducer records the rate that a target states and reports each change, which is logged and counted; status shows the rate. A response without the header ends the limit, a failed attempt without a response does not, nor does a response of another server at the same address. Nothing is decided by it yet.

--- a/pkg/core/leaving.go
+++ b/pkg/core/leaving.go
@@ -112,11 +112,11 @@
 	return s.applyStartChange(now, s.targets[ev.Target], false, ReasonPeer, out)
 }
 
-// recordStatement applies what t states on a response to a request or probe. The parameter knownStart is the start ID
-// that was current when the request was sent or, for a probe, when its response arrived. A response with
+// recordStart applies what a response to a request or probe states about the start of t. The parameter knownStart is
+// the start ID that was current when the request was sent or, for a probe, when its response arrived. A response with
 // the same start ID is no sign of a restart, even if another start has become current since the request was sent. A
 // leaving target that states no start ID is taken for knownStart. The source tells where the response comes from.
-func (s *Service) recordStatement(
+func (s *Service) recordStart(
 	now Instant, t *targetState, knownStart string, st Statement, source Reason, out []Effect,
 ) []Effect {
 	start := st.Start
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -37,6 +37,7 @@
 	shedAt           Instant
 	backoffUntil     Instant
 	slowStartUntil   Instant
+	rateLimit        rateLimit
 
 	ejection ejection
 
@@ -114,6 +115,7 @@
 	t.unhealthy, t.hasLatency, t.consecutiveSlow = false, false, 0
 	t.consecutiveSheds, t.backoffUntil = 0, 0
 	t.ejection = ejection{}
+	t.rateLimit = rateLimit{}
 	s.setLimit(t, float64(s.slots(t)))
 	s.startSlowStart(now, t)
 }
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -144,10 +144,17 @@
 
 // Statement is what a target states about itself on a response to a request or probe, apart from its load.
 type Statement struct {
+	// Responded is set if headers of the target arrived. Without them, the target states no request rate and does not
+	// withdraw one either.
+	Responded bool
 	// Start is the start ID of the target that responded; empty when unknown.
 	Start string
 	// Leaving is set if the target drains.
 	Leaving bool
+	// RequestRate is the rate that the target accepts from all instances together, in requests per second; only valid if
+	// HasRequestRate. A response without one ends an earlier limit.
+	RequestRate    float64
+	HasRequestRate bool
 }
 
 // Input is one event with the time and the random draw that make its processing deterministic.
@@ -314,6 +321,8 @@
 	CountDenied
 	// CountLeaving: Target is leaving since this step. Reason is the source of the signal.
 	CountLeaving
+	// ReportRateLimit: Target has changed the request rate that it accepts to Rate, or accepts any rate again if Unlimited.
+	ReportRateLimit
 )
 
 // Effect is one action for the runtime, as plain data. Fields that the kind does not use are zero.
@@ -332,6 +341,10 @@
 	Reason Reason
 	// RetryAfter is how long the caller should wait before it retries (Refuse).
 	RetryAfter time.Duration
+	// Rate is a request rate in requests per second (ReportRateLimit).
+	Rate float64
+	// Unlimited is set if the target no longer limits the rate (ReportRateLimit).
+	Unlimited bool
 	// DecisionInfo holds the inputs of the decision (SendAttempt and Refuse).
 	DecisionInfo DecisionInfo
 }
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -31,6 +31,9 @@
 	Reason   Reason       `json:"reason,omitempty"`
 	InFlight int          `json:"in_flight"`
 	Limit    int          `json:"limit"`
+	// RequestRate is the rate that the target accepts from all instances together, in requests per second; nil if it does
+	// not limit the rate.
+	RequestRate *float64 `json:"request_rate,omitempty"`
 	// Latency is the current estimate of the response time, in nanoseconds in JSON.
 	Latency time.Duration `json:"latency_ns"`
 }
@@ -66,9 +69,15 @@
 
 func (s *Service) viewTarget(t *targetState, now Instant) TargetView {
 	status, reason := s.statusOf(t, now)
+	var rate *float64
+	if t.rateLimit.active {
+		perSecond := t.rateLimit.perSecond // the view is a copy
+		rate = &perSecond
+	}
 	return TargetView{
 		ID: t.id, Zone: t.zone, Start: t.starts.current, Status: status, Reason: reason,
 		InFlight: t.inFlight, Limit: s.capacity(t, now), Latency: s.expectedLatency(t, now),
+		RequestRate: rate,
 	}
 }
 
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -149,7 +149,9 @@
 	var failure *target.Error
 	if errors.As(err, &failure) {
 		ev.Outcome, ev.Reason, ev.Failed = failure.Outcome, failure.Reason, failure.Failed
-		ev.Load, ev.Statement = loadReport(failure.Metadata), statement(failure.Metadata)
+		if failure.Metadata != nil {
+			ev.Load, ev.Statement = loadReport(*failure.Metadata), statement(*failure.Metadata)
+		}
 	}
 	return ev
 }
@@ -158,8 +160,13 @@
 	return core.LoadReport{InUse: m.Load.InUse, Slots: m.Load.Slots, Slowdown: m.Load.Slowdown}
 }
 
-// statement returns what the target states about itself. It also counts as leaving if the response declares the request
-// misdirected, because another target then has its address.
+// statement returns what the target states about itself. A response that declares the request misdirected comes from
+// another target, which has taken over the address; all that it says about the intended one is that it has left.
 func statement(m wire.ResponseMetadata) core.Statement {
-	return core.Statement{Start: m.StartID, Leaving: m.Leaving || m.Declaration == wire.DeclareMisdirected}
+	if m.Declaration == wire.DeclareMisdirected {
+		return core.Statement{Leaving: true}
+	}
+	return core.Statement{
+		Responded: true, Start: m.StartID, Leaving: m.Leaving, RequestRate: m.RequestRate, HasRequestRate: m.HasRequestRate,
+	}
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -129,6 +129,9 @@
 	case core.CountLeaving:
 		e.log.Info("target is leaving", "target", effect.Target, "source", effect.Reason)
 		e.metrics.countEffect(e.name, effect)
+	case core.ReportRateLimit:
+		e.log.Info("request rate of target changed", "target", effect.Target, "per_second", effect.Rate, "unlimited", effect.Unlimited)
+		e.metrics.countEffect(e.name, effect)
 	default:
 		e.metrics.countEffect(e.name, effect)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,6 +17,7 @@
 	probes       *prometheus.CounterVec
 	budgetDenied *prometheus.CounterVec
 	leaving      *prometheus.CounterVec
+	rateLimits   *prometheus.CounterVec
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -46,6 +47,7 @@
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
+		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
@@ -77,6 +79,8 @@
 		m.ejections.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.CountDenied:
 		m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
+	case core.ReportRateLimit:
+		m.rateLimits.WithLabelValues(service).Inc()
 	case core.CountLeaving:
 		m.leaving.WithLabelValues(service, string(effect.Reason)).Inc()
 	}
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -81,11 +81,11 @@
 			err = errProbeServerError
 		}
 		if other := response.Metadata.TargetIdentity; identity != "" && other != "" && other != identity {
-			ev.OK, ev.Statement.Leaving, err = false, true, errProbeOtherTarget
+			ev.OK, ev.Statement, err = false, core.Statement{Leaving: true}, errProbeOtherTarget
 		}
 	case errors.As(err, &failure) && failure.Outcome == core.OutcomeRefused:
 		ev.OK, err = true, nil
-		ev.Load, ev.Statement = loadReport(failure.Metadata), statement(failure.Metadata)
+		ev.Load, ev.Statement = loadReport(*failure.Metadata), statement(*failure.Metadata)
 	}
 	return ev, err
 }
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -29,7 +29,7 @@
 			w.WriteHeader(status)
 		}
 	}
-	healthy := core.ProbeEnded{OK: true, Load: core.LoadReport{InUse: 2, Slots: 4}, Statement: core.Statement{Start: "s1"}}
+	healthy := core.ProbeEnded{OK: true, Load: core.LoadReport{InUse: 2, Slots: 4}, Statement: core.Statement{Responded: true, Start: "s1"}}
 	failing, leaving := healthy, healthy
 	failing.OK = false
 	leaving.Statement.Leaving = true
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -111,8 +111,8 @@
 	// nothing does not count, because the connection may be unresponsive although the target is healthy.
 	Failed bool
 	// Metadata is what the target reported in its headers, if they arrived: on a refusal by declaration, or on a response
-	// that broke off.
-	Metadata wire.ResponseMetadata
+	// that broke off. Otherwise nil.
+	Metadata *wire.ResponseMetadata
 	// Err is the cause; nil for a declaration.
 	Err error
 }
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -201,7 +201,7 @@
 	if d := response.Metadata.Declaration; d != "" {
 		rt.detachCaller() // cancelling the ended attempt must not close the connection, which can be reused
 		go body.drain()
-		return nil, &Error{Outcome: core.OutcomeRefused, Reason: core.Reason(d), Metadata: response.Metadata}
+		return nil, &Error{Outcome: core.OutcomeRefused, Reason: core.Reason(d), Metadata: &response.Metadata}
 	}
 	return response, nil
 }
@@ -229,7 +229,7 @@
 		return n, err
 	}
 	failure := b.fail(err)
-	failure.Metadata = b.response.Metadata
+	failure.Metadata = &b.response.Metadata
 	return n, failure
 }
 
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -63,6 +63,10 @@
 	TargetIdentity string
 	// Leaving is set if the target drains.
 	Leaving bool
+	// RequestRate is the rate that the target accepts from all instances together, in requests per second; only valid if
+	// HasRequestRate.
+	RequestRate    float64
+	HasRequestRate bool
 	// GaveUp is set if an instance further down the call chain gave up on a nested call.
 	GaveUp bool
 }
@@ -121,6 +125,7 @@
 		m.Declaration = d
 	}
 	m.Load, _ = ParseLoad(h)
+	m.RequestRate, m.HasRequestRate = ParseRequestRate(h.Get(HeaderRequestRate))
 	m.Leaving = h.Get(HeaderLeaving) != "" || h.Get(HeaderDeclare) == string(DeclareDraining)
 	return m
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -23,6 +23,9 @@
 	HeaderStart = "Burdockpitch-Start"
 	// HeaderLeaving announces on a normal response that the target drains ("1"). The response itself is valid.
 	HeaderLeaving = "Burdockpitch-Leaving"
+	// HeaderRequestRate limits the requests per second that the target accepts from all instances together, as a decimal
+	// number. The limit ends with the first response without the header.
+	HeaderRequestRate = "Burdockpitch-Request-Rate"
 )
 
 // Headers that an instance sets on its responses to callers.
@@ -129,6 +132,19 @@
 	return LoadReport{InUse: n, Slots: m}, true
 }
 
+// maxRequestRate is the highest request rate that is believed, in requests per second.
+const maxRequestRate = 1_000_000
+
+// ParseRequestRate parses a request rate in requests per second. It returns false for an empty or malformed text, a
+// negative rate and one above maxRequestRate.
+func ParseRequestRate(text string) (perSecond float64, ok bool) {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(rate >= 0 && rate <= maxRequestRate) { // written so that NaN is refused
+		return 0, false
+	}
+	return rate, true
+}
+
 // FormatDeadline encodes a remaining time in whole milliseconds. It rounds down, so that a target never assumes more
 // time than the caller has.
 func FormatDeadline(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
@@ -166,7 +182,9 @@
 
 // SanitizeRequest removes the headers that only instances and targets may set.
 func SanitizeRequest(h http.Header) {
-	for _, name := range []string{HeaderDeclare, HeaderLoad, HeaderStart, HeaderLeaving, HeaderOutcome, HeaderReason} {
+	for _, name := range []string{
+		HeaderDeclare, HeaderLoad, HeaderStart, HeaderLeaving, HeaderRequestRate, HeaderOutcome, HeaderReason,
+	} {
 		h.Del(name)
 	}
 }
