core, gateway, peer: share the request rate that a target accepts

Cause: no decision used the rate. The class of the fault is a limit that holds for the fleet and is kept by each instance alone, as with the retry budget before: it has to be divided so that the shares, and what they save up, add up.

Change: a few instances, chosen by rendezvous hash, share the rate of a target, each with a token bucket of one request. Selection, load probes' choice, hedges, trials and the choice without reports ask the same predicate. A request without a chance is refused immediately with reason rate-limit and the wait as Retry-After; a target whose limit admits a request again is probed at once if requests wait. The membership gives the instances; they are identified by their peer address, which the hash of load probe subsets and budget shares now uses too.

--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -29,9 +29,16 @@
 	queuedWork        []func() // functions that start the waiting requests, in order
 	unhealthy         bool     // probes are answered with a failure
 	shedShare         float64  // share of the requests that it sheds although it has room
+	rateLimit         float64  // requests per second that it states to accept; 0 for no limit
+	arrivals          []core.Instant
 	served            int
 }
 
+// statement returns what the target states on a response.
+func (t *target) statement() core.Statement {
+	return core.Statement{Responded: true, RequestRate: t.rateLimit, HasRequestRate: t.rateLimit > 0}
+}
+
 func (t *target) report() core.LoadReport {
 	return core.LoadReport{InUse: t.running + t.waiting, Slots: t.slots, Slowdown: t.slowdown}
 }
@@ -106,11 +113,16 @@
 		f.targets[id] = &target{slots: p.Slots, queueLimit: p.Queue, slowdown: 1}
 		list = append(list, core.Target{ID: id, Zone: zone})
 	}
+	var instanceIDs []string
 	for n := range p.Instances {
+		instanceIDs = append(instanceIDs, fmt.Sprint("instance-", n))
+	}
+	for _, id := range instanceIDs {
 		policy := o.policy(p)
-		policy.InstanceID = fmt.Sprint("instance-", n)
+		policy.InstanceID = id
 		i := &instance{fleet: f, service: core.NewService(policy), callsByID: make(map[core.RequestID]*call)}
 		f.instances = append(f.instances, i)
+		i.apply(core.FleetChanged{Instances: instanceIDs})
 		i.apply(core.TargetsChanged{Targets: list})
 	}
 	f.changeSlowdowns()
@@ -144,12 +156,14 @@
 		f.hiddenSlowdown = max(value, 1)
 		return
 	}
-	for _, id := range f.targetIDs[:int(fault.Share*float64(len(f.targetIDs))+0.5)] {
+	for _, id := range f.targetIDs[:f.pattern.affectedTargets(*fault)] {
 		switch fault.Kind {
 		case FaultShed:
 			f.targets[id].shedShare = value
 		case FaultUnhealthy:
 			f.targets[id].unhealthy = active
+		case FaultRateLimit:
+			f.targets[id].rateLimit = value
 		}
 	}
 }
@@ -236,7 +250,8 @@
 		i.schedule(oneWayDelay, func() { i.serve(e) })
 	case core.SendProbe:
 		i.schedule(2*oneWayDelay, func() {
-			i.apply(core.ProbeEnded{Target: e.Target, OK: !i.targets[e.Target].unhealthy, Load: i.targets[e.Target].report()})
+			t := i.targets[e.Target]
+			i.apply(core.ProbeEnded{Target: e.Target, OK: !t.unhealthy, Load: t.report(), Statement: t.statement()})
 		})
 	case core.SetTimer:
 		i.timerNumber++
@@ -254,16 +269,19 @@
 // serve runs an attempt on its target, or rejects it if the target is full.
 func (i *instance) serve(e core.Effect) {
 	t := i.targets[e.Target]
+	t.arrivals = append(t.arrivals, i.now)
 	end := func(outcome core.AttemptOutcome, reason core.Reason) {
-		load := t.report()
+		load, statement := t.report(), t.statement()
 		i.schedule(oneWayDelay, func() {
 			if outcome == core.OutcomeAnswered {
-				i.apply(core.AttemptCommitted{Request: e.Request, Attempt: e.Attempt})
+				i.apply(core.AttemptCommitted{Request: e.Request, Attempt: e.Attempt, Statement: statement})
 				if c := i.callsByID[e.Request]; c.refusedAt == 0 && c.answeredAt == 0 {
 					c.answeredAt = i.now
 				}
 			}
-			i.apply(core.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load})
+			i.apply(core.AttemptEnded{
+				Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load, Statement: statement,
+			})
 		})
 	}
 	run := i.callsByID[e.Request].load.RunTime.Std()
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -87,6 +87,8 @@
 	FaultUnhealthy = "unhealthy"
 	// FaultHiddenSlowdown makes all targets slower by the factor Strength without reporting it.
 	FaultHiddenSlowdown = "hidden-slowdown"
+	// FaultRateLimit makes targets state that they accept Strength requests per second from all instances together.
+	FaultRateLimit = "rate-limit"
 )
 
 // Fault is a fault of some targets.
@@ -116,8 +118,15 @@
 	RefusedWithin Duration `toml:"refused_within"`
 	// AttemptsPerRequest is the largest number of attempts per request of a caller, over the whole run.
 	AttemptsPerRequest float64 `toml:"attempts_per_request"`
+	// RateLimitFactor and RateLimitSlack bound the requests that reach a target in each rateLimitWindow from From to To:
+	// the factor times what its rate limit allows in that time, plus the slack.
+	RateLimitFactor float64 `toml:"rate_limit_factor"`
+	RateLimitSlack  float64 `toml:"rate_limit_slack"`
 }
 
+// rateLimitWindow is the time over which the requests to a target with a rate limit are counted.
+const rateLimitWindow = 4 * time.Second
+
 // Duration is a time.Duration written as text, such as "1.5s".
 type Duration time.Duration
 
@@ -137,6 +146,9 @@
 	return float64(p.Targets*(p.Slots-1)) * (1 - slowShare) / p.Loads[0].RunTime.Std().Seconds()
 }
 
+// affectedTargets returns the number of targets that have a fault; they are the first ones.
+func (p *Pattern) affectedTargets(f Fault) int { return int(f.Share*float64(p.Targets) + 0.5) }
+
 // policy returns the policy of the instances.
 func (o Options) policy(p *Pattern) core.Policy {
 	policy := core.DefaultPolicy()
@@ -236,8 +248,8 @@
 		c.checkLoad(i, &p.Loads[i])
 	}
 	for i, f := range p.Faults {
-		known := f.Kind == FaultShed || f.Kind == FaultUnhealthy || f.Kind == FaultHiddenSlowdown
-		c.report(known, "shed, unhealthy or hidden-slowdown", "fault %d: unknown kind %q", i+1, f.Kind)
+		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit}, f.Kind)
+		c.report(known, "shed, unhealthy, hidden-slowdown or rate-limit", "fault %d: unknown kind %q", i+1, f.Kind)
 		c.report(f.Share >= 0 && f.Share <= 1 && f.For > 0, "a share from 0 to 1 and a length above 0",
 			"fault %d: share %v for %s", i+1, f.Share, f.For.Std())
 	}
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -15,6 +15,8 @@
 	attempts int
 	// servedByTarget is the number of requests that each target has answered.
 	servedByTarget []int
+	// arrivalsByTarget holds the times at which requests reached each target.
+	arrivalsByTarget [][]core.Instant
 }
 
 // Run plays a pattern with the given options. The same seed gives the same result.
@@ -24,6 +26,7 @@
 	r := &Result{calls: f.calls, attempts: f.attempts}
 	for _, id := range f.targetIDs {
 		r.servedByTarget = append(r.servedByTarget, f.targets[id].served)
+		r.arrivalsByTarget = append(r.arrivalsByTarget, f.targets[id].arrivals)
 	}
 	return r
 }
@@ -53,10 +56,38 @@
 			attempts := float64(r.attempts) / float64(len(r.calls))
 			report(attempts <= e.AttemptsPerRequest, "%.2f attempts per request, want at most %.2f", attempts, e.AttemptsPerRequest)
 		}
+		if e.RateLimitFactor > 0 {
+			for _, f := range p.Faults {
+				if f.Kind == FaultRateLimit {
+					most, allowed := r.mostArrivals(p, f, e), e.RateLimitFactor*f.Strength*rateLimitWindow.Seconds()+e.RateLimitSlack
+					report(float64(most) <= allowed, "%d requests reached a target within %s, want at most %.0f", most, rateLimitWindow, allowed)
+				}
+			}
+		}
 	}
 	return unmet
 }
 
+// mostArrivals returns the largest number of requests that reached one of the targets of a fault within rateLimitWindow,
+// in the time of an expectation.
+func (r *Result) mostArrivals(p *Pattern, f Fault, e Expectation) (most int) {
+	for _, arrivals := range r.arrivalsByTarget[:p.affectedTargets(f)] {
+		first := 0
+		for last, at := range arrivals {
+			if at >= e.To.Std() {
+				break
+			}
+			for arrivals[first] < max(at-rateLimitWindow, e.From.Std()) && first < last {
+				first++
+			}
+			if at >= e.From.Std() {
+				most = max(most, last-first+1)
+			}
+		}
+	}
+	return most
+}
+
 // share returns the share of the requests of an expectation for which accept holds.
 func (r *Result) share(e Expectation, accept func(*call) bool) float64 {
 	class, known := core.ParseClass(e.Class)
--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -284,8 +284,8 @@
 	c.gateway.MarkSynced()
 }
 
-// observeTargets passes the state of targets seen by the gateway to the membership, and the number of instances from
-// the membership to the gateway, until ctx ends.
+// observeTargets passes the state of targets seen by the gateway to the membership, and the instances and their number
+// from the membership to the gateway, until ctx ends.
 func (c *controlPlane) observeTargets(ctx context.Context) {
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
@@ -294,6 +294,7 @@
 		case <-ticker.C:
 			c.node.ObserveTargets(ctx, c.targetProcesses())
 			c.gateway.SetFleetSize(c.node.FleetSize())
+			c.gateway.SetFleet(c.node.ActiveInstances())
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -73,7 +73,17 @@
 	case patient > 0:
 		rate *= (patientShareDivisor - 1.0) / patientShareDivisor
 	}
-	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	limitWait, _ := s.rateLimitWait(now, ahead)
+	return max(wait, limitWait)
+}
+
+// infeasibleReason returns the reason to refuse a request that would wait too long.
+func (s *Service) infeasibleReason(now Instant) Reason {
+	if wait, limited := s.rateLimitWait(now, 0); limited && wait > 0 {
+		return ReasonRateLimit
+	}
+	return ReasonInfeasible
 }
 
 // retryAfter returns how long the caller of a refused request should wait before it retries. With SelectAsk it adds up
@@ -84,6 +94,9 @@
 		wait = s.expectedBacklogWait(now, r)
 		wait += time.Duration(s.randIntN(int(wait/2) + 1))
 	}
+	if wait >= maxRateLimitWait {
+		wait = rateLimitCheckInterval // this instance may send to no target, but others may
+	}
 	return min(max(wait, retryAfterMin), retryAfterMax)
 }
 
@@ -97,7 +110,7 @@
 	}
 	wait := time.Duration(waitMarginFactor * float64(s.expectedQueueWait(now, r.class)))
 	if r.attemptsStarted == 0 && now+wait+s.typicalLatencyFor(r) > r.deadline {
-		return s.refuse(now, r, ReasonInfeasible, out)
+		return s.refuse(now, r, s.infeasibleReason(now), out)
 	}
 	r.phase = phaseQueued
 	s.queue.push(r)
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -95,6 +95,7 @@
 	}
 	s.lastAttemptID++
 	*a = attempt{id: s.lastAttemptID, request: r, target: t, targetStart: t.starts.current, sentAt: now, respondedAt: never}
+	t.rateLimit.take(now)
 	t.attempts.push(&a.listNode, a)
 	t.inFlight++
 	t.sentSinceReport++
@@ -102,6 +103,9 @@
 	r.attemptsStarted++
 	r.attempts = append(r.attempts, a)
 	r.triedTargets = append(r.triedTargets, t)
+	if t.rateLimit.active {
+		s.scheduleTarget(now, t)
+	}
 	return a
 }
 
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -58,7 +58,7 @@
 	case len(s.backlog.waiting) >= s.policy.QueueLimit:
 		return s.refuse(now, r, ReasonQueueFull, out)
 	case now+s.expectedBacklogWait(now, r)+s.runTime(r) > r.deadline:
-		return s.refuse(now, r, ReasonInfeasible, out)
+		return s.refuse(now, r, s.infeasibleReason(now), out)
 	}
 	s.recordContention(now, r)
 	r.phase = phaseQueued
@@ -87,7 +87,9 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) / s.departuresPerSecond(now, s.runTime(r)) * float64(time.Second))
+	wait := time.Duration(float64(ahead) / s.departuresPerSecond(now, s.runTime(r)) * float64(time.Second))
+	limitWait, _ := s.rateLimitWait(now, ahead)
+	return max(wait, limitWait)
 }
 
 // dispatchBacklog sends waiting requests while targets have reported free slots, and refuses all of them if no target
@@ -116,6 +118,16 @@
 	return out
 }
 
+// probeAdmitting probes t if its rate limit admits a request again and requests wait. The rounds of onBacklogTimer would
+// reach it too late: until it is used, the share of this instance stays unused.
+func (s *Service) probeAdmitting(now Instant, t *targetState, out []Effect) []Effect {
+	if !s.probesLoad() || len(s.backlog.waiting) == 0 || !t.rateLimit.active || !t.usable() || !s.isAvailable(t, now) {
+		return out
+	}
+	accept := func(*targetState) bool { return true }
+	return s.sendLoadProbes(now, []*targetState{t}, 1, accept, func(*targetState) {}, out)
+}
+
 func (s *Service) leaveBacklog(now Instant, r *request) {
 	s.backlog.remove(r)
 	s.completions.setQueueBusy(now, len(s.backlog.waiting) > 0)
@@ -141,7 +153,7 @@
 	if len(s.backlog.waiting) == 0 {
 		return out
 	}
-	accept := func(t *targetState) bool { return !t.ejection.active && now >= t.backoffUntil }
+	accept := func(t *targetState) bool { return s.isWorthProbing(t, now) }
 	out = s.sendLoadProbes(now, s.subset, backlogProbeTargets, accept, func(*targetState) {}, out)
 	s.schedule(&s.healthProbeBudget.timer, now+s.jitter(2*exponentialBackoff(backlogProbeInterval, s.backlog.unsuccessfulRounds, maxBacklogProbeInterval)))
 	s.backlog.unsuccessfulRounds++
--- a/pkg/core/ejection_test.go
+++ b/pkg/core/ejection_test.go
@@ -192,3 +192,18 @@
 	late := rt.generateTraffic(time.Second, 2*time.Millisecond, ClassLookup, allFast)
 	require.Greater(t, late[targetID(4)], 70)
 }
+
+// TestTrialRespectsRateLimit guards against a trial request to an ejected target beyond the rate that it states.
+func TestTrialRespectsRateLimit(t *testing.T) {
+	rt := newTestRuntime(t, 6)
+	rt.trainLatency()
+	rt.ejectFirstTarget()
+	rt.advance(2 * firstEjectionTime)
+	require.NotEmpty(t, rt.s.awaitingTrial)
+	rt.step(ProbeEnded{Target: targetID(0), Statement: statedRate(0)})
+	for range 2 * requestsPerTrial {
+		rt.submit(ClassLookup, time.Second)
+		rt.answer(rt.inFlight[0])
+	}
+	require.NotEmpty(t, rt.s.awaitingTrial)
+}
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -96,10 +96,16 @@
 		targets, count = s.subset, s.policy.LoadProbesRemote
 	}
 	r.probedTargets = r.probedTargets[:0]
-	accept := func(t *targetState) bool { return s.isCandidate(t, now, r) }
+	accept := func(t *targetState) bool { return s.isWorthProbing(t, now) && !r.tried(t) }
 	return s.sendLoadProbes(now, targets, count, accept, func(t *targetState) { r.probedTargets = append(r.probedTargets, t) }, out)
 }
 
+// isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit may have
+// ended.
+func (s *Service) isWorthProbing(t *targetState, now Instant) bool {
+	return s.isAvailable(t, now) || !t.ejection.active && now >= t.backoffUntil && t.rateLimit.isCheckDue(now)
+}
+
 // sendLoadProbes probes up to count random targets that accept admits, and calls onProbed for each. A target with a
 // probe in flight counts as probed but gets no second probe; a target with a fresh report is skipped. It stops when the
 // load probe budget is used up.
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -59,13 +59,14 @@
 	probeTimes    []Instant
 	deniedProbes  int // CountDenied effects for probes
 	listed        map[TargetID]bool
-	maxTargets    int // length of the longest list
+	limitedSends  map[TargetID][]Instant // since the target last changed its request rate
+	maxTargets    int                    // length of the longest list
 }
 
 func newEmptyTestRuntime(t fataler, p Policy) *testRuntime {
 	return &testRuntime{
 		fataler: t, s: NewService(p), timerAt: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
-		probing: make(map[TargetID]bool),
+		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant),
 	}
 }
 
@@ -170,6 +171,8 @@
 			rt.Fatalf("SetTimer with a time that is not in the future")
 		}
 		rt.timerAt = e.At
+	case ReportRateLimit:
+		rt.limitedSends[e.Target] = nil
 	case CountHedge:
 		rt.hedges = append(rt.hedges, rt.now)
 	}
@@ -187,6 +190,7 @@
 	case rt.leavingStarts[startID(e.Target, rt.knownStarts[e.Target])]:
 		rt.Fatalf("attempt to the leaving target %s", e.Target)
 	}
+	rt.checkRequestRate(e.Target)
 	r.attempts++
 	r.inFlight++
 	if r.attempts > rt.s.policy.MaxAttempts {
@@ -195,6 +199,28 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
+// checkRequestRate checks that the attempts on a target since its latest statement of a request rate, each span of them,
+// stay within the share of this instance, plus one for the token and one for each rateLimitTTL.
+func (rt *testRuntime) checkRequestRate(id TargetID) {
+	var rate *float64
+	for _, t := range rt.s.View(rt.now).Targets {
+		if t.ID == id {
+			rate = t.RequestRate
+		}
+	}
+	if rate == nil {
+		return
+	}
+	sends := append(rt.limitedSends[id], rt.now)
+	rt.limitedSends[id] = sends
+	share := *rate/float64(rt.s.policy.InstanceCount) + 1/rateLimitTTL.Seconds()
+	for i, at := range sends {
+		if allowed := 1 + share*(rt.now-at).Seconds(); float64(len(sends)-i) > allowed+0.001 {
+			rt.Fatalf("%d attempts on %s in %v exceed its request rate %v", len(sends)-i, id, rt.now-at, *rate)
+		}
+	}
+}
+
 // checkBudgets compares the retries and hedges just decided with the requests in the exact window.
 func (rt *testRuntime) checkBudgets() {
 	p := rt.s.policy
--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -78,9 +78,9 @@
 	return estimate
 }
 
-// isCandidate reports whether r may be sent to t: t is not ejected or in backoff, and r has not tried it.
+// isCandidate reports whether r may be sent to t: t is available, and r has not tried it.
 func (s *Service) isCandidate(t *targetState, now Instant, r *request) bool {
-	return !t.ejection.active && now >= t.backoffUntil && !r.tried(t)
+	return s.isAvailable(t, now) && !r.tried(t)
 }
 
 // hasReportedFreeSlots reports whether t has n free slots according to a report of at most the given age.
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -73,7 +73,8 @@
 	// LoadProbeSubset is the size of the subset of targets to which SelectAsk limits its probes: this many targets in
 	// the zone of this instance and half as many in other zones. 0 means all targets.
 	LoadProbeSubset int
-	// InstanceID identifies this instance. The subset of targets that the instance probes depends on it.
+	// InstanceID identifies this instance. The subset of targets that the instance probes depends on it, and for which
+	// targets with a limited request rate it is a sender.
 	InstanceID string
 	// LoadProbesPerTarget bounds the load probes per second that all instances together send to a target, averaged over
 	// the targets.
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -43,7 +43,7 @@
 func targetID(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
 
 // TestRandomEvents guards against orders of events that break the outcome accounting, the budgets, the decision by the
-// deadline, the bound on ejections, the cost of probes or the exclusion of leaving targets. The checks are in
+// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving ones. The checks are in
 // testRuntime.
 func TestRandomEvents(t *testing.T) {
 	setRapidDefaults(t)
@@ -62,6 +62,7 @@
 			"restart": sc.drawRestart,
 			"sign":    sc.drawLeavingSignal,
 			"probe":   sc.drawProbe,
+			"rate":    sc.drawRequestRate,
 			"stop":    sc.drawStop,
 		})
 		sc.endAll()
@@ -220,6 +221,16 @@
 	sc.step(LoadReported{Target: id, Load: LoadReport{InUse: 3, Slots: 4}, Age: 5 * time.Millisecond})
 }
 
+// drawRequestRate makes a target state a request rate, or withdraw it.
+func (sc *randomScenario) drawRequestRate(t *rapid.T) {
+	_, id := sc.drawTarget(t)
+	st := statedRate(rapid.SampledFrom([]float64{0, 0.5, 3, 50}).Draw(t, "rate"))
+	if rapid.Bool().Draw(t, "withdrawn") {
+		st = Statement{Responded: true}
+	}
+	sc.step(ProbeEnded{Target: id, OK: true, Statement: st, Load: LoadReport{Slots: 4}, Latency: time.Millisecond})
+}
+
 func (sc *randomScenario) drawStop(t *rapid.T) {
 	if rapid.IntRange(0, 9).Draw(t, "really") == 0 {
 		sc.step(StopRequested{})
--- a/pkg/core/rate_limit_test.go
+++ b/pkg/core/rate_limit_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -36,3 +38,117 @@
 		})
 	}
 }
+
+// TestRateSharesAddUp guards against instances that together exceed the rate of a target or save up a burst of it, and
+// against a rate that no instance may use.
+func TestRateSharesAddUp(t *testing.T) {
+	for _, size := range []int{1, 2, 13, 92, 300} {
+		for _, perSecond := range []float64{0, 0.3, 3.5, 40, 1000} {
+			var fleet []string
+			for i := range size {
+				fleet = append(fleet, fmt.Sprint("instance-", i))
+			}
+			sum, senders := 0.0, 0
+			for _, id := range fleet {
+				p := DefaultPolicy()
+				p.InstanceID = id
+				s := NewService(p)
+				s.setFleet(0, fleet)
+				if share := s.rateShare("t0", perSecond); share > 0 {
+					sum += share
+					senders++
+				}
+			}
+			require.InDelta(t, perSecond, sum, 1e-6, "%d instances", size)
+			require.LessOrEqual(t, float64(senders), math.Ceil(perSecond)+additionalSenders)
+		}
+	}
+}
+
+// TestRateLimitHolds guards against a way of choosing a target that does not respect the rate the target states: each
+// selection method, hedges and trials of ejected targets. The oracle checks each attempt. It also guards against a
+// limit that stays in force after the target has withdrawn it.
+func TestRateLimitHolds(t *testing.T) {
+	for _, method := range Selections {
+		t.Run(string(method), func(t *testing.T) {
+			rt := newTestRuntime(t, 3, func(p *Policy) {
+				p.Selection, p.InstanceCount, p.HedgeRatio, p.HedgeQuantile = method, 1, 1, 0.5
+			})
+			load := LoadReport{Slots: 4}
+			state := func(st Statement) {
+				for i := range 3 {
+					rt.step(ProbeEnded{Target: targetID(i), OK: true, Load: load, Statement: st})
+				}
+			}
+			state(statedRate(2))
+			total := 0
+			for range 200 {
+				rt.submit(ClassLookup, 100*time.Millisecond)
+				rt.advance(20 * time.Millisecond)
+				state(statedRate(2))
+				for len(rt.inFlight) > 0 {
+					total++
+					rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeAnswered, Statement: statedRate(2)})
+				}
+			}
+			require.Greater(t, total, 3*2*3, "the rates of 3 targets are used for 4 s")
+
+			state(Statement{Responded: true})
+			for range 9 {
+				rt.submit(ClassLookup, 100*time.Millisecond)
+			}
+			require.Len(t, rt.inFlight, 9, "more than the 3 requests that the limits would admit")
+		})
+	}
+}
+
+// TestRateLimitRefusesAtOnce guards against requests that wait in vain for a target without room, against a Retry-After
+// that is not the time until there is room, and against refusals that do not name the cause.
+func TestRateLimitRefusesAtOnce(t *testing.T) {
+	for _, method := range []Selection{SelectLoad, SelectAsk} {
+		for name, tc := range map[string]struct {
+			perSecond float64
+			retryMin  time.Duration
+			retryMax  time.Duration
+		}{
+			"one in five seconds": {0.2, 3 * time.Second, 8 * time.Second},
+			"none":                {0, rateLimitCheckInterval, rateLimitCheckInterval},
+		} {
+			t.Run(string(method)+"/"+name, func(t *testing.T) {
+				rt := newTestRuntime(t, 1, func(p *Policy) { p.Selection, p.InstanceCount = method, 1 })
+				rt.step(ProbeEnded{Target: "t0", OK: true, Load: LoadReport{Slots: 4}, Statement: statedRate(tc.perSecond)})
+				for len(rt.inFlight) == 0 && rt.now < 6*time.Second && tc.perSecond > 0 { // uses the token
+					rt.submit(ClassLookup, 100*time.Millisecond)
+					rt.advance(10 * time.Millisecond)
+					rt.step(ProbeEnded{Target: "t0", OK: true, Load: LoadReport{Slots: 4}, Statement: statedRate(tc.perSecond)})
+				}
+				rt.submit(ClassLookup, 2*time.Second)
+				refusal := rt.refusal()
+				require.Equal(t, ReasonRateLimit, refusal.Reason)
+				require.True(t, refusal.NotRun)
+				require.GreaterOrEqual(t, refusal.RetryAfter, tc.retryMin)
+				require.LessOrEqual(t, refusal.RetryAfter, tc.retryMax)
+			})
+		}
+	}
+}
+
+// TestEndOfRateLimitIsNoticed guards against an instance that never sends to a target again because it sends no request
+// to it on which it could see that the limit has ended.
+func TestEndOfRateLimitIsNoticed(t *testing.T) {
+	rt := newTestRuntime(t, 1, func(p *Policy) { p.Selection, p.InstanceCount = SelectAsk, 1 })
+	rt.step(ProbeEnded{Target: "t0", OK: true, Load: LoadReport{Slots: 4}, Statement: statedRate(0)})
+	rt.advance(rateLimitCheckInterval)
+	rt.submit(ClassLookup, time.Second)
+	require.True(t, rt.probing["t0"], "a request that is refused leads to a probe")
+	rt.step(ProbeEnded{Target: "t0", OK: true, Load: LoadReport{Slots: 4}, Statement: Statement{Responded: true}})
+	rt.submit(ClassLookup, time.Second)
+	require.NotEmpty(t, rt.inFlight)
+
+	rt = newTestRuntime(t, 1, func(p *Policy) { p.InstanceCount = 1 })
+	rt.step(ProbeEnded{Target: "t0", OK: true, Statement: statedRate(0)})
+	rt.advance(rateLimitTTL)
+	rt.submit(ClassLookup, time.Second)
+	rt.submit(ClassLookup, time.Second)
+	require.Len(t, rt.inFlight, 1, "one request finds out whether the limit still holds")
+}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -93,7 +93,7 @@
 		return t, out
 	}
 	r.hedgeAt = now + loadProbeTimeout
-	accept := func(t *targetState) bool { return s.isCandidate(t, now, r) }
+	accept := func(t *targetState) bool { return s.isWorthProbing(t, now) && !r.tried(t) }
 	return nil, s.sendLoadProbes(now, s.subset, s.policy.LoadProbesLocal, accept, func(*targetState) {}, out)
 }
 
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -131,13 +131,18 @@
 	return nil
 }
 
-// hasCapacity reports whether t may receive an attempt now: it is not ejected or in backoff, and below its in-flight
-// limit. Baselines only respect the limit.
+// isAvailable reports whether t is not ejected or in backoff, and admits a request by the rate that it states.
+func (s *Service) isAvailable(t *targetState, now Instant) bool {
+	return !t.ejection.active && now >= t.backoffUntil && t.rateLimit.admits(now)
+}
+
+// hasCapacity reports whether t may receive an attempt now: it is available and below its in-flight limit. Baselines
+// only respect the limits.
 func (s *Service) hasCapacity(t *targetState, now Instant) bool {
 	if s.policy.Selection.isBaseline() {
-		return t.inFlight < s.capacity(t, never) // at the time never, no slow start is in progress
+		return t.rateLimit.admits(now) && t.inFlight < s.capacity(t, never) // at the time never, no slow start is in progress
 	}
-	return !t.ejection.active && now >= t.backoffUntil && t.inFlight < s.capacity(t, now)
+	return s.isAvailable(t, now) && t.inFlight < s.capacity(t, now)
 }
 
 // slowStartAdmits decides at random whether t is eligible, with a probability that rises to 1 by the end of its slow
@@ -146,8 +151,7 @@
 	if now >= t.slowStartUntil || s.policy.Selection.isBaseline() {
 		return true
 	}
-	const scale = 1 << 20
-	return float64(s.randIntN(scale)) < t.slowStartShare(now)*scale
+	return s.randFloat() < t.slowStartShare(now)
 }
 
 // score rates t by the selection method; lower is better.
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -15,6 +15,7 @@
 // Service is the state of one service as one instance sees it.
 type Service struct {
 	policy   Policy
+	fleet    []string // IDs of the instances that share the targets; empty while unknown
 	rng      rand.PCG
 	stopping bool
 	// resumedAt is the end of the last pause of this process.
@@ -82,6 +83,7 @@
 func (s *Service) Successor() *Service {
 	successor := NewService(s.policy)
 	successor.startHistories = s.startHistories
+	successor.fleet = s.fleet
 	successor.stopping = s.stopping
 	return successor
 }
@@ -112,6 +114,8 @@
 	case PolicyChanged:
 		s.setPolicy(now, ev.Policy)
 		return s.dispatch(now, nil, out)
+	case FleetChanged:
+		s.setFleet(now, ev.Instances)
 	case TargetLeaving:
 		out = s.targetLeaving(now, ev, out)
 		return s.dispatch(now, nil, out)
@@ -153,6 +157,12 @@
 	return int(high)
 }
 
+// randFloat returns a random number in [0, 1).
+func (s *Service) randFloat() float64 {
+	const scale = 1 << 20
+	return float64(s.randIntN(scale)) / scale
+}
+
 // jitter returns a random duration between half of d and d, so that instances do not act in lockstep.
 func (s *Service) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(s.randIntN(int(d/2)+1))
--- a/pkg/core/subset.go
+++ b/pkg/core/subset.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // chooseSubset selects the targets that this instance probes: Policy.LoadProbeSubset targets of its zone and half as
@@ -38,7 +36,7 @@
 	if limit == 0 || len(targets) <= limit {
 		return targets
 	}
-	hash := func(t *targetState) uint64 { return xxhash.Sum64String(s.policy.InstanceID + "/" + string(t.id)) }
+	hash := func(t *targetState) uint64 { return instanceHash(s.policy.InstanceID, t.id) }
 	sorted := slices.Clone(targets)
 	slices.SortFunc(sorted, func(a, b *targetState) int { return cmp.Compare(hash(b), hash(a)) })
 	return sorted[:limit]
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -161,18 +161,23 @@
 	if t.ejection.active {
 		at = min(at, t.ejection.timerAt)
 	}
+	if wait := t.rateLimit.wait(now); wait > 0 && wait != never {
+		at = min(at, now+wait)
+	}
 	if now < t.slowStartUntil {
 		at = min(at, now+slowStartRecheckInterval, t.slowStartUntil)
 	}
 	s.schedule(&t.timer, at)
 }
 
-// onTargetTimer handles the end of a backoff, of an ejection or of a step of the slow start.
+// onTargetTimer handles the end of a backoff, of an ejection, of a step of the slow start or of the wait for a request
+// that the rate limit admits.
 func (s *Service) onTargetTimer(now Instant, t *targetState, out []Effect) []Effect {
 	if t.ejection.active && t.ejection.timerAt <= now {
 		s.onEjectionTimer(now, t)
 	}
 	s.scheduleTarget(now, t)
+	out = s.probeAdmitting(now, t, out)
 	return s.dispatch(now, t, out)
 }
 
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -101,6 +101,7 @@
 	ReasonQueueFull         Reason = "queue-full"
 	ReasonDeadline          Reason = "deadline"            // no time for an attempt; SelectAsk: or objective missed
 	ReasonInfeasible        Reason = "infeasible-deadline" // queueing would take longer than the deadline allows
+	ReasonRateLimit         Reason = "rate-limit"          // all targets limit their request rate, and there is no room in time
 	ReasonRetryBudget       Reason = "retry-budget"        // a retry is needed and the budget is used up
 	ReasonAttemptsExhausted Reason = "attempts-exhausted"
 	ReasonMayHaveRun        Reason = "may-have-run"   // a ClassOnce attempt ended without proof that it did not run
@@ -186,6 +187,10 @@
 // PolicyChanged replaces the policy of the service.
 type PolicyChanged struct{ Policy Policy }
 
+// FleetChanged replaces the IDs of the instances that share the targets, this one included. They compare with
+// Policy.InstanceID.
+type FleetChanged struct{ Instances []string }
+
 // RequestArrived submits a request.
 type RequestArrived struct {
 	Request RequestID
@@ -283,6 +288,7 @@
 
 func (TargetsChanged) event()   {}
 func (PolicyChanged) event()    {}
+func (FleetChanged) event()     {}
 func (RequestArrived) event()   {}
 func (AttemptCommitted) event() {}
 func (AttemptEnded) event()     {}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,6 +82,7 @@
 
 	mu      sync.Mutex
 	engines map[string]*engine
+	fleet   []string // of the latest SetFleet, sorted
 }
 
 // New returns a gateway without rules and targets. It refuses every request until SetDocuments is called.
@@ -161,6 +163,21 @@
 	}
 }
 
+// SetFleet sets the IDs of the instances that share the targets, this one included. They compare with the InstanceID of
+// the policy that was passed to New.
+func (g *Gateway) SetFleet(instances []string) {
+	instances = slices.Sorted(slices.Values(instances))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.Equal(instances, g.fleet) {
+		return
+	}
+	g.fleet = instances
+	for _, e := range g.engines {
+		e.dispatch(core.FleetChanged{Instances: instances})
+	}
+}
+
 // MarkSynced ends the wait of Config.HoldUntilSynced. Calls after the first have no effect.
 func (g *Gateway) MarkSynced() { g.syncedOnce.Do(func() { close(g.synced) }) }
 
@@ -175,6 +192,7 @@
 	e := g.engines[name]
 	if e == nil {
 		e = newEngine(name, g.cfg, g.pauses, g.clients, g.metrics, g.log)
+		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		g.engines[name] = e
 	}
 	return e
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -290,6 +290,17 @@
 	return n.state.FleetSize()
 }
 
+// ActiveInstances returns the addresses of the instances that serve, including this one.
+func (n *Node) ActiveInstances() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	active := []string{n.cfg.Self}
+	for _, k := range n.state.Known(time.Since(n.startTime)) {
+		active = append(active, k.Address)
+	}
+	return active
+}
+
 // Members describes the other known instances.
 func (n *Node) Members() []membership.MemberStatus {
 	n.mu.Lock()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"time"
 
@@ -321,7 +322,7 @@
 	}
 	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
 	p.LoadProbesLocal, p.LoadProbesRemote, p.LoadProbeSubset = s.LoadProbes.Local, s.LoadProbes.Remote, s.LoadProbes.Subset
-	p.InstanceID = s.Listen
+	p.InstanceID = cmp.Or(s.PeerListen, s.Listen) // other instances know the peer address
 	p.LoadProbesPerTarget, p.Headroom = s.LoadProbes.PerTarget, s.LoadProbes.Headroom
 	return p
 }
