core, gateway, platform: honour Retry-After of targets

Nothing read the header: the backoff after a rejection is at most a second, and probes went on.

Change: a statement holds the time, from any 503, also one that does not declare that the request did not run. It holds for requests, probes, hedges and trials of this instance. If no target accepts a request in time, it is refused immediately, also when its first attempt was the one that got the 503; before, it waited in the queue until its deadline.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -74,13 +74,13 @@
 		rate *= (patientShareDivisor - 1.0) / patientShareDivisor
 	}
 	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
-	limitWait, _ := s.rateLimitWait(now, ahead)
-	return max(wait, limitWait)
+	stated, _ := s.statedWait(now, ahead)
+	return max(wait, stated)
 }
 
 // infeasibleReason returns the reason to refuse a request that would wait too long.
 func (s *Service) infeasibleReason(now Instant) Reason {
-	if wait, limited := s.rateLimitWait(now, 0); limited && wait > 0 {
+	if wait, stated := s.statedWait(now, 0); stated && wait > 0 {
 		return ReasonRateLimit
 	}
 	return ReasonInfeasible
@@ -94,7 +94,7 @@
 		wait = s.expectedBacklogWait(now, r)
 		wait += time.Duration(s.randIntN(int(wait/2) + 1))
 	}
-	if wait >= maxRateLimitWait {
+	if wait >= maxStatedWait {
 		wait = rateLimitCheckInterval // this instance may send to no target, but others may
 	}
 	return min(max(wait, retryAfterMin), retryAfterMax)
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -88,8 +88,8 @@
 		}
 	}
 	wait := time.Duration(float64(ahead) / s.departuresPerSecond(now, s.runTime(r)) * float64(time.Second))
-	limitWait, _ := s.rateLimitWait(now, ahead)
-	return max(wait, limitWait)
+	stated, _ := s.statedWait(now, ahead)
+	return max(wait, stated)
 }
 
 // dispatchBacklog sends waiting requests while targets have reported free slots, and refuses all of them if no target
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -103,7 +103,7 @@
 // isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit may have
 // ended.
 func (s *Service) isWorthProbing(t *targetState, now Instant) bool {
-	return s.isAvailable(t, now) || !t.ejection.active && now >= t.backoffUntil && t.rateLimit.isCheckDue(now)
+	return s.isAvailable(t, now) || !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.isCheckDue(now)
 }
 
 // sendLoadProbes probes up to count random targets that accept admits, and calls onProbed for each. A target with a
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -34,6 +34,7 @@
 	now Instant, t *targetState, knownStart string, st Statement, source Reason, out []Effect,
 ) []Effect {
 	out = s.recordStart(now, t, knownStart, st, source, out)
+	s.recordRetryAfter(now, t, st)
 	return s.recordRequestRate(now, t, st, out)
 }
 
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -127,7 +127,7 @@
 	if t.probing || t.inFlight > 0 {
 		return now + probeAfterIdle
 	}
-	return max(t.observedAt+probeAfterIdle, t.backoffUntil)
+	return max(t.observedAt+probeAfterIdle, t.backoffEnd())
 }
 
 // probeEnded applies the result of a probe. The latency of a probe is not used as a sample, because it differs from
--- a/pkg/core/rate_limit.go
+++ b/pkg/core/rate_limit.go
@@ -27,8 +27,9 @@
 	rateLimitTTL = 30 * time.Second
 	// tokenTolerance absorbs the rounding of times to nanoseconds.
 	tokenTolerance = 1e-6
-	// maxRateLimitWait stands for the wait of an instance that may send to no target.
-	maxRateLimitWait = time.Hour
+	// maxStatedWait bounds the wait for what targets state. It stands for the wait of an instance that is the sender of no
+	// target.
+	maxStatedWait = time.Hour
 )
 
 // rateLimit is the request rate that a target accepts from all instances together, and the share of this instance.
@@ -60,7 +61,7 @@
 	case l.share <= 0:
 		return never
 	}
-	return time.Duration(math.Ceil(min(missing/l.share, maxRateLimitWait.Seconds()) * float64(time.Second)))
+	return time.Duration(math.Ceil(min(missing/l.share, maxStatedWait.Seconds()) * float64(time.Second)))
 }
 
 // admits reports whether a request may be sent now.
@@ -151,20 +152,23 @@
 	return xxhash.Sum64String(instance + "/" + string(id))
 }
 
-// rateLimitWait returns how long a request would wait for the limits of the targets if the given number of requests
-// were sent before it, and false if some usable target has no limit.
-func (s *Service) rateLimitWait(now Instant, ahead int) (time.Duration, bool) {
-	share, next := 0.0, maxRateLimitWait
+// statedWait returns how long a request would wait for what the targets state, their request rates and Retry-After, if
+// the given number of requests were sent before it. It returns false if some usable target accepts a request now without
+// a limit.
+func (s *Service) statedWait(now Instant, ahead int) (wait time.Duration, stated bool) {
+	share, next, allLimited := 0.0, maxStatedWait, true
 	for _, t := range s.usableTargets {
 		l := &t.rateLimit
-		if !l.active {
+		untilAccepted := max(l.wait(now), t.retryAfterUntil-now)
+		if !l.active && untilAccepted <= 0 {
 			return 0, false
 		}
 		share += l.share
-		next = min(next, l.wait(now))
+		next = min(next, untilAccepted)
+		allLimited = allLimited && l.active
 	}
-	if share == 0 || len(s.usableTargets) == 0 {
-		return next, len(s.usableTargets) > 0
+	if allLimited && share > 0 {
+		next += time.Duration(float64(ahead) / share * float64(time.Second))
 	}
-	return min(next+time.Duration(float64(ahead)/share*float64(time.Second)), maxRateLimitWait), true
+	return min(next, maxStatedWait), len(s.usableTargets) > 0
 }
--- a/pkg/core/rate_limit_test.go
+++ b/pkg/core/rate_limit_test.go
@@ -152,3 +152,30 @@
 	rt.submit(ClassLookup, time.Second)
 	require.Len(t, rt.inFlight, 1, "one request finds out whether the limit still holds")
 }
+
+// TestTargetThatWantsNoRequestsGetsNone guards against requests and probes to a target during the time for which it has
+// asked for none, against a later response that shortens that time, and against a target that stays unused afterwards.
+func TestTargetThatWantsNoRequestsGetsNone(t *testing.T) {
+	for _, method := range Selections {
+		t.Run(string(method), func(t *testing.T) {
+			rt := newTestRuntime(t, 1, func(p *Policy) { p.Selection, p.InstanceCount, p.ProbeShare = method, 1, 0.1 })
+			load := LoadReport{Slots: 4}
+			rejected := func(wait time.Duration) Statement { return Statement{Responded: true, RetryAfter: wait} }
+			rt.step(ProbeEnded{Target: "t0", OK: true, Load: load, Statement: rejected(3 * time.Second)})
+			rt.step(ProbeEnded{Target: "t0", OK: true, Load: load, Statement: rejected(time.Second)})
+			for rt.now < 2900*time.Millisecond {
+				rt.submit(ClassLookup, 50*time.Millisecond)
+				require.Equal(t, ReasonRateLimit, rt.refusal().Reason)
+				rt.advance(20 * time.Millisecond)
+			}
+			require.Empty(t, rt.inFlight)
+			require.Empty(t, rt.probing)
+			rt.submit(ClassLookup, 10*time.Millisecond)
+			require.InDelta(t, 100*time.Millisecond, rt.refusal().RetryAfter, float64(60*time.Millisecond))
+
+			rt.advance(200 * time.Millisecond)
+			rt.submit(ClassLookup, time.Second)
+			require.True(t, len(rt.inFlight)+len(rt.probing) > 0)
+		})
+	}
+}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -20,6 +20,7 @@
 // planRetry schedules the next attempt of r, or returns the reason why there is none.
 func (s *Service) planRetry(now Instant, r *request, cause Reason, out []Effect) (Reason, []Effect) {
 	backoff := s.jitter(exponentialBackoff(retryBackoffInitial, r.attemptsStarted, retryBackoffMax))
+	stated, _ := s.statedWait(now, 0)
 	switch {
 	case r.callerLeft:
 		return ReasonCallerLeft, out
@@ -29,13 +30,15 @@
 		return ReasonAttemptsExhausted, out
 	case now+backoff >= r.deadline:
 		return ReasonDeadline, out
+	case now+stated >= r.deadline:
+		return ReasonRateLimit, out
 	case s.usableCount == 0:
 		return ReasonNoTarget, out
 	case !s.budget.takeRetry(now, &s.policy):
 		return ReasonRetryBudget, append(out, Effect{Kind: CountDenied, Reason: cause})
 	}
 	r.phase = phaseBackoff
-	r.retryAt = now + backoff
+	r.retryAt = now + max(backoff, stated)
 	r.retryReason = cause
 	r.hedgeAt = never
 	return "", out
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -133,14 +133,15 @@
 
 // isAvailable reports whether t is not ejected or in backoff, and admits a request by the rate that it states.
 func (s *Service) isAvailable(t *targetState, now Instant) bool {
-	return !t.ejection.active && now >= t.backoffUntil && t.rateLimit.admits(now)
+	return !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.admits(now)
 }
 
 // hasCapacity reports whether t may receive an attempt now: it is available and below its in-flight limit. Baselines
-// only respect the limits.
+// respect the in-flight limit and what the target states, but neither ejections nor the backoff after sheds.
 func (s *Service) hasCapacity(t *targetState, now Instant) bool {
 	if s.policy.Selection.isBaseline() {
-		return t.rateLimit.admits(now) && t.inFlight < s.capacity(t, never) // at the time never, no slow start is in progress
+		// At the time never, no slow start is in progress.
+		return now >= t.retryAfterUntil && t.rateLimit.admits(now) && t.inFlight < s.capacity(t, never)
 	}
 	return s.isAvailable(t, now) && t.inFlight < s.capacity(t, now)
 }
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -35,7 +35,8 @@
 	limit            float64 // attempts of this instance that may be in flight; can be a fraction
 	consecutiveSheds int
 	shedAt           Instant
-	backoffUntil     Instant
+	backoffUntil     Instant // after sheds
+	retryAfterUntil  Instant // the target has asked for no requests until then
 	slowStartUntil   Instant
 	rateLimit        rateLimit
 
@@ -113,7 +114,7 @@
 	s.allFull = false
 	t.slots, t.reportedInUse, t.sentSinceReport, t.slowdown, t.hasReport = 0, 0, 0, 1, false
 	t.unhealthy, t.hasLatency, t.consecutiveSlow = false, false, 0
-	t.consecutiveSheds, t.backoffUntil = 0, 0
+	t.consecutiveSheds, t.backoffUntil, t.retryAfterUntil = 0, 0, 0
 	t.ejection = ejection{}
 	t.rateLimit = rateLimit{}
 	s.setLimit(t, float64(s.slots(t)))
@@ -155,8 +156,8 @@
 // scheduleTarget sets the timer of t to the next time at which it may become available.
 func (s *Service) scheduleTarget(now Instant, t *targetState) {
 	at := never
-	if t.backoffUntil > now {
-		at = t.backoffUntil
+	if t.backoffEnd() > now {
+		at = t.backoffEnd()
 	}
 	if t.ejection.active {
 		at = min(at, t.ejection.timerAt)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -101,7 +101,7 @@
 	ReasonQueueFull         Reason = "queue-full"
 	ReasonDeadline          Reason = "deadline"            // no time for an attempt; SelectAsk: or objective missed
 	ReasonInfeasible        Reason = "infeasible-deadline" // queueing would take longer than the deadline allows
-	ReasonRateLimit         Reason = "rate-limit"          // all targets limit their request rate, and there is no room in time
+	ReasonRateLimit         Reason = "rate-limit"          // all targets limit their request rate or want none for now
 	ReasonRetryBudget       Reason = "retry-budget"        // a retry is needed and the budget is used up
 	ReasonAttemptsExhausted Reason = "attempts-exhausted"
 	ReasonMayHaveRun        Reason = "may-have-run"   // a ClassOnce attempt ended without proof that it did not run
@@ -156,6 +156,8 @@
 	// HasRequestRate. A response without one ends an earlier limit.
 	RequestRate    float64
 	HasRequestRate bool
+	// RetryAfter is how long the target wants no requests from this instance; zero if it does not say.
+	RetryAfter time.Duration
 }
 
 // Input is one event with the time and the random draw that make its processing deterministic.
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -88,7 +88,7 @@
 		return TargetStatusLeaving, ReasonDraining
 	case t.ejection.active:
 		return TargetStatusEjected, t.ejection.reason
-	case now < t.backoffUntil:
+	case now < t.backoffEnd():
 		return TargetStatusBackoff, ReasonShed
 	case now < t.slowStartUntil:
 		return TargetStatusRamping, ""
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -185,14 +185,19 @@
 // background.
 func (rt *roundTrip) newResponse(httpResp *http.Response, a Attempt) (*Response, error) {
 	dialect := rt.pool.cfg.Dialect
+	metadata := dialect.ParseResponse(httpResp.StatusCode, httpResp.Header)
 	if err := dialect.VerifyResponse(httpResp.StatusCode, httpResp.Header, a.RequestID); err != nil {
 		_ = httpResp.Body.Close()
 		failure := rt.fail(err)
 		failure.Reason = ReasonUnverified
+		if errors.Is(err, wire.ErrUnprovenRejection) { // it is the target's response to this request all the same
+			failure.Metadata = &metadata
+		}
 		return nil, failure
 	}
-	response := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength}
-	response.Metadata = dialect.ParseResponse(httpResp.StatusCode, httpResp.Header)
+	response := &Response{
+		Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength, Metadata: metadata,
+	}
 	response.NoBody = a.Method == http.MethodHead
 	body := &responseBody{roundTrip: rt, httpResp: httpResp, response: response}
 	response.Body = body
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -67,6 +67,8 @@
 	// HasRequestRate.
 	RequestRate    float64
 	HasRequestRate bool
+	// RetryAfter is how long the target wants no requests from this instance; zero if it does not say.
+	RetryAfter time.Duration
 	// GaveUp is set if an instance further down the call chain gave up on a nested call.
 	GaveUp bool
 }
@@ -126,6 +128,9 @@
 	}
 	m.Load, _ = ParseLoad(h)
 	m.RequestRate, m.HasRequestRate = ParseRequestRate(h.Get(HeaderRequestRate))
+	if !m.GaveUp { // a relayed Retry-After is about the target of a nested call
+		m.RetryAfter = ParseRetryAfter(status, h)
+	}
 	m.Leaving = h.Get(HeaderLeaving) != "" || h.Get(HeaderDeclare) == string(DeclareDraining)
 	return m
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -145,6 +145,20 @@
 	return rate, true
 }
 
+// maxRetryAfter is the longest Retry-After that is believed.
+const maxRetryAfter = time.Hour
+
+// ParseRetryAfter returns how long the target wants no requests by its Retry-After header, at most maxRetryAfter. Only
+// a response with status 503 can state that. The time is in seconds and may be a fraction; it is zero if the header is
+// absent, malformed, not positive or a date.
+func ParseRetryAfter(status int, h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if status != http.StatusServiceUnavailable || err != nil || !(seconds > 0) { // written so that NaN is refused
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // FormatDeadline encodes a remaining time in whole milliseconds. It rounds down, so that a target never assumes more
 // time than the caller has.
 func FormatDeadline(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
