core: no wait for statements when there are no targets

Without a usable target, the wait for what targets state was an hour, so a request that was refused for lack of targets got a Retry-After of 1 s instead of 100 ms.

Change: without targets there is nothing to wait for. Besides, log lines about targets are in one place.

Result: TestRetryAfterWithoutTargets (1 s before, 100 ms now).

--- a/pkg/core/rate_limit.go
+++ b/pkg/core/rate_limit.go
@@ -153,9 +153,12 @@
 }
 
 // statedWait returns how long a request would wait for what the targets state, their request rates and Retry-After, if
-// the given number of requests were sent before it. It returns false if some usable target accepts a request now without
-// a limit.
+// the given number of requests were sent before it. It returns false if there is no usable target or one of them accepts
+// a request now without a limit.
 func (s *Service) statedWait(now Instant, ahead int) (wait time.Duration, stated bool) {
+	if len(s.usableTargets) == 0 {
+		return 0, false
+	}
 	share, next, allLimited := 0.0, maxStatedWait, true
 	for _, t := range s.usableTargets {
 		l := &t.rateLimit
@@ -170,5 +173,5 @@
 	if allLimited && share > 0 {
 		next += time.Duration(float64(ahead) / share * float64(time.Second))
 	}
-	return min(next, maxStatedWait), len(s.usableTargets) > 0
+	return min(next, maxStatedWait), true
 }
--- a/pkg/core/rate_limit_test.go
+++ b/pkg/core/rate_limit_test.go
@@ -179,3 +179,12 @@
 		})
 	}
 }
+
+// TestRetryAfterWithoutTargets guards against a Retry-After that grows because there are no targets whose statements
+// could be waited for.
+func TestRetryAfterWithoutTargets(t *testing.T) {
+	rt := newTestRuntime(t, 0, func(p *Policy) { p.Selection = SelectAsk })
+	rt.submit(ClassLookup, time.Second)
+	require.Equal(t, ReasonNoTarget, rt.refusal().Reason)
+	require.Equal(t, retryAfterMin, rt.refusal().RetryAfter)
+}
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -126,14 +126,19 @@
 		e.startProbe(effect)
 	case core.SetTimer:
 		e.timer.Reset(max(effect.At-e.clock.now(), 0))
+	default:
+		e.logTargetChange(effect)
+		e.metrics.countEffect(e.name, effect)
+	}
+}
+
+// logTargetChange logs the effects that report what a target has stated about itself.
+func (e *engine) logTargetChange(effect core.Effect) {
+	switch effect.Kind {
 	case core.CountLeaving:
 		e.log.Info("target is leaving", "target", effect.Target, "source", effect.Reason)
-		e.metrics.countEffect(e.name, effect)
 	case core.ReportRateLimit:
 		e.log.Info("request rate of target changed", "target", effect.Target, "per_second", effect.Rate, "unlimited", effect.Unlimited)
-		e.metrics.countEffect(e.name, effect)
-	default:
-		e.metrics.countEffect(e.name, effect)
 	}
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -204,7 +204,7 @@
 		case membership.ContactPeer:
 			n.startContact(ctx, e.Address)
 		case membership.TargetLeaving:
-			n.log.Info("leaving signal of a target spreads", "target", e.Signal.Target, "start", e.Signal.Start)
+			n.log.Info("leaving signal recorded", "target", e.Signal.Target, "start", e.Signal.Start)
 			n.onTargetLeaving(e.Signal)
 		case membership.PeerRestarted:
 			n.log.Info("peer restarted", "peer", e.Address)
