--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -43,8 +43,8 @@
 func targetID(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
 
 // TestRandomEvents guards against orders of events that break the outcome accounting, the budgets, the decision by the
-// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving ones. The checks are in
-// testRuntime.
+// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving ones.
+// The checks are in testRuntime.
 func TestRandomEvents(t *testing.T) {
 	setRapidDefaults(t)
 	rapid.Check(t, func(rapidT *rapid.T) {
