--- a/pkg/core/limits.go
+++ b/pkg/core/limits.go
@@ -77,19 +77,6 @@
 	s.scheduleTarget(now, t)
 }
 
-// recordRetryAfter starts the time without requests that t asks for. It also holds for probes, and no later response
-// shortens it.
-func (s *Service) recordRetryAfter(now Instant, t *targetState, st Statement) {
-	if st.RetryAfter <= 0 {
-		return
-	}
-	t.retryAfterUntil = max(t.retryAfterUntil, now+st.RetryAfter)
-	s.scheduleTarget(now, t)
-}
-
-// backoffEnd returns the end of the time without new attempts on t, which may have passed.
-func (t *targetState) backoffEnd() Instant { return max(t.backoffUntil, t.retryAfterUntil) }
-
 // exponentialBackoff returns the backoff after the given number of consecutive failures: initial after the first,
 // doubled with each further one, and at most limit.
 func exponentialBackoff(initial time.Duration, failures int, limit time.Duration) time.Duration {
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -19,25 +19,6 @@
 	return out
 }
 
-// recordAttemptStatement applies the statement on the response to a, once.
-func (s *Service) recordAttemptStatement(now Instant, a *attempt, st Statement, out []Effect) []Effect {
-	if a.statementRecorded {
-		return out
-	}
-	a.statementRecorded = true
-	return s.recordStatement(now, a.target, a.targetStart, st, ReasonResponse, out)
-}
-
-// recordStatement applies what t states on a response to a request or probe; see recordStart for knownStart and source.
-// A restart comes first, because it discards what the former process stated.
-func (s *Service) recordStatement(
-	now Instant, t *targetState, knownStart string, st Statement, source Reason, out []Effect,
-) []Effect {
-	out = s.recordStart(now, t, knownStart, st, source, out)
-	s.recordRetryAfter(now, t, st)
-	return s.recordRequestRate(now, t, st, out)
-}
-
 // recordOutcome updates the state of the target from the outcome and reports whether the outcome was good: a response
 // that was not slow. A response that broke off after AttemptCommitted counts as a failure only if AttemptEnded marks it
 // as one, because the caller may be the cause.
--- a/pkg/core/rate_limit.go
+++ b/pkg/core/rate_limit.go
@@ -27,9 +27,6 @@
 	rateLimitTTL = 30 * time.Second
 	// tokenTolerance absorbs the rounding of times to nanoseconds.
 	tokenTolerance = 1e-6
-	// maxStatedWait bounds the wait for what targets state. It stands for the wait of an instance that is the sender of no
-	// target.
-	maxStatedWait = time.Hour
 )
 
 // rateLimit is the request rate that a target accepts from all instances together, and the share of this instance.
@@ -151,27 +148,3 @@
 func instanceHash(instance string, id TargetID) uint64 {
 	return xxhash.Sum64String(instance + "/" + string(id))
 }
-
-// statedWait returns how long a request would wait for what the targets state, their request rates and Retry-After, if
-// the given number of requests were sent before it. It returns false if there is no usable target or one of them accepts
-// a request now without a limit.
-func (s *Service) statedWait(now Instant, ahead int) (wait time.Duration, stated bool) {
-	if len(s.usableTargets) == 0 {
-		return 0, false
-	}
-	share, next, allLimited := 0.0, maxStatedWait, true
-	for _, t := range s.usableTargets {
-		l := &t.rateLimit
-		untilAccepted := max(l.wait(now), t.retryAfterUntil-now)
-		if !l.active && untilAccepted <= 0 {
-			return 0, false
-		}
-		share += l.share
-		next = min(next, untilAccepted)
-		allLimited = allLimited && l.active
-	}
-	if allLimited && share > 0 {
-		next += time.Duration(float64(ahead) / share * float64(time.Second))
-	}
-	return min(next, maxStatedWait), true
-}
--- a/pkg/peer/follow.go
+++ b/pkg/peer/follow.go
@@ -16,11 +16,17 @@
 func (n *Node) answerFollow(ctx context.Context, feed Feed, request *Follow, reply *Update) error {
 	if request.All {
 		s, err := feed.Snapshot()
-		*reply = Update{Items: n.toPeerItems(s.Items, request.AcceptsCompressed), Revision: s.Revision, Generation: s.Generation, Age: s.Age, Grace: s.Grace, Gone: err != nil}
+		*reply = Update{
+			Items: n.toPeerItems(s.Items, request.AcceptsCompressed), Revision: s.Revision, Generation: s.Generation,
+			Age: s.Age, Grace: s.Grace, Gone: err != nil,
+		}
 		return nil
 	}
 	c, err := feed.Since(ctx, request.After, request.Wait)
-	*reply = Update{Items: n.toPeerItems(c.Items, request.AcceptsCompressed), Revision: c.Revision, Generation: c.Generation, Age: c.Age, Grace: c.Grace, Gone: err != nil}
+	*reply = Update{
+		Items: n.toPeerItems(c.Items, request.AcceptsCompressed), Revision: c.Revision, Generation: c.Generation,
+		Age: c.Age, Grace: c.Grace, Gone: err != nil,
+	}
 	return nil
 }
 
