gateway, target: observe targets that crash during a request

Change: an attempt that the target broke off is marked as such. The instance then opens a connection; a refusal means that the process is gone, which is counted and logged with a fingerprint of the request: hashes of its content and of its caller's address. A connection that was opened serves the next attempt. No decision uses any of this.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -42,7 +42,8 @@
 type pendingRequest struct {
 	id              core.RequestID
 	attemptTemplate target.Attempt // copied for each attempt
-	decisionCh      chan decision  // has a buffer of one, because it receives exactly one decision
+	fingerprint     *fingerprinter
+	decisionCh      chan decision // has a buffer of one, because it receives exactly one decision
 	attempts        map[core.AttemptID]*attemptState
 	decided         bool // the decision has been sent
 	attemptsStarted int
@@ -99,12 +100,12 @@
 }
 
 // submit starts a request. It sets the event's request ID and deadline.
-func (e *engine) submit(ev core.RequestArrived, a target.Attempt) *pendingRequest {
+func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter) *pendingRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastID++
 	p := &pendingRequest{
-		id: e.lastID, attemptTemplate: a, decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
+		id: e.lastID, attemptTemplate: a, fingerprint: f, decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
 	}
 	e.pending[p.id] = p
 	ev.Request, ev.Deadline = p.id, e.clock.offset(a.Deadline)
@@ -234,6 +235,7 @@
 		buffered.close()
 	}
 	e.endAttempt(p, id, newFailedEvent(p.id, id, err))
+	e.checkCrash(c, p, state.target, err)
 }
 
 // offerResponse offers a response to the reducer. If the reducer does not deliver it, the response is dropped and the
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -18,6 +18,7 @@
 	budgetDenied *prometheus.CounterVec
 	leaving      *prometheus.CounterVec
 	rateLimits   *prometheus.CounterVec
+	crashes      *prometheus.CounterVec
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -47,6 +48,7 @@
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
+		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -60,7 +60,7 @@
 		return
 	}
 	e := g.engine(c.service)
-	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body))
+	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), &fingerprinter{request: r, body: body})
 	g.respond(c, e, p)
 }
 
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -110,6 +110,9 @@
 	// Failed is set if the error counts as a failure of the target. A timeout on a reused connection that received
 	// nothing does not count, because the connection may be unresponsive although the target is healthy.
 	Failed bool
+	// BrokeOff is set if the target ended the connection after the request, or a part of it, was written and before the
+	// response was complete. The target may have crashed; Client.RefusesConnections tells more.
+	BrokeOff bool
 	// Metadata is what the target reported in its headers, if they arrived: on a refusal by declaration, or on a response
 	// that broke off. Otherwise nil.
 	Metadata *wire.ResponseMetadata
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -40,6 +40,7 @@
 
 	mu          sync.Mutex // acquired before pool.mu
 	unsolicited bool       // bytes arrived without a request; guarded by mu
+	ended       bool       // the target closed or reset the connection; guarded by mu
 
 	// The fields below are guarded by pool.mu.
 
@@ -160,9 +161,11 @@
 	case err == unix.EAGAIN || err == unix.EINTR:
 		return false
 	case err != nil:
+		c.ended = true
 		c.result.err = os.NewSyscallError("read", err)
 		return true
 	case n == 0:
+		c.ended = true
 		c.result.err = io.EOF
 		return true
 	}
@@ -177,6 +180,13 @@
 	return true
 }
 
+// endedByTarget reports whether a read found that the target has closed or reset the connection.
+func (c *conn) endedByTarget() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // Close closes the connection and removes it from the pool. The HTTP client calls it for every broken connection.
 func (c *conn) Close() error {
 	c.pool.remove(c)
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -58,6 +58,34 @@
 	return p.dial(ctx)
 }
 
+// leaseNew dials a new connection, unless the limit of connections is reached.
+func (p *pool) leaseNew(ctx context.Context) (*conn, error) {
+	select {
+	case p.leases <- struct{}{}:
+	default:
+		return nil, errNoConnection
+	}
+	if err := p.reserve(); err != nil {
+		p.release()
+		return nil, err
+	}
+	return p.dial(ctx)
+}
+
+// reserve reserves a new connection.
+func (p *pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return errClientClosed
+	case p.open >= p.cfg.MaxConnections:
+		return errNoConnection
+	}
+	p.open++
+	return nil
+}
+
 // acquire takes a lease token. If none is free, it waits for one up to Config.WaitLimit.
 func (p *pool) acquire(ctx context.Context) error {
 	select {
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -111,6 +112,18 @@
 	return &Error{Outcome: core.OutcomeNotSent, Reason: reason, Failed: failed, Err: err}
 }
 
+// RefusesConnections opens a connection and reports whether the target refused it, which means that no process listens
+// at its address. A connection that was opened is kept for the next attempt. It returns false if the limit of
+// connections leaves no room.
+func (c *Client) RefusesConnections(ctx context.Context) bool {
+	conn, err := c.pool.leaseNew(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.pool.put(conn)
+	return false
+}
+
 func (c *Client) newRequest(ctx context.Context, a Attempt) *http.Request {
 	u := *a.URL
 	u.Scheme, u.Host, u.User, u.Opaque = "http", c.addr, nil, ""
@@ -160,6 +173,8 @@
 		failure.Reason = core.ReasonSlow
 		failure.Failed = !silent || !rt.conn.reused
 		rt.pool.closeIdleSilentSince(rt.write.attemptStart)
+	default:
+		failure.BrokeOff = rt.conn.endedByTarget()
 	}
 	return failure
 }
