--- a/cmd/standin/userplatform.go
+++ b/cmd/standin/userplatform.go
@@ -29,10 +29,13 @@
 	return cmd
 }
 
+// crashStatus is the exit status of a server that a request has crashed.
+const crashStatus = 70
+
 // newServerCmd returns the command that runs a stand-in for a server of the users' platform.
 func newServerCmd() *cobra.Command {
 	var listen string
-	cfg := standin.ServerConfig{Ledger: os.Stdout}
+	cfg := standin.ServerConfig{Ledger: os.Stdout, Crash: func() { os.Exit(crashStatus) }}
 	cmd := &cobra.Command{
 		Use: "server", Short: "Stand-in for a server of the users' platform; prints its ledger", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -45,6 +48,7 @@
 	f.IntVar(&cfg.Slots, "slots", 4, "number of requests processed concurrently")
 	f.IntVar(&cfg.QueueSize, "queue", 8, "number of requests that can wait for a slot")
 	f.DurationVar(&cfg.MeanWorkTime, "work", 50*time.Millisecond, "mean service time of a request in a slot")
+	f.StringVar(&cfg.CrashOn, "crash-on", "", "exit while running a request whose path or body contains this text")
 	f.BoolVar(&cfg.ResetWhenFull, "reset-when-full", false, "reset connections of excess requests instead of declaring that they did not run")
 	return cmd
 }
