core, gateway, peer: withhold requests that crash targets

Cause: what is known of a request ends with its response, so each repeat is a new request with new retries at another instance. The class of the fault: evidence that belongs to the fleet is kept by each instance, and for one request only.

Change: an attempt that the target breaks off, after which it refuses connections, is a crash under that request. Records of crashes by content and caller merge in any order, are pushed to peers and compared in each round. After three crashes the request is refused immediately on all instances, in progress or new; a response acquits it.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -72,7 +72,7 @@
 	cfg := peer.DefaultConfig(s.PeerListen, s.Zone, s.Peers)
 	cfg.CrossZoneRounds = s.PeerCrossZoneRounds
 	cfg.AcceptUnlisted = a.NewSource != nil // the store of an adapter has no list of the load balancer's instances
-	return peer.NewNode(cfg, documentStore{configStore}, m, markLeaving, log)
+	return peer.NewNode(cfg, documentStore{configStore}, g.Quarantine(), m, markLeaving, log)
 }
 
 // newPlatformReader returns a watcher of the adapter's store, or a reader of the project's own protocol if the adapter
--- a/pkg/core/histories_test.go
+++ b/pkg/core/histories_test.go
@@ -8,7 +8,7 @@
 )
 
 // This file drives the reducer through every history of one request that spec/request.pml explores: each attempt may
-// end in each way at each moment, the caller may leave, and time may advance to the next retry or past the deadline.
+// end in each way at each moment, the caller may leave, the request may be quarantined, and time may advance to the next retry or past the deadline.
 // testRuntime checks every step against its own records.
 
 // historyDepth is the largest number of steps in a history: enough for three attempts to start and end, plus one step.
@@ -33,7 +33,8 @@
 		func(rt *testRuntime, r *submittedRequest) { rt.advance(r.deadline - rt.now + 2*decisionGrace) },
 	}
 	if r.decisions == 0 {
-		steps = append(steps, func(rt *testRuntime, r *submittedRequest) { rt.step(CallerLeft{Request: r.id}) })
+		steps = append(steps, func(rt *testRuntime, r *submittedRequest) { rt.step(CallerLeft{Request: r.id}) },
+			func(rt *testRuntime, r *submittedRequest) { rt.step(RequestQuarantined{Request: r.id}) })
 	}
 	for i := range rt.inFlight {
 		if a := rt.inFlight[i]; a.committed {
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -25,8 +25,10 @@
 	attempts   int
 	inFlight   int
 	mayHaveRun bool
-	decisions  int
-	delivered  AttemptID
+	// quarantined is set once the request has been quarantined; it must not be sent from then on.
+	quarantined bool
+	decisions   int
+	delivered   AttemptID
 }
 
 func (r *submittedRequest) notRun() bool { return r.inFlight == 0 && !r.mayHaveRun }
@@ -100,6 +102,8 @@
 		rt.timerAt = never
 	case ProbeEnded:
 		delete(rt.probing, ev.Target)
+	case RequestQuarantined:
+		rt.submitted(ev.Request).quarantined = true
 	case TargetsChanged:
 		rt.listed = make(map[TargetID]bool)
 		for _, t := range ev.Targets {
@@ -183,6 +187,8 @@
 	switch {
 	case r.decisions > 0:
 		rt.Fatalf("attempt for the decided request %d", r.id)
+	case r.quarantined:
+		rt.Fatalf("attempt for the quarantined request %d", r.id)
 	case r.class == ClassOnce && !r.notRun():
 		rt.Fatalf("second attempt for the once request %d without proof that the first did not run", r.id)
 	case rt.now >= r.deadline || e.At != r.deadline:
--- a/pkg/core/outcome_test.go
+++ b/pkg/core/outcome_test.go
@@ -139,6 +139,33 @@
 	require.False(t, rt.refusal().NotRun)
 }
 
+// TestQuarantinedRequest guards against attempts for a request that crashes targets, against cancelling a non-idempotent
+// attempt in flight, and against a refusal that wrongly says that the request did not run.
+func TestQuarantinedRequest(t *testing.T) {
+	rt := newTestRuntime(t, 1, func(p *Policy) { p.SlotsPerTarget = 1 })
+	once := rt.submit(ClassOnce, time.Second)
+	waiting := rt.submit(ClassLookup, time.Second)
+	rt.step(RequestQuarantined{Request: waiting.id})
+	require.True(t, rt.refusal().NotRun)
+	require.Equal(t, ReasonCrashesTargets, rt.refusal().Reason)
+	rt.step(RequestQuarantined{Request: once.id})
+	require.Zero(t, once.decisions)
+	rt.endAttempt(rt.inFlight[0], notSent)
+	require.Equal(t, ReasonCrashesTargets, rt.refusal().Reason)
+	require.Equal(t, quarantineRetryAfter, rt.refusal().RetryAfter)
+
+	lookup := rt.submit(ClassLookup, time.Second)
+	rt.step(RequestQuarantined{Request: lookup.id})
+	require.True(t, rt.inFlight[0].cancelled)
+	require.False(t, rt.refusal().NotRun)
+
+	arrival := RequestArrived{Request: 99, Class: ClassLookup, Deadline: rt.now + time.Second, Quarantined: true}
+	effects := rt.s.Reduce(Input{Now: rt.now, Event: arrival}, nil)
+	require.Len(t, effects, 1)
+	require.Equal(t, Refuse, effects[0].Kind)
+	require.True(t, effects[0].NotRun)
+}
+
 // TestHopLimit guards against requests that instances forward to each other in a loop.
 func TestHopLimit(t *testing.T) {
 	rt := newTestRuntime(t, 3)
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -50,20 +50,21 @@
 	rapid.Check(t, func(rapidT *rapid.T) {
 		sc := newRandomScenario(rapidT)
 		rapidT.Repeat(map[string]func(*rapid.T){
-			"arrive":  sc.drawArrival,
-			"burst":   sc.drawBurst,
-			"commit":  sc.drawCommit,
-			"end":     sc.drawEnd,
-			"answer":  sc.drawAnswer,
-			"leave":   sc.drawCallerLeft,
-			"advance": sc.drawAdvance,
-			"pause":   sc.drawPause,
-			"list":    sc.drawListChange,
-			"restart": sc.drawRestart,
-			"sign":    sc.drawLeavingSignal,
-			"probe":   sc.drawProbe,
-			"rate":    sc.drawRequestRate,
-			"stop":    sc.drawStop,
+			"arrive":     sc.drawArrival,
+			"burst":      sc.drawBurst,
+			"commit":     sc.drawCommit,
+			"end":        sc.drawEnd,
+			"answer":     sc.drawAnswer,
+			"leave":      sc.drawCallerLeft,
+			"quarantine": sc.drawQuarantine,
+			"advance":    sc.drawAdvance,
+			"pause":      sc.drawPause,
+			"list":       sc.drawListChange,
+			"restart":    sc.drawRestart,
+			"sign":       sc.drawLeavingSignal,
+			"probe":      sc.drawProbe,
+			"rate":       sc.drawRequestRate,
+			"stop":       sc.drawStop,
 		})
 		sc.endAll()
 	})
@@ -156,6 +157,12 @@
 	sc.endAttempt(a, ev)
 }
 
+func (sc *randomScenario) drawQuarantine(t *rapid.T) {
+	if len(sc.requests) > 0 {
+		sc.step(RequestQuarantined{Request: RequestID(rapid.IntRange(1, len(sc.requests)).Draw(t, "request"))})
+	}
+}
+
 func (sc *randomScenario) drawCallerLeft(t *rapid.T) {
 	if len(sc.requests) > 0 {
 		sc.step(CallerLeft{Request: RequestID(rapid.IntRange(1, len(sc.requests)).Draw(t, "request"))})
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -11,6 +11,9 @@
 	// decisionGrace is the time after the deadline during which the end of an attempt may still prove that the request
 	// did not run.
 	decisionGrace = 10 * time.Millisecond
+	// quarantineRetryAfter is how long the caller of a quarantined request should wait. The same request is likely to be
+	// refused then too.
+	quarantineRetryAfter = time.Minute
 )
 
 // phase tells what a request waits for.
@@ -51,6 +54,8 @@
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	callerLeft bool
+	// quarantined is set for a non-idempotent request whose attempt in flight is awaited although it must not be retried.
+	quarantined bool
 
 	retryAt     Instant
 	retryReason Reason
@@ -154,6 +159,9 @@
 		return out
 	}
 	r := s.newRequest(now, ev)
+	if ev.Quarantined {
+		return s.refuse(now, r, ReasonCrashesTargets, out)
+	}
 	s.budget.addRequest(now)
 	s.requestsSinceTrial++
 	if ev.Hops > maxHops {
@@ -198,6 +206,18 @@
 	return s.cancelAndRefuse(now, r, ReasonCallerLeft, out)
 }
 
+func (s *Service) requestQuarantined(now Instant, ev RequestQuarantined, out []Effect) []Effect {
+	r := s.requests[ev.Request]
+	if r == nil || r.phase == phaseDecided {
+		return out
+	}
+	if r.class == ClassOnce && r.phase == phaseInFlight {
+		r.quarantined = true
+		return out
+	}
+	return s.cancelAndRefuse(now, r, ReasonCrashesTargets, out)
+}
+
 // cancelAndRefuse removes r from the list in which it waits, cancels its attempts and refuses it.
 func (s *Service) cancelAndRefuse(now Instant, r *request, reason Reason, out []Effect) []Effect {
 	switch {
@@ -213,8 +233,12 @@
 }
 
 func (s *Service) refuse(now Instant, r *request, reason Reason, out []Effect) []Effect {
+	retryAfter := s.retryAfter(now, r)
+	if reason == ReasonCrashesTargets {
+		retryAfter = quarantineRetryAfter
+	}
 	out = append(out, Effect{
-		Kind: Refuse, Request: r.id, Reason: reason, NotRun: r.provedNotRun(), RetryAfter: s.retryAfter(now, r),
+		Kind: Refuse, Request: r.id, Reason: reason, NotRun: r.provedNotRun(), RetryAfter: retryAfter,
 		DecisionInfo: s.requestInfo(now, r),
 	})
 	s.markDecided(r)
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -24,6 +24,8 @@
 	switch {
 	case r.callerLeft:
 		return ReasonCallerLeft, out
+	case r.quarantined:
+		return ReasonCrashesTargets, out
 	case r.class == ClassOnce && !r.provedNotRun():
 		return ReasonMayHaveRun, out
 	case r.attemptsStarted >= r.maxAttempts:
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -104,6 +104,8 @@
 		return s.attemptCommitted(now, ev, out)
 	case AttemptEnded:
 		return s.attemptEnded(now, ev, out)
+	case RequestQuarantined:
+		return s.requestQuarantined(now, ev, out)
 	case CallerLeft:
 		return s.callerLeft(now, ev, out)
 	case TimerFired:
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -109,7 +109,8 @@
 	ReasonLoop              Reason = "loop"           // the request passed too many instances
 	ReasonNestedGiveUp      Reason = "nested-give-up" // another instance gave up on a nested call of the target
 	ReasonCallerLeft        Reason = "caller-left"
-	ReasonInternal          Reason = "internal-error" // the reducer failed; set by the runtime
+	ReasonCrashesTargets    Reason = "crashes-targets" // targets crash when they run the request
+	ReasonInternal          Reason = "internal-error"  // the reducer failed; set by the runtime
 )
 
 // Reasons for retries and hedges.
@@ -213,8 +214,14 @@
 	MaxAttempts int
 	// Hops is the number of instances that the request passed before this one.
 	Hops int
+	// Quarantined is set if targets crash when they run the request, so that it must not be sent.
+	Quarantined bool
 }
 
+// RequestQuarantined reports that targets crash when they run a request that has arrived before. It gets no further
+// attempt. Its attempts in flight are cancelled if the request is idempotent, which may save their targets.
+type RequestQuarantined struct{ Request RequestID }
+
 // AttemptCommitted reports that a response is ready to be delivered: its header and first bytes have arrived, and also
 // the whole body if it fits the buffer. The attempt still counts as in flight until AttemptEnded.
 type AttemptCommitted struct {
@@ -288,19 +295,20 @@
 // TimerFired reports that the time of the last SetTimer effect has come.
 type TimerFired struct{}
 
-func (TargetsChanged) event()   {}
-func (PolicyChanged) event()    {}
-func (FleetChanged) event()     {}
-func (RequestArrived) event()   {}
-func (AttemptCommitted) event() {}
-func (AttemptEnded) event()     {}
-func (CallerLeft) event()       {}
-func (TargetLeaving) event()    {}
-func (LoadReported) event()     {}
-func (ProbeEnded) event()       {}
-func (Resumed) event()          {}
-func (StopRequested) event()    {}
-func (TimerFired) event()       {}
+func (TargetsChanged) event()     {}
+func (PolicyChanged) event()      {}
+func (FleetChanged) event()       {}
+func (RequestArrived) event()     {}
+func (RequestQuarantined) event() {}
+func (AttemptCommitted) event()   {}
+func (AttemptEnded) event()       {}
+func (CallerLeft) event()         {}
+func (TargetLeaving) event()      {}
+func (LoadReported) event()       {}
+func (ProbeEnded) event()         {}
+func (Resumed) event()            {}
+func (StopRequested) event()      {}
+func (TimerFired) event()         {}
 
 // EffectKind tells which action the runtime has to take for an Effect.
 type EffectKind uint8
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -19,13 +19,14 @@
 // Effects are performed in order while the lock is held. None of them blocks: each starts a goroutine, cancels a
 // context, sends on a buffered channel, sets a timer or counts.
 type engine struct {
-	name      string
-	clock     clock
-	pauses    *pauseDetector
-	clients   *clients
-	metrics   *Metrics
-	log       logr.Logger
-	probePath atomicString
+	name       string
+	clock      clock
+	pauses     *pauseDetector
+	clients    *clients
+	quarantine *Quarantine
+	metrics    *Metrics
+	log        logr.Logger
+	probePath  atomicString
 	// consecutiveProbeFailures is the number of probes that have failed since the last successful one.
 	consecutiveProbeFailures atomic.Int64
 
@@ -69,9 +70,9 @@
 	attemptsStarted int
 }
 
-func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, m *Metrics, log logr.Logger) *engine {
+func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: p.clock, pauses: p, clients: cl, metrics: m, log: log.WithValues("service", name),
+		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, metrics: m, log: log.WithValues("service", name),
 		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*pendingRequest),
 	}
 	e.probePath.Store(cfg.ProbePath)
@@ -99,7 +100,8 @@
 	}
 }
 
-// submit starts a request. It sets the event's request ID and deadline.
+// submit starts a request. It sets the event's request ID and deadline, and whether the request is quarantined. The
+// request is pending before it is checked, so that refuseQuarantined finds it if it is quarantined after the check.
 func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter) *pendingRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -108,6 +110,7 @@
 		id: e.lastID, attemptTemplate: a, fingerprint: f, decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
 	}
 	e.pending[p.id] = p
+	ev.Quarantined = e.quarantine.blocks(f)
 	ev.Request, ev.Deadline = p.id, e.clock.offset(a.Deadline)
 	e.apply(ev)
 	return p
@@ -234,8 +237,8 @@
 		}
 		buffered.close()
 	}
-	e.endAttempt(p, id, newFailedEvent(p.id, id, err))
 	e.checkCrash(c, p, state.target, err)
+	e.endAttempt(p, id, newFailedEvent(p.id, id, err))
 }
 
 // offerResponse offers a response to the reducer. If the reducer does not deliver it, the response is dropped and the
@@ -274,4 +277,7 @@
 	e.metrics.attempts.WithLabelValues(e.name, ev.Outcome.String(), string(ev.Reason)).Inc()
 	e.apply(ev)
 	e.removeIfFinished(p)
+	if ev.Outcome == core.OutcomeAnswered {
+		e.quarantine.recordResponse(p.fingerprint)
+	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,7 @@
 	clock          clock
 	pauses         *pauseDetector
 	clients        *clients
+	quarantine     *Quarantine
 	metrics        *Metrics
 	log            logr.Logger
 	ruleTable      atomic.Pointer[rules.Table]
@@ -102,6 +103,7 @@
 		cfg: cfg, clock: ck, pauses: &pauseDetector{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
 		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), synced: make(chan struct{}),
 	}
+	g.quarantine = newQuarantine(ck, m, log, g.refuseQuarantined)
 	if !cfg.HoldUntilSynced {
 		g.MarkSynced()
 	}
@@ -191,7 +193,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg, g.pauses, g.clients, g.metrics, g.log)
+		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.metrics, g.log)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		g.engines[name] = e
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,6 +19,7 @@
 	leaving      *prometheus.CounterVec
 	rateLimits   *prometheus.CounterVec
 	crashes      *prometheus.CounterVec
+	quarantined  prometheus.Gauge
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -64,7 +65,10 @@
 	m.aborted = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "burdockpitch", Name: "stop_aborted_requests_total", Help: "Requests cut by the limit of a graceful stop.",
 	})
-	reg.MustRegister(m.aborted)
+	m.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "burdockpitch", Name: "quarantined_requests", Help: "Requests that are withheld because targets crash when they run them.",
+	})
+	reg.MustRegister(m.aborted, m.quarantined)
 	for _, r := range rejections {
 		m.refusals.WithLabelValues("", string(r.reason))
 	}
--- /dev/null
+++ b/pkg/gateway/quarantine.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
+)
+
+// Quarantine holds what this instance and its peers know of requests that crash targets. It implements
+// peer.CrashRecords and is safe for concurrent use.
+type Quarantine struct {
+	clock   clock
+	metrics *Metrics
+	log     logr.Logger
+	// onQuarantined is called without a lock after requests with a content have been quarantined.
+	onQuarantined func(content uint64)
+	changed       chan struct{} // has a buffer of one
+	empty         atomic.Bool   // there are no records, so that no request needs a fingerprint
+
+	mu    sync.Mutex
+	state *quarantine.State
+}
+
+// Quarantine returns the records of requests that crash targets, which instances exchange.
+func (g *Gateway) Quarantine() *Quarantine { return g.quarantine }
+
+func newQuarantine(ck clock, m *Metrics, log logr.Logger, onQuarantined func(content uint64)) *Quarantine {
+	q := &Quarantine{
+		clock: ck, metrics: m, log: log, onQuarantined: onQuarantined, changed: make(chan struct{}, 1), state: quarantine.New(),
+	}
+	q.empty.Store(true)
+	return q
+}
+
+// blocks reports whether a request is withheld, and records that it came again if so.
+func (q *Quarantine) blocks(f *fingerprinter) bool {
+	if q.empty.Load() {
+		return false
+	}
+	fingerprint := f.get()
+	q.mu.Lock()
+	blocked := q.state.Blocks(fingerprint)
+	q.mu.Unlock()
+	if blocked {
+		q.dispatch(quarantine.RequestWithheld{Fingerprint: fingerprint})
+	}
+	return blocked
+}
+
+func (q *Quarantine) recordCrash(f *fingerprinter, target string) {
+	q.dispatch(quarantine.CrashObserved{Fingerprint: f.get(), Target: target})
+}
+
+func (q *Quarantine) recordResponse(f *fingerprinter) {
+	if !q.empty.Load() {
+		q.dispatch(quarantine.ResponseReceived{Fingerprint: f.get()})
+	}
+}
+
+func (q *Quarantine) dispatch(ev quarantine.Event) {
+	q.mu.Lock()
+	effects := q.state.Reduce(quarantine.Input{Now: q.clock.now(), Event: ev}, nil)
+	q.empty.Store(q.state.Empty())
+	if len(effects) > 0 {
+		q.metrics.quarantined.Set(float64(q.state.Quarantined()))
+	}
+	q.mu.Unlock()
+	for _, effect := range effects {
+		content := fmt.Sprintf("%016x", effect.Content)
+		switch effect.Kind {
+		case quarantine.Quarantined:
+			q.log.Info("request quarantined", "content", content, "crashes", effect.Crashes)
+			q.onQuarantined(effect.Content)
+		case quarantine.Released:
+			q.log.Info("request no longer quarantined", "content", content)
+		case quarantine.RecordsChanged:
+			select {
+			case q.changed <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// Digest implements peer.CrashRecords.
+func (q *Quarantine) Digest() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Digest()
+}
+
+// Records implements peer.CrashRecords.
+func (q *Quarantine) Records() []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Records(q.clock.now())
+}
+
+// RecentRecords implements peer.CrashRecords.
+func (q *Quarantine) RecentRecords() []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.RecentRecords(q.clock.now())
+}
+
+// Merge implements peer.CrashRecords.
+func (q *Quarantine) Merge(records []quarantine.Record) {
+	q.dispatch(quarantine.RecordsReceived{Records: records})
+}
+
+// Changed implements peer.CrashRecords.
+func (q *Quarantine) Changed() <-chan struct{} { return q.changed }
+
+// refuseQuarantined refuses the requests in progress that have been quarantined.
+func (g *Gateway) refuseQuarantined(content uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.engines {
+		e.refuseQuarantined(content)
+	}
+}
+
+func (e *engine) refuseQuarantined(content uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, p := range e.pending {
+		if p.fingerprint.get().Content == content && e.quarantine.blocks(p.fingerprint) {
+			e.apply(core.RequestQuarantined{Request: id})
+		}
+	}
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -41,6 +41,7 @@
 	defer client.Close()
 
 	local, remote := n.localState(), &Exchange{}
+	local.Crashes = n.crashes.RecentRecords()
 	if err := n.call(conn, client, "Peer.Exchange", &local, remote); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/peer/crash_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+)
+
+func newCrashRecords() CrashRecords {
+	cfg := gateway.Config{Policy: core.DefaultPolicy(), Target: target.DefaultConfig()}
+	return gateway.New(cfg, gateway.NewMetrics(prometheus.NewRegistry()), logr.Discard()).Quarantine()
+}
+
+// startListedNodes starts nodes that know each other.
+func startListedNodes(t *testing.T, count int) []*testNode {
+	var nodes []*testNode
+	var list membership.InstanceListReceived
+	for i := range count {
+		n := startNode(t, fmt.Sprint("127.0.0.", i+1))
+		nodes = append(nodes, n)
+		list.Instances = append(list.Instances, membership.Process{Address: n.cfg.Self, Zone: "a"})
+	}
+	for _, n := range nodes {
+		n.SetInstanceList(context.Background(), list)
+	}
+	return nodes
+}
+
+func requireSameRecords(t *testing.T, nodes []*testNode, within time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if n.crashes.Digest() != nodes[0].crashes.Digest() {
+				return false
+			}
+		}
+		return true
+	}, within, 5*time.Millisecond)
+}
+
+// Guards against a request that crashes targets through instances that have not seen its crashes, because the records
+// are lost on the way or reach an instance that has just started too late.
+func TestCrashRecordsReachAllInstances(t *testing.T) {
+	nodes := startListedNodes(t, 6)
+	for i, n := range nodes[:3] {
+		n.crashes.Merge([]quarantine.Record{{Content: 1, Crashes: []quarantine.Crash{{Target: uint64(i), Caller: 2}}}})
+	}
+	requireSameRecords(t, nodes, waitTimeout)
+	require.Len(t, nodes[5].crashes.Records()[0].Crashes, 3)
+
+	nodes[0].crashes.Merge([]quarantine.Record{{Content: 1, Crashes: []quarantine.Crash{{Target: 1, Caller: 2, CallerAcquitted: true}}}})
+	requireSameRecords(t, nodes, waitTimeout)
+	require.True(t, nodes[5].crashes.Records()[0].Crashes[1].CallerAcquitted)
+
+	restarted := startNode(t, "127.0.0.9", nodes[0].cfg.Self)
+	for _, n := range nodes {
+		n.SetSeeds(context.Background(), []string{restarted.cfg.Self}) // which accepts its connections
+	}
+	requireSameRecords(t, append(nodes, restarted), waitTimeout)
+}
+
+// Guards against records of another instance that are too large or malformed.
+func TestInvalidCrashRecordsAreRejected(t *testing.T) {
+	for name, records := range map[string][]quarantine.Record{
+		"too many records": make([]quarantine.Record, quarantine.MaxRecords+1),
+		"too many crashes": {{Crashes: make([]quarantine.Crash, quarantine.MaxCrashes+1)}},
+		"negative age":     {{Age: -1}},
+	} {
+		x := Exchange{Self: "127.0.0.1:1", Start: "1", Crashes: records}
+		require.Error(t, x.validate(), name)
+	}
+}
--- a/pkg/peer/follow_test.go
+++ b/pkg/peer/follow_test.go
@@ -58,7 +58,7 @@
 	require.NoError(t, err)
 	cfg := DefaultConfig(l.Addr().String(), "a", nil)
 	cfg.AcceptUnlisted = true
-	n := NewNode(cfg, stubDocuments{}, NewMetrics(prometheus.NewRegistry()), func(membership.Sign) {}, logr.Discard())
+	n := NewNode(cfg, stubDocuments{}, newCrashRecords(), NewMetrics(prometheus.NewRegistry()), func(membership.Sign) {}, logr.Discard())
 	if feed != nil {
 		n.SetFeed(feed)
 	}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -15,6 +15,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 )
 
 // Limits of messages from peers.
@@ -67,6 +68,11 @@
 	Known []membership.Known
 	// Leaving lists the leaving signals of targets and instances that the sender knows.
 	Leaving []membership.Sign
+	// CrashDigest is a hash of the sender's records of requests that crash targets.
+	CrashDigest uint64
+	// Crashes lists, in a request, the records that changed recently; in a reply all of them, but only if the digests
+	// differ.
+	Crashes []quarantine.Record
 }
 
 // Pull requests the document of a service.
@@ -145,6 +151,9 @@
 			return eris.New("known instance has an empty or too long start ID, a too long zone or a negative age")
 		}
 	}
+	if err := validateCrashes(x.Crashes); err != nil {
+		return err
+	}
 	for _, e := range x.Digest {
 		if e.Service == "" || len(e.Service) > maxNameLength {
 			return eris.New("service name in digest is empty or too long")
@@ -158,6 +167,18 @@
 	return nil
 }
 
+func validateCrashes(records []quarantine.Record) error {
+	if len(records) > quarantine.MaxRecords {
+		return eris.New("exchange has too many crash records")
+	}
+	for _, r := range records {
+		if len(r.Crashes) > quarantine.MaxCrashes || r.Age < 0 {
+			return eris.New("crash record has too many crashes or a negative age")
+		}
+	}
+	return nil
+}
+
 func (f *Follow) validate() error {
 	if f.Wait < 0 || f.Wait > maxFollowWait {
 		return eris.New("wait time of follow request is negative or too long")
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 )
 
 // Config configures a Node.
@@ -60,10 +61,24 @@
 	Changed() <-chan struct{}
 }
 
+// CrashRecords holds what is known of requests that crash targets. Implementations are safe for concurrent use.
+type CrashRecords interface {
+	// Digest is a hash of all records.
+	Digest() uint64
+	// Records returns all records, RecentRecords those that changed within the last seconds.
+	Records() []quarantine.Record
+	RecentRecords() []quarantine.Record
+	// Merge adds records of another instance.
+	Merge(records []quarantine.Record)
+	// Changed returns a channel that receives a value after records changed.
+	Changed() <-chan struct{}
+}
+
 // Node exchanges documents, membership and leaving signals with the other instances. It is safe for concurrent use.
 type Node struct {
 	cfg               Config
 	docs              DocumentStore
+	crashes           CrashRecords
 	metrics           *Metrics
 	log               logr.Logger
 	onTargetLeaving   func(membership.Sign)
@@ -138,10 +153,10 @@
 const maxConcurrentContacts = 16
 
 // NewNode returns a node that calls onTargetLeaving once for each new leaving signal of a target.
-func NewNode(cfg Config, docs DocumentStore, m *Metrics, onTargetLeaving func(membership.Sign), log logr.Logger) *Node {
+func NewNode(cfg Config, docs DocumentStore, crashes CrashRecords, m *Metrics, onTargetLeaving func(membership.Sign), log logr.Logger) *Node {
 	startID := strconv.FormatUint(rand.Uint64(), 36)
 	n := &Node{
-		cfg: cfg, docs: docs, metrics: m, log: log, onTargetLeaving: onTargetLeaving,
+		cfg: cfg, docs: docs, crashes: crashes, metrics: m, log: log, onTargetLeaving: onTargetLeaving,
 		startTime: time.Now(), startID: startID,
 		connectionSlots: make(chan struct{}, cfg.MaxConnections),
 		contactSlots:    make(chan struct{}, maxConcurrentContacts), firstExchange: make(chan struct{}),
@@ -174,11 +189,19 @@
 	group.Wait()
 }
 
-// runRounds passes rounds and document changes to the membership. The jitter keeps the rounds of instances that started
+// minPushInterval is the time between two pushes of changed crash records. A server that crashes changes the records of
+// all requests that were in flight on it.
+const minPushInterval = 50 * time.Millisecond
+
+// runRounds passes rounds and changes of documents and crash records to the membership. The jitter keeps the rounds of instances that started
 // together from coinciding.
 func (n *Node) runRounds(ctx context.Context) {
 	timer := time.NewTimer(rand.N(n.cfg.RoundInterval/4 + 1))
 	defer timer.Stop()
+	push := time.NewTimer(time.Hour) // reset when records change
+	defer push.Stop()
+	var lastPush time.Time
+	pushPending := false
 	for {
 		select {
 		case <-timer.C:
@@ -186,6 +209,14 @@
 			timer.Reset(n.cfg.RoundInterval*9/10 + rand.N(n.cfg.RoundInterval/5+1))
 		case <-n.docs.Changed():
 			n.dispatch(ctx, membership.LocalStateChanged{})
+		case <-n.crashes.Changed():
+			if !pushPending {
+				pushPending = true
+				push.Reset(max(minPushInterval-time.Since(lastPush), 0))
+			}
+		case <-push.C:
+			pushPending, lastPush = false, time.Now()
+			n.dispatch(ctx, membership.LocalStateChanged{})
 		case <-ctx.Done():
 			return
 		}
@@ -314,7 +345,9 @@
 
 // localState returns the message that describes this instance.
 func (n *Node) localState() Exchange {
-	x := Exchange{Self: n.cfg.Self, Start: n.startID, Zone: n.cfg.Zone, Digest: n.docs.Digest()}
+	x := Exchange{
+		Self: n.cfg.Self, Start: n.startID, Zone: n.cfg.Zone, Digest: n.docs.Digest(), CrashDigest: n.crashes.Digest(),
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	x.Leaving = n.state.LeavingSignals()
@@ -325,8 +358,11 @@
 	return x
 }
 
-// applyExchange applies a message from another instance to the membership.
+// applyExchange applies a message from another instance to the membership and the crash records.
 func (n *Node) applyExchange(ctx context.Context, x *Exchange) {
+	if len(x.Crashes) > 0 {
+		n.crashes.Merge(x.Crashes)
+	}
 	n.dispatch(ctx, membership.ExchangeCompleted{
 		Address: x.Self, Start: x.Start, Zone: x.Zone, Leaving: x.Leaving, Known: x.Known,
 	})
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -80,6 +80,7 @@
 type testNode struct {
 	*Node
 	docs     *fakeDocuments
+	crashes  CrashRecords
 	registry *prometheus.Registry
 	signals  chan membership.Sign
 }
@@ -92,7 +93,8 @@
 	cfg := DefaultConfig(l.Addr().String(), "a", seeds)
 	cfg.RoundInterval, cfg.CallTimeout, cfg.IdleTimeout = 20*time.Millisecond, 300*time.Millisecond, 300*time.Millisecond
 	onTargetLeaving := func(s membership.Sign) { n.signals <- s }
-	n.Node = NewNode(cfg, n.docs, NewMetrics(n.registry), onTargetLeaving, logr.Discard())
+	n.crashes = newCrashRecords()
+	n.Node = NewNode(cfg, n.docs, n.crashes, NewMetrics(n.registry), onTargetLeaving, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -129,6 +129,9 @@
 	if reply.Fingerprint != remote.Fingerprint {
 		reply.Known = s.node.knownInstances()
 	}
+	if reply.CrashDigest != remote.CrashDigest {
+		reply.Crashes = s.node.crashes.Records()
+	}
 	return nil
 }
 
