core, gateway: observe that no target can be reached

Change: the reducer records connections that cannot be opened. This is logged and exported; failed connections are counted by their cause. No decision uses it.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -143,6 +143,7 @@
 	if a == nil {
 		return out
 	}
+	out = s.recordReached(out)
 	out = s.recordAttemptStatement(now, a, ev.Statement, out)
 	if a.cancelled || a.dropped {
 		return out
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -6,6 +6,12 @@
 func (s *Service) recordAttempt(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
 	t.observedAt, t.trafficObservedAt = now, now
+	switch {
+	case ev.Unreachable:
+		out = s.recordUnreachable(now, t, out)
+	case ev.Outcome == OutcomeAnswered, ev.Outcome == OutcomeRefused, ev.Statement.Responded:
+		out = s.recordReached(out)
+	}
 	ev.Statement.Leaving = ev.Statement.Leaving || ev.Reason == ReasonDraining
 	out = s.recordAttemptStatement(now, a, ev.Statement, out)
 	s.recordLoad(now, t, ev.Load, 0)
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -140,6 +140,12 @@
 		}
 		return out
 	}
+	switch {
+	case ev.Unreachable:
+		out = s.recordUnreachable(now, t, out)
+	case ev.OK, ev.Load.Slots > 0, ev.Statement.Responded:
+		out = s.recordReached(out)
+	}
 	if s.probesLoad() {
 		return s.loadProbeEnded(now, t, ev, out)
 	}
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -40,6 +40,8 @@
 	// free slots.
 	contendedAt [numPriorities]Instant
 
+	reachability reachability
+
 	targets        map[TargetID]*targetState
 	startHistories map[TargetID]*startHistory
 	listedTargets  []*targetState // in the order of the target list
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -251,6 +251,8 @@
 	// GaveUp marks a response that relays that another instance, further down the call chain, gave up on a nested call
 	// of the target. The request is then not retried.
 	GaveUp bool
+	// Unreachable is set if no connection to the target could be opened.
+	Unreachable bool
 	// Load is the load report on the response, if any.
 	Load LoadReport
 	// Statement is what the target states on the response. It is ignored if AttemptCommitted has reported it.
@@ -279,10 +281,12 @@
 type ProbeEnded struct {
 	Target TargetID
 	// OK is false when the probe failed or timed out.
-	OK        bool
-	Latency   time.Duration
-	Load      LoadReport
-	Statement Statement
+	OK bool
+	// Unreachable is set if no connection to the target could be opened.
+	Unreachable bool
+	Latency     time.Duration
+	Load        LoadReport
+	Statement   Statement
 }
 
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
@@ -339,6 +343,9 @@
 	CountLeaving
 	// ReportRateLimit: Target has changed the request rate that it accepts to Rate, or accepts any rate again if Unlimited.
 	ReportRateLimit
+	// ReportReachability: no connection to any target of the service can be opened (Unreachable), or one has responded
+	// again.
+	ReportReachability
 )
 
 // Effect is one action for the runtime, as plain data. Fields that the kind does not use are zero.
@@ -361,6 +368,8 @@
 	Rate float64
 	// Unlimited is set if the target no longer limits the rate (ReportRateLimit).
 	Unlimited bool
+	// Unreachable is set if no target can be reached (ReportReachability).
+	Unreachable bool
 	// DecisionInfo holds the inputs of the decision (SendAttempt and Refuse).
 	DecisionInfo DecisionInfo
 }
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -149,6 +149,7 @@
 	var failure *target.Error
 	if errors.As(err, &failure) {
 		ev.Outcome, ev.Reason, ev.Failed = failure.Outcome, failure.Reason, failure.Failed
+		ev.Unreachable = failure.Unreachable
 		if failure.Metadata != nil {
 			ev.Load, ev.Statement = loadReport(*failure.Metadata), statement(*failure.Metadata)
 		}
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -132,7 +132,7 @@
 		e.timer.Reset(max(effect.At-e.clock.now(), 0))
 	default:
 		e.logTargetChange(effect)
-		e.metrics.countEffect(e.name, effect)
+		e.metrics.recordEffect(e.name, effect)
 	}
 }
 
@@ -141,6 +141,8 @@
 	switch effect.Kind {
 	case core.CountLeaving:
 		e.log.Info("target is leaving", "target", effect.Target, "source", effect.Reason)
+	case core.ReportReachability:
+		e.log.Info("reachability of targets changed", "unreachable", effect.Unreachable)
 	case core.ReportRateLimit:
 		e.log.Info("request rate of target changed", "target", effect.Target, "per_second", effect.Rate, "unlimited", effect.Unlimited)
 	}
@@ -238,7 +240,11 @@
 		buffered.close()
 	}
 	e.checkCrash(c, p, state.target, err)
-	e.endAttempt(p, id, newFailedEvent(p.id, id, err))
+	ev := newFailedEvent(p.id, id, err)
+	if ev.Unreachable {
+		e.metrics.unconnected.WithLabelValues(e.name, connectFailureCause(err)).Inc()
+	}
+	e.endAttempt(p, id, ev)
 }
 
 // offerResponse offers a response to the reducer. If the reducer does not deliver it, the response is dropped and the
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,6 +20,8 @@
 	rateLimits   *prometheus.CounterVec
 	crashes      *prometheus.CounterVec
 	quarantined  prometheus.Gauge
+	unreachable  *prometheus.GaugeVec
+	unconnected  *prometheus.CounterVec
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -49,6 +51,7 @@
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
+		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
@@ -68,14 +71,17 @@
 	m.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: "burdockpitch", Name: "quarantined_requests", Help: "Requests that are withheld because targets crash when they run them.",
 	})
-	reg.MustRegister(m.aborted, m.quarantined)
+	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: "burdockpitch", Name: "targets_unreachable", Help: "1 while this instance can connect to no target of the service.",
+	}, []string{"service"})
+	reg.MustRegister(m.aborted, m.quarantined, m.unreachable)
 	for _, r := range rejections {
 		m.refusals.WithLabelValues("", string(r.reason))
 	}
 	return m
 }
 
-func (m *Metrics) countEffect(service string, effect core.Effect) {
+func (m *Metrics) recordEffect(service string, effect core.Effect) {
 	switch effect.Kind {
 	case core.CountRetry:
 		m.retries.WithLabelValues(service, string(effect.Reason)).Inc()
@@ -85,6 +91,12 @@
 		m.ejections.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.CountDenied:
 		m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
+	case core.ReportReachability:
+		unreachable := 0.0
+		if effect.Unreachable {
+			unreachable = 1
+		}
+		m.unreachable.WithLabelValues(service).Set(unreachable)
 	case core.ReportRateLimit:
 		m.rateLimits.WithLabelValues(service).Inc()
 	case core.CountLeaving:
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -22,6 +22,9 @@
 		defer e.recoverProbe(effect.Target)
 		ev, err := runProbe(client, effect.Target, identity, e.probePath.Load(), deadline)
 		e.metrics.probes.WithLabelValues(e.name, probeResult(ev)).Inc()
+		if ev.Unreachable {
+			e.metrics.unconnected.WithLabelValues(e.name, connectFailureCause(err)).Inc()
+		}
 		e.logProbeOutage(ev, err)
 		e.dispatch(ev)
 	}()
@@ -86,6 +89,8 @@
 	case errors.As(err, &failure) && failure.Outcome == core.OutcomeRefused:
 		ev.OK, err = true, nil
 		ev.Load, ev.Statement = loadReport(*failure.Metadata), statement(*failure.Metadata)
+	case failure != nil:
+		ev.Unreachable = failure.Unreachable
 	}
 	return ev, err
 }
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -113,6 +113,8 @@
 	// BrokeOff is set if the target ended the connection after the request, or a part of it, was written and before the
 	// response was complete. The target may have crashed; Client.RefusesConnections tells more.
 	BrokeOff bool
+	// Unreachable is set if no connection to the target could be opened.
+	Unreachable bool
 	// Metadata is what the target reported in its headers, if they arrived: on a refusal by declaration, or on a response
 	// that broke off. Otherwise nil.
 	Metadata *wire.ResponseMetadata
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -105,7 +105,9 @@
 	case errors.Is(err, errNoConnection):
 		return nil, notSentError(ReasonNoConnection, false, err)
 	}
-	return nil, notSentError(core.ReasonNotSent, !errors.Is(err, errClientClosed), err)
+	failure := notSentError(core.ReasonNotSent, !errors.Is(err, errClientClosed), err)
+	failure.Unreachable = failure.Failed
+	return nil, failure
 }
 
 func notSentError(reason core.Reason, failed bool, err error) *Error {
