--- a/internal/sockets/refuse.go
+++ b/internal/sockets/refuse.go
@@ -14,18 +14,26 @@
 //
 // It returns an error if the kernel does not support socket filters.
 func RefuseConnections(listener syscall.Conn) error {
+	return setFilter(listener, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, dropSYN())
+	})
+}
+
+// AcceptConnections ends the effect of RefuseConnections.
+func AcceptConnections(listener syscall.Conn) error {
+	return setFilter(listener, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
+}
+
+func setFilter(listener syscall.Conn, set func(fd int) error) error {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return eris.Wrap(err, "access socket of listener")
 	}
 	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, dropSYN())
-	})
-	if err != nil {
+	if err := raw.Control(func(fd uintptr) { optErr = set(int(fd)) }); err != nil {
 		return eris.Wrap(err, "access socket of listener")
 	}
-	return eris.Wrap(optErr, "attach filter to listener")
+	return eris.Wrap(optErr, "set filter of listener")
 }
 
 const (
