--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -2,10 +2,12 @@
 package sockets
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -38,6 +40,36 @@
 	return optErr
 }
 
+var errNoSocket = eris.New("connection is no socket")
+
+// PeekByte waits for the first byte to read, within the read deadline, without consuming it.
+func PeekByte(c net.Conn) (byte, error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errNoSocket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, eris.Wrap(err, "access socket")
+	}
+	var b [1]byte
+	var n int
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return peekErr != unix.EAGAIN && peekErr != unix.EINTR
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case peekErr != nil:
+		return 0, eris.Wrap(peekErr, "peek")
+	case n == 0:
+		return 0, io.EOF
+	}
+	return b[0], nil
+}
+
 // ConnState is the state of a connection on which no data is expected.
 type ConnState uint8
 
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -80,6 +80,7 @@
 func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
 	return gateway.Config{
 		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect, HeaderLimits: headerLimits(s),
+		PeerAddress:     s.PeerListen,
 		HoldUntilSynced: s.Adapter == "", // the project's own platform may be behind the other instances
 	}
 }
@@ -194,12 +195,19 @@
 	if readyListener != nil {
 		group.Go(func() error { return serve(readyServer, readyListener) })
 	}
+	servers := []*gateway.Server{callerServer}
+	if peerListener != nil {
+		relayServer := i.gateway.NewRelayServer()
+		relayListener := i.controlPlane.node.RelayListener(peerListener.Addr())
+		group.Go(func() error { return serve(relayServer, relayListener) })
+		servers = append(servers, relayServer)
+	}
 	go i.controlPlane.run(backgroundCtx, peerListener)
 	i.log.Info("instance started", "callers", callerListener.Addr().String(), "admin", adminListener.Addr().String())
 
 	<-ctx.Done()
 	i.controlPlane.node.AnnounceLeaving(context.Background())
-	i.stop(callerServer)
+	i.stop(servers...)
 	_ = adminServer.Close()
 	_ = readyServer.Close()
 	return group.Wait()
@@ -230,7 +238,7 @@
 // check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end of the
 // period, because closing one could abort a request that the caller has already sent. Requests that are still active
 // after StopLimit, which includes the lame-duck period, are aborted and counted.
-func (i *instance) stop(server *gateway.Server) {
+func (i *instance) stop(servers ...*gateway.Server) {
 	i.stopping.Store(true)
 	i.gateway.Drain()
 	i.log.Info("instance stopping")
@@ -240,11 +248,17 @@
 	case <-time.After(i.settings.LameDuck.Std()):
 	case <-ctx.Done():
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	var group errgroup.Group
+	for _, server := range servers {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
 		aborted := i.gateway.Active()
 		i.gateway.CountAborted(aborted)
 		i.log.Error(err, "graceful stop reached its limit", "aborted", aborted)
-		_ = server.Close()
+		for _, server := range servers {
+			_ = server.Close()
+		}
 	}
 	i.log.Info("instance stopped")
 }
--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -17,6 +17,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/relay"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
@@ -295,12 +296,24 @@
 			c.node.ObserveTargets(ctx, c.targetProcesses())
 			c.gateway.SetFleetSize(c.node.FleetSize())
 			c.gateway.SetFleet(c.node.ActiveInstances())
+			c.gateway.SetPeers(c.peers())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// peers returns the other instances that can be reached and are not leaving.
+func (c *controlPlane) peers() []relay.Peer {
+	var list []relay.Peer
+	for _, member := range c.node.Members() {
+		if member.InContact && !member.Leaving {
+			list = append(list, relay.Peer{Address: member.Address, Zone: member.Zone})
+		}
+	}
+	return list
+}
+
 // refresh reads the platform again after a pause of the process. Requests wait for it, so its time is bounded.
 func (c *controlPlane) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -15,6 +15,7 @@
 	respondedAt Instant // time of AttemptCommitted or of the cancellation; equals never until then
 	cancelled   bool
 	dropped     bool // its 5xx response is not delivered, because another attempt is in flight or follows
+	relay       bool // handed to another instance
 	trial       bool // a trial request to an ejected target
 	// statementRecorded is set once the statement on the response has been applied.
 	statementRecorded bool
@@ -45,6 +46,7 @@
 func (s *Service) startAttempt(now Instant, r *request, t *targetState) (*attempt, DecisionInfo) {
 	info := s.decisionInfo(now, r, t)
 	a := s.addAttempt(now, r, t)
+	r.attemptsStarted++
 	a.estimate = info.Estimate
 	return a, info
 }
@@ -94,13 +96,17 @@
 		a, s.freeAttempts = s.freeAttempts[n-1], s.freeAttempts[:n-1]
 	}
 	s.lastAttemptID++
-	*a = attempt{id: s.lastAttemptID, request: r, target: t, targetStart: t.starts.current, sentAt: now, respondedAt: never}
+	*a = attempt{
+		id: s.lastAttemptID, request: r, target: t, targetStart: t.starts.current, sentAt: now, respondedAt: never,
+		relay: t == s.otherInstances,
+	}
 	t.rateLimit.take(now)
 	t.attempts.push(&a.listNode, a)
 	t.inFlight++
 	t.sentSinceReport++
-	s.inFlight++
-	r.attemptsStarted++
+	if !a.relay {
+		s.inFlight++
+	}
 	r.attempts = append(r.attempts, a)
 	r.triedTargets = append(r.triedTargets, t)
 	if t.rateLimit.active {
@@ -113,7 +119,9 @@
 	t, r := a.target, a.request
 	t.attempts.remove(&a.listNode)
 	t.inFlight--
-	s.inFlight--
+	if !a.relay {
+		s.inFlight--
+	}
 	i := slices.Index(r.attempts, a)
 	r.attempts = slices.Delete(r.attempts, i, i+1)
 	s.freeAttempts = append(s.freeAttempts, a)
@@ -143,8 +151,10 @@
 	if a == nil {
 		return out
 	}
-	out = s.recordReached(out)
-	out = s.recordAttemptStatement(now, a, ev.Statement, out)
+	if !a.relay {
+		out = s.recordReached(out)
+		out = s.recordAttemptStatement(now, a, ev.Statement, out)
+	}
 	if a.cancelled || a.dropped {
 		return out
 	}
@@ -186,19 +196,30 @@
 	if a == nil {
 		return out
 	}
-	out = s.recordAttempt(now, a, ev, out)
-	dropped := a.dropped
+	dropped, relayed, freed := a.dropped, a.relay, a.target
+	if relayed {
+		freed = nil
+	} else {
+		out = s.recordAttempt(now, a, ev, out)
+		s.completions.count(now)
+		if ev.Outcome != OutcomeNotSent {
+			r.attemptsReached++
+		}
+	}
 	s.removeAttempt(a)
-	s.completions.count(now)
 	if !ev.Outcome.ProvesNotRun() {
 		r.mayHaveRun = true
 	}
+	r.unconnected = r.unconnected || ev.Unreachable
 	if r.phase == phaseInFlight && !dropped && r.pendingAttempt() == nil {
-		out = s.retryOrRefuse(now, r, ev, out)
+		if relayed {
+			out = s.relayEnded(now, r, ev, out)
+		} else {
+			out = s.retryOrRefuse(now, r, ev, out)
+		}
 	}
-	t := a.target
 	s.releaseIfDone(r)
-	return s.dispatch(now, t, out)
+	return s.dispatch(now, freed, out)
 }
 
 // retryOrRefuse retries or refuses a request that has no attempt left whose response could be delivered.
@@ -207,6 +228,9 @@
 		return s.refuse(now, r, ReasonNestedGiveUp, out)
 	}
 	reason, out := s.planRetry(now, r, ev.Reason, out)
+	if reason == ReasonAttemptsExhausted && r.unconnected && r.provedNotRun() && s.canRelay(now, r) {
+		return s.relay(now, r, out)
+	}
 	if reason != "" {
 		return s.refuse(now, r, reason, out)
 	}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -13,16 +13,22 @@
 	target    TargetID
 	start     int // start number of the target known when the attempt was sent
 	sentAt    Instant
+	relay     bool // handed to another instance
 	committed bool
 	cancelled bool
 }
 
 // submittedRequest is a request with everything that the reducer decided about it.
 type submittedRequest struct {
-	id         RequestID
-	class      Class
-	deadline   Instant
-	attempts   int
+	id       RequestID
+	class    Class
+	deadline Instant
+	arrived  Instant
+	attempts int
+	// reached is the number of ended attempts that may have reached a target.
+	reached    int
+	relays     int
+	relayed    bool // by another instance
 	inFlight   int
 	mayHaveRun bool
 	// quarantined is set once the request has been quarantined; it must not be sent from then on.
@@ -148,6 +154,8 @@
 		}
 	case SendAttempt:
 		rt.checkSend(e)
+	case RelayAttempt:
+		rt.checkRelay(e)
 	case CancelAttempt:
 		a := rt.findAttempt(e.Attempt)
 		if a == nil || a.cancelled || a.request.decisions > 0 {
@@ -205,6 +213,27 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
+// checkRelay checks that a request may be handed to another instance, and that the budgets no longer count it here.
+func (rt *testRuntime) checkRelay(e Effect) {
+	r := rt.submitted(e.Request)
+	switch {
+	case r.decisions > 0 || r.quarantined || r.relayed || r.relays >= maxRelays || rt.now >= r.deadline:
+		rt.Fatalf("request %d relayed although it is decided, quarantined, from another instance, relayed too often or late", r.id)
+	case r.class == ClassOnce && !r.notRun():
+		rt.Fatalf("once request %d relayed without proof that it did not run", r.id)
+	case e.MaxAttempts < 1 || e.MaxAttempts > rt.s.policy.MaxAttempts-r.reached:
+		rt.Fatalf("request %d relayed with %d attempts, %d may have reached targets", r.id, e.MaxAttempts, r.reached)
+	}
+	if r.relays == 0 {
+		if i := slices.Index(rt.arrivals, r.arrived); i >= 0 {
+			rt.arrivals = slices.Delete(rt.arrivals, i, i+1)
+		}
+	}
+	r.relays++
+	r.inFlight++
+	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, relay: true, sentAt: rt.now})
+}
+
 // checkRequestRate checks that the attempts on a target since its latest statement of a request rate, each span of them,
 // stay within the share of this instance, plus one for the token and one for each rateLimitTTL.
 func (rt *testRuntime) checkRequestRate(id TargetID) {
@@ -253,8 +282,14 @@
 }
 
 func (rt *testRuntime) checkState() {
-	if rt.s.inFlight != len(rt.inFlight) {
-		rt.Fatalf("%d attempts in flight, want %d", rt.s.inFlight, len(rt.inFlight))
+	onTargets := 0
+	for _, a := range rt.inFlight {
+		if !a.relay {
+			onTargets++
+		}
+	}
+	if rt.s.inFlight != onTargets {
+		rt.Fatalf("%d attempts in flight, want %d", rt.s.inFlight, onTargets)
 	}
 	rt.undecided = slices.DeleteFunc(rt.undecided, func(r *submittedRequest) bool { return r.decisions == 1 })
 	for _, r := range rt.undecided {
@@ -312,11 +347,17 @@
 
 // submitAfterHops submits a request that has passed the given number of instances.
 func (rt *testRuntime) submitAfterHops(hops int, class Class, timeout time.Duration) *submittedRequest {
-	r := &submittedRequest{id: RequestID(len(rt.requests) + 1), class: class, deadline: rt.now + timeout}
+	return rt.arrive(RequestArrived{Class: class, Deadline: rt.now + timeout, Hops: hops})
+}
+
+// arrive submits a request and sets the event's ID.
+func (rt *testRuntime) arrive(ev RequestArrived) *submittedRequest {
+	ev.Request = RequestID(len(rt.requests) + 1)
+	r := &submittedRequest{id: ev.Request, class: ev.Class, arrived: rt.now, deadline: ev.Deadline, relayed: ev.Relayed}
 	rt.requests = append(rt.requests, r)
 	rt.undecided = append(rt.undecided, r)
 	rt.arrivals = append(rt.arrivals, rt.now)
-	rt.step(RequestArrived{Request: r.id, Class: class, Deadline: r.deadline, Hops: hops})
+	rt.step(ev)
 	return r
 }
 
@@ -339,6 +380,9 @@
 		}
 	}
 	a.request.inFlight--
+	if !a.relay && ev.Outcome != OutcomeNotSent {
+		a.request.reached++
+	}
 	if !ev.Outcome.ProvesNotRun() {
 		a.request.mayHaveRun = true
 	}
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -56,6 +56,8 @@
 			"end":        sc.drawEnd,
 			"answer":     sc.drawAnswer,
 			"leave":      sc.drawCallerLeft,
+			"cut":        sc.drawCut,
+			"check":      sc.drawConnectionCheck,
 			"quarantine": sc.drawQuarantine,
 			"advance":    sc.drawAdvance,
 			"pause":      sc.drawPause,
@@ -81,7 +83,14 @@
 	p.InstanceCount = rapid.IntRange(1, 14).Draw(t, "instances")
 	p.ProbeShare = rapid.SampledFrom([]float64{0, 0.001, 0.005, 0.1}).Draw(t, "probeShare")
 	p.HedgeFloor = rapid.IntRange(0, 3).Draw(t, "hedgeFloor")
+	hasPeer := rapid.Bool().Draw(t, "hasPeer")
+	if hasPeer {
+		p.InstanceCount = 2
+	}
 	sc := &randomScenario{testRuntime: newEmptyTestRuntime(t, p)}
+	if hasPeer {
+		sc.step(FleetChanged{Instances: []string{p.InstanceID, "peer"}})
+	}
 	n := rapid.IntRange(1, 9).Draw(t, "targets")
 	sc.currentStarts, sc.inList = make([]int, n), make([]bool, n)
 	for i := range sc.inList {
@@ -102,7 +111,10 @@
 
 func (sc *randomScenario) drawArrival(t *rapid.T) {
 	timeout := rapid.IntRange(-1, 400).Draw(t, "limit")
-	sc.submit(sc.drawClass(t), time.Duration(timeout)*time.Millisecond)
+	sc.arrive(RequestArrived{
+		Class: sc.drawClass(t), Deadline: sc.now + time.Duration(timeout)*time.Millisecond,
+		Relayed: rapid.IntRange(0, 9).Draw(t, "relayed") == 0,
+	})
 }
 
 func (sc *randomScenario) drawBurst(t *rapid.T) {
@@ -143,6 +155,8 @@
 	}
 	if !a.committed {
 		ends = append(ends, AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNotSent},
+			AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNotSent, Failed: true, Unreachable: !a.relay},
+			AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNoInstance},
 			AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonDeadline},
 			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonShed},
 			AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonExpired},
@@ -157,6 +171,20 @@
 	sc.endAttempt(a, ev)
 }
 
+// drawCut makes connections to random targets fail until the service counts as unreachable, or nearly so.
+func (sc *randomScenario) drawCut(t *rapid.T) {
+	for range rapid.IntRange(1, 12).Draw(t, "failures") {
+		_, id := sc.drawTarget(t)
+		sc.advance(15 * time.Millisecond)
+		sc.step(ProbeEnded{Target: id, Unreachable: true})
+	}
+}
+
+func (sc *randomScenario) drawConnectionCheck(t *rapid.T) {
+	_, id := sc.drawTarget(t)
+	sc.step(ConnectionChecked{Target: id, OK: rapid.Bool().Draw(t, "ok")})
+}
+
 func (sc *randomScenario) drawQuarantine(t *rapid.T) {
 	if len(sc.requests) > 0 {
 		sc.step(RequestQuarantined{Request: RequestID(rapid.IntRange(1, len(sc.requests)).Draw(t, "request"))})
--- a/pkg/core/reachability_test.go
+++ b/pkg/core/reachability_test.go
@@ -36,3 +36,86 @@
 	}
 	require.False(t, rt.s.reachability.unreachable)
 }
+
+// cutOff returns a runtime of an instance with another one beside it, which has just found that it reaches no target.
+func cutOff(t *testing.T, change ...func(*Policy)) *testRuntime {
+	rt := newTestRuntime(t, 5, change...)
+	rt.step(FleetChanged{Instances: []string{"", "other"}})
+	require.Equal(t, []bool{true}, failConnects(rt, 0, 1, 2, 3, 4))
+	return rt
+}
+
+var declined = AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonUnreachable}
+
+// TestRequestIsRelayedWhileCutOff guards against requests that wait for targets which cannot be reached, and against one
+// that is handed to another instance although it may have run, came from one, or has nobody to go to.
+func TestRequestIsRelayedWhileCutOff(t *testing.T) {
+	rt := cutOff(t)
+	r := rt.submit(ClassOnce, time.Second)
+	require.True(t, rt.inFlight[0].relay)
+	rt.endAttempt(rt.inFlight[0], declined)
+	require.Equal(t, 2, r.relays, "a further instance")
+	rt.endAttempt(rt.inFlight[0], broken)
+	require.Equal(t, ReasonMayHaveRun, rt.refusal().Reason)
+
+	r = rt.submit(ClassLookup, time.Second)
+	rt.commit(rt.inFlight[0], false, false)
+	require.Equal(t, 1, r.decisions, "delivered")
+	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeAnswered})
+
+	rt.arrive(RequestArrived{Class: ClassLookup, Deadline: rt.now + time.Second, Relayed: true})
+	require.Equal(t, ReasonUnreachable, rt.refusal().Reason)
+	require.True(t, rt.refusal().NotRun)
+
+	r = rt.submit(ClassLookup, time.Second)
+	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNoInstance})
+	require.Equal(t, 1, r.relays, "no instance is left")
+	require.False(t, rt.inFlight[0].relay)
+}
+
+// TestWaitingRequestsAreRelayed guards against requests that wait for targets when the instance is cut off, with its own
+// callers or from another instance, and against one whose attempts did not find a connection.
+func TestWaitingRequestsAreRelayed(t *testing.T) {
+	rt := newTestRuntime(t, 3, func(p *Policy) { p.SlotsPerTarget, p.MaxAttempts = 1, 2 })
+	rt.step(FleetChanged{Instances: []string{"", "other"}})
+	for range 3 {
+		rt.submit(ClassLookup, 10*time.Second)
+	}
+	waiting := rt.submit(ClassLookup, 10*time.Second)
+	relayed := rt.arrive(RequestArrived{Class: ClassLookup, Deadline: rt.now + 10*time.Second, Relayed: true})
+	require.Zero(t, waiting.relays+waiting.attempts)
+	require.Equal(t, []bool{true}, failConnects(rt, 0, 1, 2, 0, 1))
+	require.Equal(t, 1, waiting.relays)
+	require.Equal(t, 1, relayed.decisions)
+
+	rt = newTestRuntime(t, 3, func(p *Policy) { p.MaxAttempts = 2 })
+	rt.step(FleetChanged{Instances: []string{"", "other"}})
+	r := rt.submit(ClassOnce, time.Second)
+	for range 2 {
+		rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNotSent, Unreachable: true})
+		rt.advance(retryBackoffMax)
+	}
+	require.Equal(t, 1, r.relays)
+	require.Zero(t, r.decisions)
+}
+
+// TestReturnAfterCut guards against an instance that hands requests on although it can connect to targets again, or that
+// does not try to.
+func TestReturnAfterCut(t *testing.T) {
+	rt := cutOff(t)
+	checks := 0
+	for range 20 {
+		for _, e := range rt.lastEffects {
+			if e.Kind == CheckConnection {
+				checks++
+			}
+		}
+		rt.advance(reachabilityCheckInterval / 4)
+	}
+	require.GreaterOrEqual(t, checks, 4)
+	rt.step(ConnectionChecked{Target: targetID(1), OK: false})
+	require.True(t, rt.s.reachability.unreachable)
+	rt.step(ConnectionChecked{Target: targetID(1), OK: true})
+	rt.submit(ClassLookup, time.Second)
+	require.False(t, rt.inFlight[0].relay)
+}
--- /dev/null
+++ b/pkg/core/relay.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// This file hands requests to another instance while this one can connect to no target. The other instance treats such a
+// request as one of its callers', but never hands it on. Instances that cannot serve it say so within a round trip.
+
+const (
+	// maxRelays bounds the instances to which one request is handed, one after the other.
+	maxRelays = 6
+	// relayPause is how long no request is relayed after no instance was left that may serve one.
+	relayPause = 500 * time.Millisecond
+)
+
+// canRelay reports whether r may be handed to another instance: its outcome is still the one it would have here, and
+// another instance may serve it.
+func (s *Service) canRelay(now Instant, r *request) bool {
+	return len(s.fleet) > 1 && now >= s.relayPausedUntil && !r.relayed && r.relays < maxRelays && now < r.deadline &&
+		r.attemptsLeft() > 0 && (r.class != ClassOnce || r.provedNotRun())
+}
+
+// attemptsLeft returns the number of attempts that may still reach a target.
+func (r *request) attemptsLeft() int { return r.maxAttempts - r.attemptsReached }
+
+// relay hands r to another instance. The request then counts there for the budgets.
+func (s *Service) relay(now Instant, r *request, out []Effect) []Effect {
+	if r.relays == 0 {
+		s.budget.removeRequest(now, r.arrived)
+	}
+	a := s.addAttempt(now, r, s.otherInstances)
+	r.relays++
+	r.phase = phaseInFlight
+	r.retryAt, r.hedgeAt, r.retryReason = never, never, ""
+	s.scheduleRequest(r)
+	return append(out, Effect{
+		Kind: RelayAttempt, Request: r.id, Attempt: a.id, At: r.deadline, FreshConnection: r.class == ClassOnce,
+		MaxAttempts: r.attemptsLeft(), DecisionInfo: s.requestInfo(now, r),
+	})
+}
+
+// relayEnded decides on a request that another instance did not answer. If its outcome is unknown, it may have used all
+// attempts there.
+func (s *Service) relayEnded(now Instant, r *request, ev AttemptEnded, out []Effect) []Effect {
+	if ev.Outcome == OutcomeNotSent && ev.Reason == ReasonNoInstance {
+		s.relayPausedUntil = now + relayPause
+	}
+	switch {
+	case r.callerLeft:
+		return s.refuse(now, r, ReasonCallerLeft, out)
+	case r.quarantined:
+		return s.refuse(now, r, ReasonCrashesTargets, out)
+	case r.class == ClassOnce && !r.provedNotRun():
+		return s.refuse(now, r, ReasonMayHaveRun, out)
+	case !ev.Outcome.ProvesNotRun(), r.attemptsStarted >= r.maxAttempts && !s.canRelay(now, r):
+		return s.refuse(now, r, ReasonAttemptsExhausted, out)
+	case r.attemptsStarted >= r.maxAttempts:
+		return s.relay(now, r, out)
+	}
+	return s.sendOrQueue(now, r, out)
+}
+
+// relayWaiting hands the requests that wait for targets to other instances, and refuses those that come from one.
+func (s *Service) relayWaiting(now Instant, out []Effect) []Effect {
+	var waiting []*request
+	for _, r := range s.requests {
+		if r.phase == phaseProbing || r.phase == phaseQueued || r.phase == phaseBackoff {
+			waiting = append(waiting, r)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.id, b.id) }) // the order of a map is random
+	for _, r := range waiting {
+		switch {
+		case r.relayed:
+			out = s.cancelAndRefuse(now, r, ReasonUnreachable, out) // a further instance may serve it
+		case s.canRelay(now, r):
+			s.stopWaiting(now, r)
+			out = s.relay(now, r, out)
+		}
+	}
+	return out
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -50,7 +50,13 @@
 
 	attempts        []*attempt // in flight
 	triedTargets    []*targetState
-	attemptsStarted int
+	attemptsStarted int // relays not included
+	// attemptsReached is the number of ended attempts that may have reached a target. unconnected is set once no
+	// connection could be opened for an attempt.
+	attemptsReached int
+	unconnected     bool
+	relayed         bool // by another instance
+	relays          int  // number of instances to which it was handed
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	callerLeft bool
@@ -107,7 +113,7 @@
 	attempts, tried, probed := r.attempts[:0], r.triedTargets[:0], r.probedTargets[:0]
 	*r = request{
 		id: ev.Request, class: min(ev.Class, numClasses-1), arrived: now, deadline: ev.Deadline,
-		objective: ev.Objective, priority: ev.Priority, maxAttempts: ev.MaxAttempts,
+		objective: ev.Objective, priority: ev.Priority, maxAttempts: ev.MaxAttempts, relayed: ev.Relayed,
 		attempts: attempts, triedTargets: tried, probedTargets: probed, retryAt: never, hedgeAt: never, probesDeadline: never,
 	}
 	r.latencies = s.latencyStatsOf(now, requestKind{rule: ev.Rule, class: r.class})
@@ -164,6 +170,9 @@
 	}
 	s.budget.addRequest(now)
 	s.requestsSinceTrial++
+	if ev.Relayed && s.reachability.unreachable {
+		return s.refuse(now, r, ReasonUnreachable, out)
+	}
 	if ev.Hops > maxHops {
 		return s.refuse(now, r, ReasonLoop, out)
 	}
@@ -178,6 +187,9 @@
 	if s.usableCount == 0 {
 		return s.refuse(now, r, ReasonNoTarget, out)
 	}
+	if s.reachability.unreachable && s.canRelay(now, r) {
+		return s.relay(now, r, out)
+	}
 	if s.probesLoad() {
 		return s.startLoadProbes(now, r, out)
 	}
@@ -220,6 +232,13 @@
 
 // cancelAndRefuse removes r from the list in which it waits, cancels its attempts and refuses it.
 func (s *Service) cancelAndRefuse(now Instant, r *request, reason Reason, out []Effect) []Effect {
+	s.stopWaiting(now, r)
+	out = s.cancelExcept(now, r, nil, out)
+	return s.refuse(now, r, reason, out)
+}
+
+// stopWaiting removes r from the list in which it waits, if any.
+func (s *Service) stopWaiting(now Instant, r *request) {
 	switch {
 	case r.phase == phaseProbing:
 		s.endProbing(r)
@@ -228,8 +247,6 @@
 	case r.phase == phaseQueued:
 		s.removeFromQueue(now, r)
 	}
-	out = s.cancelExcept(now, r, nil, out)
-	return s.refuse(now, r, reason, out)
 }
 
 func (s *Service) refuse(now Instant, r *request, reason Reason, out []Effect) []Effect {
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -40,7 +40,9 @@
 	// free slots.
 	contendedAt [numPriorities]Instant
 
-	reachability reachability
+	reachability     reachability
+	relayPausedUntil Instant
+	otherInstances   *targetState // stands for the target of relayed attempts
 
 	targets        map[TargetID]*targetState
 	startHistories map[TargetID]*startHistory
@@ -75,7 +77,9 @@
 		startHistories:  make(map[TargetID]*startHistory),
 		latencies:       newLatencyStats(p.HedgeQuantile),
 		latenciesByKind: make(map[requestKind]*latencyStats),
+		otherInstances:  &targetState{starts: &startHistory{}},
 	}
+	s.reachability.timer.reachability = true
 	s.setPolicy(0, p)
 	return s
 }
@@ -129,6 +133,8 @@
 		}
 	case ProbeEnded:
 		return s.probeEnded(now, ev, out)
+	case ConnectionChecked:
+		return s.connectionChecked(now, ev, out)
 	case Resumed:
 		s.resumed(now)
 	case StopRequested:
--- a/pkg/core/timers.go
+++ b/pkg/core/timers.go
@@ -8,13 +8,14 @@
 // never is the due time of an item that is not scheduled.
 const never = Instant(math.MaxInt64)
 
-// timer is an entry of the timer heap. At most one of request and target is set. If neither is, it is the timer of the
-// health probes or, with SelectAsk, of the backlog.
+// timer is an entry of the timer heap. At most one of request, target and reachability is set. If none is, it is the
+// timer of the health probes or, with SelectAsk, of the backlog.
 type timer struct {
 	at           Instant
 	heapPosition int // position in the heap plus one; 0 when not scheduled
 	request      *request
 	target       *targetState
+	reachability bool
 }
 
 // timerHeap orders entries by due time. It implements heap.Interface.
@@ -76,6 +77,8 @@
 			out = s.onRequestTimer(now, t.request, out)
 		case t.target != nil:
 			out = s.onTargetTimer(now, t.target, out)
+		case t.reachability:
+			out = s.onReachabilityTimer(now, out)
 		default:
 			out = s.onProbeTimer(now, out)
 		}
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -109,6 +109,7 @@
 	ReasonLoop              Reason = "loop"           // the request passed too many instances
 	ReasonNestedGiveUp      Reason = "nested-give-up" // another instance gave up on a nested call of the target
 	ReasonCallerLeft        Reason = "caller-left"
+	ReasonUnreachable       Reason = "unreachable"     // relayed by another instance, and this one reaches no target either
 	ReasonCrashesTargets    Reason = "crashes-targets" // targets crash when they run the request
 	ReasonInternal          Reason = "internal-error"  // the reducer failed; set by the runtime
 )
@@ -123,6 +124,9 @@
 	ReasonSlow     Reason = "slow"     // no response in time; also the reason of hedges
 )
 
+// ReasonNoInstance is the reason of OutcomeNotSent for a relay: no other instance may be able to serve the request.
+const ReasonNoInstance Reason = "no-instance"
+
 // ReasonProbe is the reason of CountDenied when a budget denied a probe.
 const ReasonProbe Reason = "probe"
 
@@ -216,6 +220,9 @@
 	Hops int
 	// Quarantined is set if targets crash when they run the request, so that it must not be sent.
 	Quarantined bool
+	// Relayed is set if another instance, which can connect to no target, has handed the request on. It is not handed on
+	// again.
+	Relayed bool
 }
 
 // RequestQuarantined reports that targets crash when they run a request that has arrived before. It gets no further
@@ -289,6 +296,12 @@
 	Statement   Statement
 }
 
+// ConnectionChecked reports whether a connection to a target could be opened.
+type ConnectionChecked struct {
+	Target TargetID
+	OK     bool
+}
+
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
 type Resumed struct{ Gap time.Duration }
 
@@ -310,6 +323,7 @@
 func (TargetLeaving) event()      {}
 func (LoadReported) event()       {}
 func (ProbeEnded) event()         {}
+func (ConnectionChecked) event()  {}
 func (Resumed) event()            {}
 func (StopRequested) event()      {}
 func (TimerFired) event()         {}
@@ -321,6 +335,12 @@
 const (
 	// SendAttempt: send the request to Target before Deadline.
 	SendAttempt EffectKind = iota + 1
+	// RelayAttempt: hand the request to another instance, which may make MaxAttempts attempts before Deadline At.
+	// AttemptCommitted and AttemptEnded report on it as on an attempt. OutcomeRefused means that the other instance did
+	// not run the request and that a further one may serve it.
+	RelayAttempt
+	// CheckConnection: open a connection to Target until At. ConnectionChecked follows.
+	CheckConnection
 	// CancelAttempt: cancel the attempt; its AttemptEnded still follows.
 	CancelAttempt
 	// Deliver: pass the response of the attempt to the caller.
@@ -358,6 +378,8 @@
 	FreshConnection bool
 	// At is the time of a timer or the deadline of an attempt or probe.
 	At Instant
+	// MaxAttempts is the number of attempts that another instance may make (RelayAttempt).
+	MaxAttempts int
 	// NotRun is set on Refuse when every attempt is proved not to have run.
 	NotRun bool
 	// Reason explains Refuse and the Count kinds.
@@ -370,7 +392,7 @@
 	Unlimited bool
 	// Unreachable is set if no target can be reached (ReportReachability).
 	Unreachable bool
-	// DecisionInfo holds the inputs of the decision (SendAttempt and Refuse).
+	// DecisionInfo holds the inputs of the decision (SendAttempt, RelayAttempt and Refuse).
 	DecisionInfo DecisionInfo
 }
 
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -11,6 +11,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // crashCheckTimeout bounds the connection that tells whether a target still accepts any. A crashed one refuses it within
@@ -22,6 +23,7 @@
 type fingerprinter struct {
 	request *http.Request
 	body    []byte
+	relayed *wire.RelayedRequest // set if another instance handed the request on
 
 	once  sync.Once
 	value quarantine.Fingerprint
@@ -29,15 +31,26 @@
 
 func (f *fingerprinter) get() quarantine.Fingerprint {
 	f.once.Do(func() {
-		callerIP, _, err := net.SplitHostPort(f.request.RemoteAddr)
-		if err != nil {
-			callerIP = f.request.RemoteAddr
-		}
-		f.value = quarantine.NewFingerprint(f.request.Method, f.request.Host, f.request.URL.RequestURI(), f.body, callerIP)
+		f.value = quarantine.NewFingerprint(f.request.Method, f.request.Host, f.request.URL.RequestURI(), f.body, f.callerIP())
 	})
 	return f.value
 }
 
+func (f *fingerprinter) callerIP() string {
+	if f.relayed != nil {
+		return f.relayed.CallerIP
+	}
+	ip, _, err := net.SplitHostPort(f.request.RemoteAddr)
+	if err != nil {
+		return f.request.RemoteAddr
+	}
+	return ip
+}
+
+func (c *call) newFingerprinter(body []byte) *fingerprinter {
+	return &fingerprinter{request: c.r, body: body, relayed: c.relayed}
+}
+
 // checkCrash reports a crash of the target if it broke off an attempt and refuses connections since.
 func (e *engine) checkCrash(c *target.Client, p *pendingRequest, id core.TargetID, err error) {
 	var failure *target.Error
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -56,7 +56,9 @@
 	for name, values := range resp.Header {
 		h[name] = values
 	}
-	c.dialect.RewriteResponseHeaders(h, c.requestID, resp.outcome())
+	if resp.relayedOutcome == "" { // another instance has rewritten the headers
+		c.dialect.RewriteResponseHeaders(h, c.requestID, resp.outcome())
+	}
 	if resp.complete && len(resp.Trailer) == 0 && bodyAllowed(resp) {
 		h.Set("Content-Length", strconv.Itoa(len(resp.prefix)))
 	}
@@ -134,6 +136,11 @@
 		ev.Outcome, ev.Reason = core.OutcomeUnknown, target.ReasonCancelled
 	case end == targetFailed:
 		ev.Outcome, ev.Reason, ev.Failed = core.OutcomeUnknown, core.ReasonFailed, true
+	case resp.relayedOutcome != "":
+		if resp.relayedOutcome != wire.OutcomeAnswered {
+			ev.Outcome, ev.Reason = core.OutcomeUnknown, core.ReasonFailed
+		}
+		return ev
 	case resp.isServerError():
 		ev.Outcome, ev.Reason, ev.Failed = core.OutcomeUnknown, core.ReasonFailed, !resp.gaveUp
 	case resp.gaveUp:
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -24,6 +24,7 @@
 	pauses     *pauseDetector
 	clients    *clients
 	quarantine *Quarantine
+	relays     *relays
 	metrics    *Metrics
 	log        logr.Logger
 	probePath  atomicString
@@ -70,9 +71,9 @@
 	attemptsStarted int
 }
 
-func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, m *Metrics, log logr.Logger) *engine {
+func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, r *relays, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, metrics: m, log: log.WithValues("service", name),
+		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, relays: r, metrics: m, log: log.WithValues("service", name),
 		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*pendingRequest),
 	}
 	e.probePath.Store(cfg.ProbePath)
@@ -120,6 +121,10 @@
 	switch effect.Kind {
 	case core.SendAttempt:
 		e.startAttempt(effect)
+	case core.RelayAttempt:
+		e.startRelay(effect)
+	case core.CheckConnection:
+		e.checkConnection(effect)
 	case core.CancelAttempt:
 		e.cancelAttempt(effect)
 	case core.Deliver:
@@ -148,18 +153,24 @@
 	}
 }
 
-func (e *engine) startAttempt(effect core.Effect) {
-	p := e.pending[effect.Request]
+// newAttempt registers an attempt and returns it with the context that cancels it.
+func (e *engine) newAttempt(effect core.Effect) (ctx context.Context, p *pendingRequest, state *attemptState, a target.Attempt) {
+	p = e.pending[effect.Request]
 	ctx, cancel := context.WithCancel(context.Background())
-	state := &attemptState{target: effect.Target, start: time.Now(), cancel: cancel}
+	state = &attemptState{target: effect.Target, start: time.Now(), cancel: cancel}
 	p.attempts[effect.Attempt] = state
 	p.attemptsStarted++
 	p.lastTarget = effect.Target
-	a := p.attemptTemplate
+	a = p.attemptTemplate
 	a.Fresh = effect.FreshConnection
 	if at := e.clock.timeAt(effect.At); at.Before(a.Deadline) {
 		a.Deadline = at
 	}
+	return ctx, p, state, a
+}
+
+func (e *engine) startAttempt(effect core.Effect) {
+	ctx, p, state, a := e.newAttempt(effect)
 	generation := e.pauses.generation()
 	a.IsCurrent = func() bool { return e.pauses.isCurrent(generation) }
 	client, identity := e.clients.get(effect.Target)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,8 @@
 	WriteTimeout time.Duration
 	// HeaderLimits bounds the headers of requests; zero means DefaultHeaderLimits.
 	HeaderLimits HeaderLimits
+	// PeerAddress is the address at which other instances know this one, "ip:port". Connections to them come from its IP.
+	PeerAddress string
 	// HoldUntilSynced makes requests wait until MarkSynced, or until their deadlines. Without it, an instance that has
 	// just started may send requests to targets of which only the other instances know that they are leaving.
 	HoldUntilSynced bool
@@ -69,6 +71,7 @@
 	pauses         *pauseDetector
 	clients        *clients
 	quarantine     *Quarantine
+	relays         *relays
 	metrics        *Metrics
 	log            logr.Logger
 	ruleTable      atomic.Pointer[rules.Table]
@@ -103,6 +106,7 @@
 		cfg: cfg, clock: ck, pauses: &pauseDetector{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
 		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), synced: make(chan struct{}),
 	}
+	g.relays = newRelays(ck, cfg)
 	g.quarantine = newQuarantine(ck, m, log, g.refuseQuarantined)
 	if !cfg.HoldUntilSynced {
 		g.MarkSynced()
@@ -193,7 +197,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.metrics, g.log)
+		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.relays, g.metrics, g.log)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		g.engines[name] = e
 	}
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -17,6 +17,7 @@
 	ReasonBodySlow        core.Reason = "body-slow"
 	ReasonUpgrade         core.Reason = "upgrade"
 	ReasonConnect         core.Reason = "connect"
+	ReasonRelayLimit      core.Reason = "relay-limit" // too many requests of other instances are in progress
 )
 
 // rejection is the response to a request that is refused before it reaches the reducer.
@@ -41,10 +42,12 @@
 	rejectBodySlow        = rejection{ReasonBodySlow, http.StatusRequestTimeout, retryAfterShort}
 	rejectUpgrade         = rejection{ReasonUpgrade, http.StatusNotImplemented, retryAfterLong}
 	rejectConnect         = rejection{ReasonConnect, http.StatusNotImplemented, retryAfterLong}
+	rejectRelayLimit      = rejection{ReasonRelayLimit, http.StatusServiceUnavailable, retryAfterShort}
 )
 
 var rejections = []rejection{
 	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectUpgrade, rejectConnect,
+	rejectRelayLimit,
 }
 
 // refusalStatus returns the HTTP status for a refusal by the reducer. A request that may have run gets 502 or 504.
--- /dev/null
+++ b/pkg/gateway/relay_test.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/relay"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+// startRelayTest starts an instance that may use the targets at the given addresses, and returns it with the address at
+// which other instances hand requests on to it.
+func startRelayTest(t *testing.T, targets ...string) (g *Gateway, relayAddress string) {
+	doc, err := rules.Parse("test", []byte("service = \"s\"\nepoch = 1\nrevision = 1\n[rules]\n"+
+		"a = { path = \"/*\", class = \"lookup\", deadline = \"2s\" } # asked by the test\n"))
+	require.NoError(t, err)
+	g = New(Config{Policy: core.DefaultPolicy(), Target: target.DefaultConfig()}, NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	g.SetDocuments([]*rules.Document{doc})
+	var list discovery.InstanceList
+	for _, address := range targets {
+		list.Instances = append(list.Instances, discovery.Instance{Service: "s", Address: address, State: discovery.StateLive})
+	}
+	g.SetTargets(list)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := g.NewRelayServer()
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return g, l.Addr().String()
+}
+
+// startCutOff starts an instance whose targets refuse connections, with other instances beside it, and lets it notice.
+func startCutOff(t *testing.T, peers ...string) *Gateway {
+	var closed []string
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		closed = append(closed, l.Addr().String())
+		l.Close()
+	}
+	g, _ := startRelayTest(t, closed...)
+	var list []relay.Peer
+	fleet := []string{""}
+	for _, address := range peers {
+		list = append(list, relay.Peer{Address: address})
+		fleet = append(fleet, address)
+	}
+	e := g.engine("s")
+	for range 2 {
+		for _, address := range closed {
+			e.dispatch(core.ProbeEnded{Target: core.TargetID(address), Unreachable: true})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.SetPeers(list)
+	g.SetFleet(fleet)
+	return g
+}
+
+func serveOnce(g *Gateway, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/x?y", strings.NewReader(body))
+	r.Header.Set(wire.HeaderRelayCaller, "forged")
+	w := httptest.NewRecorder()
+	g.Handler().ServeHTTP(w, r)
+	return w
+}
+
+// Guards against a request that is changed on the way through another instance, against headers between instances that
+// reach targets or callers, and against a caller that can set them.
+func TestRelayedRequestIsPassedOnUnchanged(t *testing.T) {
+	received := make(chan *http.Request, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received <- r.Clone(r.Context())
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Target", "1")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write(body)
+	}))
+	defer server.Close()
+	_, other := startRelayTest(t, strings.TrimPrefix(server.URL, "http://"))
+	g := startCutOff(t, other)
+
+	w := serveOnce(g, "content")
+	require.Equal(t, http.StatusTeapot, w.Code)
+	require.Equal(t, "content", w.Body.String())
+	require.Equal(t, "1", w.Header().Get("X-Target"))
+	require.Equal(t, string(wire.OutcomeAnswered), w.Header().Get(wire.HeaderOutcome))
+	seen := <-received
+	require.Equal(t, "/x?y", seen.URL.RequestURI())
+	for _, h := range []http.Header{w.Header(), seen.Header} {
+		for name := range h {
+			require.NotContains(t, name, "Burdockpitch-Relay")
+		}
+	}
+}
+
+// Guards against a request that wanders between instances none of which reaches a target, and against a false outcome.
+func TestRequestIsRefusedIfNoInstanceReachesTargets(t *testing.T) {
+	var addresses []string
+	for range 3 {
+		other := startCutOff(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := other.NewRelayServer()
+		go server.Serve(l)
+		t.Cleanup(func() { server.Close() })
+		other.SetFleet([]string{"", "others"})
+		other.SetPeers([]relay.Peer{{Address: "127.0.0.1:1"}})
+		addresses = append(addresses, l.Addr().String())
+	}
+	g := startCutOff(t, addresses...)
+	w := serveOnce(g, "")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, string(wire.OutcomeNotRun), w.Header().Get(wire.HeaderOutcome))
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
+
+// Guards against requests of other instances that take all the room of this one, or that are not marked as such.
+func TestRelayServerDeclines(t *testing.T) {
+	g, address := startRelayTest(t)
+	resp, err := http.Get("http://" + address + "/x")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+
+	g.relays.incoming.Store(maxRelayedRequests)
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	require.NoError(t, err)
+	wire.SetRelayHeaders(r.Header, wire.RelayedRequest{CallerIP: "10.0.0.1", Service: "s", Attempts: 1})
+	resp, err = http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, string(ReasonRelayLimit), resp.Header.Get(wire.HeaderRelayReason))
+	require.Equal(t, string(wire.OutcomeNotRun), resp.Header.Get(wire.HeaderRelayOutcome))
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -25,6 +25,9 @@
 	complete bool // prefix holds the whole body
 	gaveUp   bool // the target relays that an instance gave up on a nested call
 	err      error
+	// relayedOutcome is set on the response of another instance to which the request was handed. Its status can be that
+	// of a refusal, which is final all the same.
+	relayedOutcome wire.Outcome
 }
 
 // bufferResponse reads up to maxBufferedBytes of the body, and closes the body if it is complete.
@@ -68,10 +71,15 @@
 func (b *bufferedResponse) close() { _ = b.Body.Close() }
 
 // isServerError reports whether the status is 5xx, which leaves open whether the request was executed.
-func (b *bufferedResponse) isServerError() bool { return b.Status >= http.StatusInternalServerError }
+func (b *bufferedResponse) isServerError() bool {
+	return b.Status >= http.StatusInternalServerError && b.relayedOutcome == ""
+}
 
 // outcome returns the outcome reported to the caller with the response.
 func (b *bufferedResponse) outcome() wire.Outcome {
+	if b.relayedOutcome != "" {
+		return b.relayedOutcome
+	}
 	if b.isServerError() || b.gaveUp {
 		return wire.OutcomeUnknown
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -40,17 +40,24 @@
 	metadata wire.RequestMetadata
 	arrived  time.Time
 	rule     *rules.Rule
-	service  string // selected from the rule's traffic split
+	service  string               // selected from the rule's traffic split
+	relayed  *wire.RelayedRequest // set if another instance handed the request on
 }
 
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	g.activeRequests.Add(1)
-	defer g.activeRequests.Add(-1)
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) { g.serveCall(g.newCall(w, r)) }
+
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := &call{callerWriter: g.newCallerWriter(w), r: r, arrived: time.Now(), metadata: g.cfg.Dialect.ParseRequest(r.Header)}
 	c.requestID = c.metadata.ID
 	if c.requestID == "" {
 		c.requestID = rand.Text() // at least 128 random bits, so unique across all instances
 	}
+	return c
+}
+
+func (g *Gateway) serveCall(c *call) {
+	g.activeRequests.Add(1)
+	defer g.activeRequests.Add(-1)
 	if g.draining.Load() {
 		c.Header().Set("Connection", "close")
 	}
@@ -60,7 +67,7 @@
 		return
 	}
 	e := g.engine(c.service)
-	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), &fingerprinter{request: r, body: body})
+	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), c.newFingerprinter(body))
 	g.respond(c, e, p)
 }
 
@@ -72,6 +79,9 @@
 	if c.metadata.HasCallerTimeout {
 		ev.CallerTimeout = c.metadata.CallerTimeout
 	}
+	if c.relayed != nil {
+		ev.Relayed, ev.MaxAttempts = true, c.relayed.Attempts
+	}
 	if c.rule.Objective > 0 {
 		ev.Objective = ck.offset(c.arrived.Add(c.rule.Objective))
 	}
@@ -141,6 +151,9 @@
 	table := g.ruleTable.Load()
 	c.rule = table.MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
 	switch {
+	case c.rule != nil && c.relayed != nil && c.rule.RoutesTo(c.relayed.Service):
+		c.service = c.relayed.Service
+		return nil
 	case c.rule != nil:
 		c.service = c.rule.ChooseService(g.splits.next(c.rule.Name))
 		return nil
@@ -222,6 +235,7 @@
 		// The attempt ends before the response is written, so that a slow caller does not occupy the target's slot.
 		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, delivered))
 	}
+	c.setRelayOutcome(d.response.outcome(), "")
 	end := c.writeResponse(d.response)
 	if !d.response.complete {
 		d.response.close()
@@ -261,15 +275,26 @@
 		target: d.target, attempts: d.attemptsStarted, outcome: outcome, reason: d.refusal.Reason, status: refusalStatus(d.refusal),
 		decisionInfo: d.refusal.DecisionInfo, retryAfter: d.refusal.RetryAfter,
 	}
+	c.setRelayOutcome(outcome, res.reason)
 	c.writeRefusal(res.status, outcome, res.reason, d.refusal.RetryAfter)
 	g.recordResult(c, res)
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
+	c.setRelayOutcome(wire.OutcomeNotRun, rejected.reason)
 	c.writeRefusal(rejected.status, wire.OutcomeNotRun, rejected.reason, rejected.retryAfter)
 	g.recordResult(c, result{outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status})
 }
 
+// setRelayOutcome states the outcome to the instance that handed the request on, if any.
+func (c *call) setRelayOutcome(outcome wire.Outcome, reason core.Reason) {
+	if c.relayed == nil {
+		return
+	}
+	c.Header().Set(wire.HeaderRelayOutcome, string(outcome))
+	c.Header().Set(wire.HeaderRelayReason, string(reason))
+}
+
 // result is the end of a request, for metrics and the log.
 type result struct {
 	target   core.TargetID
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -89,6 +89,7 @@
 	firstExchange     chan struct{} // closed after the first complete exchange that this instance started
 	firstExchangeOnce sync.Once
 	compressor        documentCompressor
+	relays            *relayListener // nil until RelayListener
 
 	mu            sync.Mutex
 	state         *membership.State
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -79,10 +79,12 @@
 // testNode is a running node with its own address.
 type testNode struct {
 	*Node
-	docs     *fakeDocuments
-	crashes  CrashRecords
-	registry *prometheus.Registry
-	signals  chan membership.Sign
+	docs    *fakeDocuments
+	crashes CrashRecords
+	// relayListener accepts the connections on which other instances hand requests on.
+	relayListener net.Listener
+	registry      *prometheus.Registry
+	signals       chan membership.Sign
 }
 
 func startNode(t *testing.T, ip string, seeds ...string) *testNode {
@@ -95,6 +97,7 @@
 	onTargetLeaving := func(s membership.Sign) { n.signals <- s }
 	n.crashes = newCrashRecords()
 	n.Node = NewNode(cfg, n.docs, n.crashes, NewMetrics(n.registry), onTargetLeaving, logr.Discard())
+	n.relayListener = n.RelayListener(l.Addr())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -47,6 +47,12 @@
 		return
 	}
 	go func() {
+		relay := n.isRelay(conn)
+		if relay && n.relays != nil {
+			<-n.connectionSlots
+			n.relays.pass(conn)
+			return
+		}
 		defer func() { <-n.connectionSlots }()
 		defer conn.Close()
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -68,6 +69,14 @@
 	Weight int
 }
 
+// RoutesTo reports whether requests of the rule can go to a service.
+func (r *Rule) RoutesTo(service string) bool {
+	if len(r.Split) == 0 {
+		return r.Service == service
+	}
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // ChooseService returns the service for a request, by weight if the rule has a split. The random number is uniformly
 // distributed over all uint64 values.
 func (r *Rule) ChooseService(random uint64) string {
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -8,6 +8,7 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -28,6 +29,8 @@
 	FreshWithin time.Duration
 	// IdleTimeout is how long a connection may stay idle before it is closed.
 	IdleTimeout time.Duration
+	// LocalIP is the source address of connections; unset, the kernel chooses one.
+	LocalIP netip.Addr
 	// Dialect encodes the headers exchanged with targets; nil means wire.Native.
 	Dialect wire.Dialect
 }
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -140,7 +141,11 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := sockets.Dialer().DialContext(ctx, network, addr)
+			dialer := sockets.Dialer()
+			if p.cfg.LocalIP.IsValid() {
+				dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.cfg.LocalIP, 0))
+			}
+			nc, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -114,16 +114,20 @@
 	return &Error{Outcome: core.OutcomeNotSent, Reason: reason, Failed: failed, Err: err}
 }
 
-// RefusesConnections opens a connection and reports whether the target refused it, which means that no process listens
-// at its address. A connection that was opened is kept for the next attempt. It returns false if the limit of
-// connections leaves no room.
-func (c *Client) RefusesConnections(ctx context.Context) bool {
+// Connect opens a connection and keeps it for the next attempt. It fails if the limit of connections leaves no room.
+func (c *Client) Connect(ctx context.Context) error {
 	conn, err := c.pool.leaseNew(ctx)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.pool.put(conn)
-	return false
+	return nil
+}
+
+// RefusesConnections reports whether the target refuses a new connection, which means that no process listens at its
+// address. See Connect.
+func (c *Client) RefusesConnections(ctx context.Context) bool {
+	return errors.Is(c.Connect(ctx), syscall.ECONNREFUSED)
 }
 
 func (c *Client) newRequest(ctx context.Context, a Attempt) *http.Request {
--- /dev/null
+++ b/pkg/wire/relay.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers between two instances, when one hands a request to the other.
+const (
+	// HeaderRelayCaller carries the IP address of the caller.
+	HeaderRelayCaller = "Burdockpitch-Relay-Caller"
+	// HeaderRelayService names the service that was selected for the request.
+	HeaderRelayService = "Burdockpitch-Relay-Service"
+	// HeaderRelayAttempts is the number of attempts that may still reach a target.
+	HeaderRelayAttempts = "Burdockpitch-Relay-Attempts"
+	// HeaderRelayOutcome carries the Outcome on the response, and HeaderRelayReason the reason for a refusal.
+	HeaderRelayOutcome = "Burdockpitch-Relay-Outcome"
+	HeaderRelayReason  = "Burdockpitch-Relay-Reason"
+)
+
+// RelayedRequest is what an instance states about a request that it hands to another one.
+type RelayedRequest struct {
+	CallerIP string
+	Service  string
+	Attempts int
+}
+
+// SetRelayHeaders encodes a RelayedRequest.
+func SetRelayHeaders(h http.Header, r RelayedRequest) {
+	h.Set(HeaderRelayCaller, r.CallerIP)
+	h.Set(HeaderRelayService, r.Service)
+	h.Set(HeaderRelayAttempts, strconv.Itoa(r.Attempts))
+}
+
+// maxRelayAttempts is the largest number of attempts that is believed.
+const maxRelayAttempts = 1000
+
+// TakeRelayHeaders decodes a RelayedRequest and removes its headers. It returns false if they are absent or malformed.
+func TakeRelayHeaders(h http.Header) (r RelayedRequest, ok bool) {
+	attempts, err := strconv.Atoi(h.Get(HeaderRelayAttempts))
+	r = RelayedRequest{CallerIP: h.Get(HeaderRelayCaller), Service: h.Get(HeaderRelayService), Attempts: attempts}
+	for _, name := range []string{HeaderRelayCaller, HeaderRelayService, HeaderRelayAttempts} {
+		h.Del(name)
+	}
+	return r, err == nil && attempts > 0 && attempts <= maxRelayAttempts && r.CallerIP != "" && r.Service != ""
+}
+
+// TakeRelayOutcome returns the outcome and the reason that an instance states on a response, and removes them.
+func TakeRelayOutcome(h http.Header) (o Outcome, reason string) {
+	o, reason = Outcome(h.Get(HeaderRelayOutcome)), h.Get(HeaderRelayReason)
+	h.Del(HeaderRelayOutcome)
+	h.Del(HeaderRelayReason)
+	return o, reason
+}
+
+// errNotRelayed is returned for a response that is not from an instance.
+var errNotRelayed = errors.New("response does not state the outcome of a relayed request")
+
+// RelayDialect is the dialect between two instances whose callers use the Base dialect.
+type RelayDialect struct{ Base Dialect }
+
+var _ Dialect = RelayDialect{}
+
+// ParseRequest implements Dialect.
+func (d RelayDialect) ParseRequest(h http.Header) RequestMetadata { return d.Base.ParseRequest(h) }
+
+// RewriteRequestHeaders implements Dialect.
+func (d RelayDialect) RewriteRequestHeaders(h http.Header, to ForwardedRequest) {
+	d.Base.RewriteRequestHeaders(h, to)
+}
+
+// SetAttemptHeaders implements Dialect. The instance gets the remaining time as from a caller.
+func (d RelayDialect) SetAttemptHeaders(h http.Header, _ string, remaining time.Duration) {
+	d.Base.SetAttemptHeaders(h, "", remaining)
+}
+
+// ParseResponse implements Dialect. What a target states concerns the other instance only.
+func (RelayDialect) ParseResponse(int, http.Header) ResponseMetadata { return ResponseMetadata{} }
+
+// VerifyResponse implements Dialect.
+func (RelayDialect) VerifyResponse(_ int, h http.Header, _ string) error {
+	switch Outcome(h.Get(HeaderRelayOutcome)) {
+	case OutcomeAnswered, OutcomeNotRun, OutcomeUnknown:
+		return nil
+	}
+	return errNotRelayed
+}
+
+// RewriteResponseHeaders implements Dialect. The other instance has rewritten the headers.
+func (RelayDialect) RewriteResponseHeaders(http.Header, string, Outcome) {}
+
+// SetRefusalHeaders implements Dialect.
+func (d RelayDialect) SetRefusalHeaders(h http.Header, r Refusal) { d.Base.SetRefusalHeaders(h, r) }
+
+// AllowsCloseDelimited implements Dialect: instances send a length or chunks.
+func (RelayDialect) AllowsCloseDelimited() bool { return false }
