core: send a queued request when the rate limit of an ejected target ends

Cause: the end of a rate limit schedules the target's timer for the same step, which dispatches the queue. The restoration of the target from its ejection, later in that step, set the timer to a later time.

Change: a timer that is due in this step is not postponed; running it sets the next time.

--- a/pkg/core/queue_test.go
+++ b/pkg/core/queue_test.go
@@ -231,3 +231,24 @@
 	require.Positive(t, grow(LoadReport{InUse: 2, Slots: 4}))
 	require.Zero(t, grow(LoadReport{InUse: 6, Slots: 4}))
 }
+
+// TestQueuedRequestIsSentWhenRateLimitEnds guards against a request that stays queued although a target that was ejected
+// has capacity again and no longer limits its rate. The history is the shortest that TestRandomEvents found; testRuntime
+// checks each step.
+func TestQueuedRequestIsSentWhenRateLimitEnds(t *testing.T) {
+	rt := newTestRuntime(t, 3, func(p *Policy) {
+		p.Selection, p.SlotsPerTarget, p.QueueLimit, p.RetryFloor = SelectTwoChoices, 1, 1, 0
+	})
+	probe := func(ok bool, st Statement) {
+		rt.step(ProbeEnded{Target: "t1", OK: ok, Statement: st, Latency: time.Millisecond})
+	}
+	probe(false, Statement{})
+	probe(true, statedRate(0))
+	for range 3 {
+		rt.submit(ClassOnce, 300*time.Millisecond)
+	}
+	require.Equal(t, 1, rt.s.queue.length())
+	probe(false, Statement{})
+	probe(true, Statement{Responded: true})
+	require.Zero(t, rt.s.queue.length())
+}
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -155,6 +155,9 @@
 
 // scheduleTarget sets the timer of t to the next time at which it may become available.
 func (s *Service) scheduleTarget(now Instant, t *targetState) {
+	if t.timer.heapPosition != 0 && t.timer.at <= now {
+		return // due in this step, which sets the next time
+	}
 	at := never
 	if t.backoffEnd() > now {
 		at = t.backoffEnd()
