--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -130,6 +130,7 @@
 	case LoadReported:
 		if t := s.targets[ev.Target]; t != nil {
 			s.recordLoad(now, t, ev.Load, ev.Age)
+			return s.dispatch(now, t, out)
 		}
 	case ProbeEnded:
 		return s.probeEnded(now, ev, out)
