core: notice a cut from all targets with little traffic

Cause: connections that fall silent are noticed by requests and probes only, 250 ms or a deadline each, before the first new connection fails.

Change: after three attempts or probes in a row without a response, connections to three random targets are tried every 100 ms. Idempotent requests whose only attempt is unanswered are handed on too, as a retry. A request from another instance no longer counts for the retry budget here, because it counts where it arrived first: TestRandomEvents found that counting it here, and not there any more, allows a retry too many there.

Evidence: TestCutIsNoticedWithLittleTraffic; TestInstanceCutOffFromServersServes as before.

--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -55,16 +55,6 @@
 	b.total.requests++
 }
 
-// removeRequest undoes addRequest for a request that arrived at the given time.
-func (b *budget) removeRequest(now, arrived Instant) {
-	b.advance(now)
-	number := int64(arrived / budgetBucketWidth)
-	if bucket := b.bucket(number); number > b.newestBucket-int64(budgetBuckets) && bucket.requests > 0 {
-		bucket.requests--
-		b.total.requests--
-	}
-}
-
 // limitOf returns a limit from its parts, of which only the floor is a whole number. The parts of an instance are small
 // in a large fleet, where rounding all of them down would leave a large share of the budget unused. With a limit that
 // the fleet shares, each instance rounds up or down by its ID, so that the sum over the fleet stays the same.
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -9,6 +9,8 @@
 	switch {
 	case ev.Unreachable:
 		out = s.recordUnreachable(now, t, out)
+	case ev.Reason == ReasonSlow && !ev.Statement.Responded:
+		s.recordUnanswered(now)
 	case ev.Outcome == OutcomeAnswered, ev.Outcome == OutcomeRefused, ev.Statement.Responded:
 		out = s.recordReached(out)
 	}
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -145,6 +145,8 @@
 		out = s.recordUnreachable(now, t, out)
 	case ev.OK, ev.Load.Slots > 0, ev.Statement.Responded:
 		out = s.recordReached(out)
+	default:
+		s.recordUnanswered(now)
 	}
 	if s.probesLoad() {
 		return s.loadProbeEnded(now, t, ev, out)
--- a/pkg/core/reachability.go
+++ b/pkg/core/reachability.go
@@ -12,25 +12,43 @@
 	unreachableTargets  = 3
 	unreachableFailures = 5
 	unreachableTime     = 100 * time.Millisecond
-	// reachabilityCheckInterval is the mean interval at which connections to reachabilityCheckTargets random targets are
-	// tried while none can be reached, each for reachabilityCheckTimeout.
+	// suspectFailures is the number of attempts and probes without a response, one after the other, from which on
+	// connections to random targets are tried. An instance with little traffic would otherwise notice a cut too late.
+	suspectFailures = 3
+	// suspectCheckInterval and reachabilityCheckInterval are the mean intervals between these tries, before and after the
+	// targets are known to be unreachable. Each is for reachabilityCheckTargets targets and takes at most
+	// reachabilityCheckTimeout.
+	suspectCheckInterval      = 100 * time.Millisecond
 	reachabilityCheckInterval = 250 * time.Millisecond
-	reachabilityCheckTargets  = 2
+	reachabilityCheckTargets  = 3
 	reachabilityCheckTimeout  = 250 * time.Millisecond
 )
 
 // reachability is whether this instance can connect to the targets of a service. Evidence are connections that cannot
 // be opened: a target that is overloaded or slow still accepts them.
 type reachability struct {
-	unreachable    bool
-	failures       int            // since the last response of any target
+	unreachable bool
+	// unanswered is the number of attempts and probes without a response since the last response of any target, and
+	// failures that of failed connections.
+	unanswered     int
+	failures       int
 	failedTargets  []*targetState // the first unreachableTargets of them
 	firstFailureAt Instant
-	timer          timer // of the next check while unreachable is set
+	timer          timer // of the next check
+}
+
+// recordUnanswered records that a target did not respond, or that it could not be connected to.
+func (s *Service) recordUnanswered(now Instant) {
+	r := &s.reachability
+	r.unanswered++
+	if r.unanswered >= suspectFailures && r.timer.heapPosition == 0 {
+		s.schedule(&r.timer, now) // runs onReachabilityTimer in this step
+	}
 }
 
 // recordUnreachable records that no connection to t could be opened.
 func (s *Service) recordUnreachable(now Instant, t *targetState, out []Effect) []Effect {
+	s.recordUnanswered(now)
 	r := &s.reachability
 	if r.failures == 0 {
 		r.firstFailureAt = now
@@ -51,33 +69,43 @@
 // recordReached records that a target has responded, or accepted a connection.
 func (s *Service) recordReached(out []Effect) []Effect {
 	r := &s.reachability
-	r.failures = 0
+	r.unanswered, r.failures = 0, 0
+	s.unschedule(&r.timer)
 	clear(r.failedTargets)
 	r.failedTargets = r.failedTargets[:0]
 	if !r.unreachable {
 		return out
 	}
 	r.unreachable = false
-	s.unschedule(&r.timer)
 	return append(out, Effect{Kind: ReportReachability})
 }
 
-// onReachabilityTimer relays the requests that wait for targets which cannot be reached, and checks whether some can be
-// again.
+// onReachabilityTimer tries to connect to random targets. While none can be reached, it relays the requests that wait for
+// them.
 func (s *Service) onReachabilityTimer(now Instant, out []Effect) []Effect {
-	out = s.relayWaiting(now, out)
+	interval := suspectCheckInterval
+	if s.reachability.unreachable {
+		interval = reachabilityCheckInterval
+		out = s.relayWaiting(now, out)
+	}
 	for i := range min(reachabilityCheckTargets, len(s.usableTargets)) {
 		j := i + s.randIntN(len(s.usableTargets)-i)
 		s.usableTargets[i], s.usableTargets[j] = s.usableTargets[j], s.usableTargets[i]
 		out = append(out, Effect{Kind: CheckConnection, Target: s.usableTargets[i].id, At: now + reachabilityCheckTimeout})
 	}
-	s.schedule(&s.reachability.timer, now+s.jitter(reachabilityCheckInterval*4/3))
+	s.schedule(&s.reachability.timer, now+s.jitter(interval*4/3))
 	return out
 }
 
 func (s *Service) connectionChecked(now Instant, ev ConnectionChecked, out []Effect) []Effect {
-	if !ev.OK {
+	t := s.targets[ev.Target]
+	switch {
+	case t == nil:
 		return out
+	case ev.Unreachable:
+		return s.recordUnreachable(now, t, out)
+	case ev.OK:
+		return s.dispatch(now, t, s.recordReached(out))
 	}
-	return s.dispatch(now, s.targets[ev.Target], s.recordReached(out))
+	return out
 }
--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -23,14 +23,12 @@
 		r.attemptsLeft() > 0 && (r.class != ClassOnce || r.provedNotRun())
 }
 
-// attemptsLeft returns the number of attempts that may still reach a target.
-func (r *request) attemptsLeft() int { return r.maxAttempts - r.attemptsReached }
+// attemptsLeft returns the number of attempts that may still reach a target, apart from those in flight.
+func (r *request) attemptsLeft() int { return r.maxAttempts - r.attemptsReached - len(r.attempts) }
 
-// relay hands r to another instance. The request then counts there for the budgets.
+// relay hands r to another instance.
 func (s *Service) relay(now Instant, r *request, out []Effect) []Effect {
-	if r.relays == 0 {
-		s.budget.removeRequest(now, r.arrived)
-	}
+	left := r.attemptsLeft()
 	a := s.addAttempt(now, r, s.otherInstances)
 	r.relays++
 	r.phase = phaseInFlight
@@ -38,7 +36,7 @@
 	s.scheduleRequest(r)
 	return append(out, Effect{
 		Kind: RelayAttempt, Request: r.id, Attempt: a.id, At: r.deadline, FreshConnection: r.class == ClassOnce,
-		MaxAttempts: r.attemptsLeft(), DecisionInfo: s.requestInfo(now, r),
+		MaxAttempts: left, DecisionInfo: s.requestInfo(now, r),
 	})
 }
 
@@ -63,11 +61,12 @@
 	return s.sendOrQueue(now, r, out)
 }
 
-// relayWaiting hands the requests that wait for targets to other instances, and refuses those that come from one.
+// relayWaiting hands the requests that wait for targets to other instances, and refuses those that come from one. An
+// idempotent request also waits if its only attempt has no response yet: its connection may have fallen silent.
 func (s *Service) relayWaiting(now Instant, out []Effect) []Effect {
 	var waiting []*request
 	for _, r := range s.requests {
-		if r.phase == phaseProbing || r.phase == phaseQueued || r.phase == phaseBackoff {
+		if r.phase < phaseDecided && (r.phase != phaseInFlight || r.isUnanswered()) {
 			waiting = append(waiting, r)
 		}
 	}
@@ -76,10 +75,19 @@
 		switch {
 		case r.relayed:
 			out = s.cancelAndRefuse(now, r, ReasonUnreachable, out) // a further instance may serve it
-		case s.canRelay(now, r):
+		case !s.canRelay(now, r):
+		case r.phase != phaseInFlight:
 			s.stopWaiting(now, r)
 			out = s.relay(now, r, out)
+		case s.budget.takeRetry(now, &s.policy):
+			out = s.cancelExcept(now, r, nil, out)
+			out = s.relay(now, r, out)
 		}
 	}
 	return out
 }
+
+// isUnanswered reports whether r is idempotent and its only attempt, on a target, has no response yet.
+func (r *request) isUnanswered() bool {
+	return r.class != ClassOnce && !r.relayed && len(r.attempts) == 1 && !r.attempts[0].relay && r.attempts[0].respondedAt == never
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -168,7 +168,9 @@
 	if ev.Quarantined {
 		return s.refuse(now, r, ReasonCrashesTargets, out)
 	}
-	s.budget.addRequest(now)
+	if !ev.Relayed { // it counts where it arrived first
+		s.budget.addRequest(now)
+	}
 	s.requestsSinceTrial++
 	if ev.Relayed && s.reachability.unreachable {
 		return s.refuse(now, r, ReasonUnreachable, out)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -300,6 +300,8 @@
 type ConnectionChecked struct {
 	Target TargetID
 	OK     bool
+	// Unreachable is set if it could not. Neither is set if none was tried, because too many are open.
+	Unreachable bool
 }
 
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,8 @@
 	relayDialTimeout = 100 * time.Millisecond
 	// relayWaitLimit bounds the wait for a connection to an instance while all are in use.
 	relayWaitLimit = 20 * time.Millisecond
+	// relayHeaderBytes is more than the headers of a relay take.
+	relayHeaderBytes = 1 << 10
 )
 
 // relays hands requests to other instances. It is safe for concurrent use.
@@ -171,13 +174,17 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
-		e.dispatch(core.ConnectionChecked{Target: effect.Target, OK: client.Connect(ctx) == nil})
+		err := client.Connect(ctx)
+		failure := (*target.Error)(nil)
+		e.dispatch(core.ConnectionChecked{Target: effect.Target, OK: err == nil, Unreachable: errors.As(err, &failure) && failure.Unreachable})
 	}()
 }
 
 // NewRelayServer returns a server for requests that other instances hand to this one.
 func (g *Gateway) NewRelayServer() *Server {
-	return newServer(http.HandlerFunc(g.serveRelayed), g.cfg.HeaderLimits, g.log)
+	limits := g.cfg.HeaderLimits
+	limits.MaxBytes += relayHeaderBytes
+	return newServer(http.HandlerFunc(g.serveRelayed), limits, g.log)
 }
 
 // serveRelayed serves a request of another instance's caller.
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -114,11 +114,14 @@
 	return &Error{Outcome: core.OutcomeNotSent, Reason: reason, Failed: failed, Err: err}
 }
 
-// Connect opens a connection and keeps it for the next attempt. It fails if the limit of connections leaves no room.
+// Connect opens a connection and keeps it for the next attempt. Every error is an *Error. It fails without Unreachable if
+// the limit of connections leaves no room.
 func (c *Client) Connect(ctx context.Context) error {
 	conn, err := c.pool.leaseNew(ctx)
 	if err != nil {
-		return err
+		failure := notSentError(core.ReasonNotSent, true, err)
+		failure.Unreachable = !errors.Is(err, errNoConnection) && !errors.Is(err, errClientClosed)
+		return failure
 	}
 	c.pool.put(conn)
 	return nil
