admin, cli: show quarantined requests

Change: GET /v1/quarantine and status list the contents that are withheld. The API stays read-only.

Result: new rows of TestAPIContract; the others are unchanged.

--- a/cmd/burdockpitch/main_test.go
+++ b/cmd/burdockpitch/main_test.go
@@ -36,6 +36,7 @@
 		Budgets: core.BudgetView{Requests: 900, Retries: 12, Hedges: 3}, Queued: map[string]int{"once": 2, "lookup": 3},
 	}}
 }
+func (fakeSource) Quarantined() []admin.QuarantinedRequest { return nil }
 func (fakeSource) Instances() []admin.Instance {
 	return []admin.Instance{{Address: "10.0.0.1:9000", Zone: "qc-b", State: "live"}}
 }
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -36,6 +36,8 @@
 	Services() map[string]core.View
 	// Instances lists the other instances of the load balancer that this one knows of.
 	Instances() []Instance
+	// Quarantined lists the requests that are withheld because targets crash when they run them.
+	Quarantined() []QuarantinedRequest
 }
 
 // NewHandler returns the handler of the administration API. Each request reads the current state from src; metrics come
@@ -49,6 +51,7 @@
 	r.Get(PathTargets, jsonHandler(h.targets))
 	r.Get(PathInstances, jsonHandler(func() any { return Instances{emptyIfNil(src.Instances())} }))
 	r.Get(PathBudgets, jsonHandler(h.budgets))
+	r.Get(PathQuarantine, jsonHandler(func() any { return Quarantine{emptyIfNil(src.Quarantined())} }))
 	r.Post(PathCheck, h.check)
 	r.Get(PathMetrics, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}).ServeHTTP)
 	return r
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -25,8 +25,10 @@
 	conflicts []rules.Conflict
 	services  map[string]core.View
 	instances []Instance
+	withheld  []QuarantinedRequest
 }
 
+func (f fakeSource) Quarantined() []QuarantinedRequest   { return f.withheld }
 func (f fakeSource) Ready() error                        { return f.ready }
 func (f fakeSource) Configuration() []ConfigurationEntry { return f.inForce }
 func (f fakeSource) Refused() []Refusal                  { return f.refused }
@@ -49,6 +51,7 @@
 		},
 	},
 	instances: []Instance{{Address: "10.0.0.1:9000", Zone: "z", Start: "s", State: "live"}},
+	withheld:  []QuarantinedRequest{{Content: "00ff", Crashes: 3, IdleSeconds: 1.5}},
 }
 
 const (
@@ -67,6 +70,8 @@
 	}{
 		{"health", "GET", PathHealth, "", fakeSource{}, 200, `{"state":"ok"}`},
 		{"ready", "GET", PathReady, "", fakeSource{}, 200, `{"state":"ready"}`},
+		{"quarantine", "GET", PathQuarantine, "", populatedSource, 200, `{"requests":[{"content":"00ff","crashes":3,"idle_seconds":1.5}]}`},
+		{"nothing quarantined", "GET", PathQuarantine, "", fakeSource{}, 200, `{"requests":[]}`},
 		{"not ready", "GET", PathReady, "", fakeSource{ready: errors.New("stopping")}, 503, `{"state":"stopping"}`},
 		{"configuration", "GET", PathConfiguration, "", populatedSource, 200, `{"in_force":[{"service":"a","epoch":1,"revision":7,"based_on":{"epoch":1,"revision":6},"rules":2}],` +
 			`"refused":[{"service":"a","epoch":1,"revision":8,"source":"platform","time":"1970-01-01T00:00:00Z","reason":"invalid",` +
--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -16,6 +16,7 @@
 	PathTargets       = "/v1/targets"
 	PathInstances     = "/v1/instances"
 	PathBudgets       = "/v1/budgets"
+	PathQuarantine    = "/v1/quarantine"
 	PathCheck         = "/v1/check"
 	PathMetrics       = "/metrics"
 )
@@ -92,6 +93,21 @@
 	InContact bool `json:"in_contact"`
 }
 
+// Quarantine is the response body of PathQuarantine.
+type Quarantine struct {
+	Requests []QuarantinedRequest `json:"requests"`
+}
+
+// QuarantinedRequest is a request that is withheld because targets crash when they run it.
+type QuarantinedRequest struct {
+	// Content is the first part of the fingerprint in log lines.
+	Content string `json:"content"`
+	// Crashes is the number of targets that are known to have crashed.
+	Crashes int `json:"crashes"`
+	// IdleSeconds is the time since the last crash or withheld repeat.
+	IdleSeconds float64 `json:"idle_seconds"`
+}
+
 // Budgets is the response body of PathBudgets. The services are sorted by name.
 type Budgets struct {
 	Services []ServiceBudgets `json:"services"`
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -35,6 +35,8 @@
 	Targets       []ServiceTargets `json:"targets"`
 	Instances     []Instance       `json:"instances"`
 	Budgets       []ServiceBudgets `json:"budgets"`
+	// Quarantined lists the requests that are withheld.
+	Quarantined []QuarantinedRequest `json:"quarantined"`
 }
 
 // Status reads all parts of the status. The parts are read one after another, so they are not a consistent snapshot. It
@@ -46,19 +48,21 @@
 		targets   Targets
 		instances Instances
 		budgets   Budgets
+		withheld  Quarantine
 	)
 	for _, part := range []struct {
 		path string
 		dst  any
 	}{
 		{PathReady, &ready}, {PathConfiguration, &s.Configuration}, {PathTargets, &targets},
-		{PathInstances, &instances}, {PathBudgets, &budgets},
+		{PathInstances, &instances}, {PathBudgets, &budgets}, {PathQuarantine, &withheld},
 	} {
 		if err := c.get(ctx, part.path, part.dst); err != nil {
 			return Status{}, err
 		}
 	}
 	s.Ready, s.Targets, s.Instances, s.Budgets = ready.State, targets.Services, instances.Instances, budgets.Services
+	s.Quarantined = withheld.Requests
 	return s, nil
 }
 
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -23,6 +23,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
 	"github.com/burdockpitch/burdockpitch/pkg/logging"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/settings"
 )
@@ -163,6 +164,17 @@
 	return list
 }
 
+// Quarantined implements admin.Source.
+func (i *instance) Quarantined() []admin.QuarantinedRequest {
+	var list []admin.QuarantinedRequest
+	for _, r := range i.gateway.Quarantine().Quarantined() {
+		list = append(list, admin.QuarantinedRequest{
+			Content: quarantine.FormatContent(r.Content), Crashes: len(r.Crashes), IdleSeconds: r.Age.Seconds(),
+		})
+	}
+	return list
+}
+
 // run opens all listeners, serves until ctx ends and then stops gracefully. The control plane runs until the stop has
 // finished.
 func (i *instance) run(ctx context.Context) error {
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -27,6 +27,7 @@
 	writeTargets(w, s.Targets)
 	writeInstances(w, s.Instances)
 	writeBudgets(w, s.Budgets)
+	writeQuarantine(w, s.Quarantined)
 	return w.Flush()
 }
 
@@ -74,6 +75,14 @@
 	}
 }
 
+// writeQuarantine prints the requests that are withheld, if any.
+func writeQuarantine(w io.Writer, list []admin.QuarantinedRequest) {
+	for _, r := range list {
+		idle := time.Duration(r.IdleSeconds * float64(time.Second)).Round(time.Second)
+		fmt.Fprintf(w, "\nquarantined: content %s, %d targets crashed, last seen %s ago\n", r.Content, r.Crashes, idle)
+	}
+}
+
 func dashIfEmpty(text string) string {
 	if text == "" {
 		return "-"
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -71,7 +70,7 @@
 	}
 	q.mu.Unlock()
 	for _, effect := range effects {
-		content := fmt.Sprintf("%016x", effect.Content)
+		content := quarantine.FormatContent(effect.Content)
 		switch effect.Kind {
 		case quarantine.Quarantined:
 			q.log.Info("request quarantined", "content", content, "crashes", effect.Crashes)
@@ -108,6 +107,13 @@
 	return q.state.RecentRecords(q.clock.now())
 }
 
+// Quarantined returns the records of requests that are withheld.
+func (q *Quarantine) Quarantined() []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.QuarantinedRecords(q.clock.now())
+}
+
 // Merge implements peer.CrashRecords.
 func (q *Quarantine) Merge(records []quarantine.Record) {
 	q.dispatch(quarantine.RecordsReceived{Records: records})
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -28,4 +28,7 @@
 }
 
 // String returns the form in logs, "content/caller" in hexadecimal.
-func (f Fingerprint) String() string { return fmt.Sprintf("%016x/%016x", f.Content, f.Caller) }
+func (f Fingerprint) String() string { return FormatContent(f.Content) + "/" + FormatContent(f.Caller) }
+
+// FormatContent returns a content as it is written in logs.
+func FormatContent(content uint64) string { return fmt.Sprintf("%016x", content) }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -312,6 +312,13 @@
 	return n
 }
 
+// QuarantinedRecords returns the records of the contents of which requests are withheld, in ascending order of content.
+func (s *State) QuarantinedRecords(now time.Duration) []Record {
+	list := s.list(now, (*record).quarantined)
+	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Content, b.Content) })
+	return list
+}
+
 // Digest is a hash of the records without their ages. Instances with equal digests need not exchange them.
 func (s *State) Digest() uint64 {
 	var sum uint64
