admin, cli: show services that cannot be reached

Change: GET /v1/targets and status say when an instance can connect to no target of a service.

Result: a new row of TestAPIContract; the others are unchanged.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -81,7 +81,9 @@
 	views := h.src.Services()
 	list := Targets{Services: []ServiceTargets{}}
 	for _, name := range slices.Sorted(maps.Keys(views)) {
-		list.Services = append(list.Services, ServiceTargets{Service: name, Targets: emptyIfNil(views[name].Targets)})
+		list.Services = append(list.Services, ServiceTargets{
+			Service: name, Unreachable: views[name].Unreachable, Targets: emptyIfNil(views[name].Targets),
+		})
 	}
 	return list
 }
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -70,6 +70,8 @@
 	}{
 		{"health", "GET", PathHealth, "", fakeSource{}, 200, `{"state":"ok"}`},
 		{"ready", "GET", PathReady, "", fakeSource{}, 200, `{"state":"ready"}`},
+		{"unreachable", "GET", PathTargets, "", fakeSource{services: map[string]core.View{"a": {Unreachable: true}}}, 200,
+			`{"services":[{"service":"a","unreachable":true,"targets":[]}]}`},
 		{"quarantine", "GET", PathQuarantine, "", populatedSource, 200, `{"requests":[{"content":"00ff","crashes":3,"idle_seconds":1.5}]}`},
 		{"nothing quarantined", "GET", PathQuarantine, "", fakeSource{}, 200, `{"requests":[]}`},
 		{"not ready", "GET", PathReady, "", fakeSource{ready: errors.New("stopping")}, 503, `{"state":"stopping"}`},
--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -69,8 +69,10 @@
 
 // ServiceTargets holds the targets of one service.
 type ServiceTargets struct {
-	Service string            `json:"service"`
-	Targets []core.TargetView `json:"targets"`
+	Service string `json:"service"`
+	// Unreachable is set while the instance can connect to none of the targets and hands requests to others.
+	Unreachable bool              `json:"unreachable,omitempty"`
+	Targets     []core.TargetView `json:"targets"`
 }
 
 // Instances is the response body of PathInstances.
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -50,6 +50,9 @@
 func writeTargets(w io.Writer, list []admin.ServiceTargets) {
 	fmt.Fprintf(w, "\nSERVICE\tTARGET\tZONE\tSTATE\tREASON\tIN FLIGHT\tLIMIT\tLATENCY\n")
 	for _, s := range list {
+		if s.Unreachable {
+			fmt.Fprintf(w, "%s: this instance can connect to no target and hands requests to other instances\n", s.Service)
+		}
 		for _, t := range s.Targets {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n",
 				s.Service, t.ID, t.Zone, t.Status, dashIfEmpty(string(t.Reason)), t.InFlight, t.Limit, t.Latency.Round(10*time.Microsecond))
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -8,6 +8,8 @@
 	Budgets BudgetView   `json:"budgets"`
 	// Queued is the number of queued requests by class name.
 	Queued map[string]int `json:"queued"`
+	// Unreachable is set while this instance can connect to no target.
+	Unreachable bool `json:"unreachable,omitempty"`
 }
 
 // TargetStatus tells whether a target gets new requests and why not.
@@ -53,7 +55,8 @@
 		Budgets: BudgetView{
 			Requests: s.budget.total.requests, Retries: s.budget.total.retries, Hedges: s.budget.total.hedges,
 		},
-		Queued: make(map[string]int, numClasses),
+		Queued:      make(map[string]int, numClasses),
+		Unreachable: s.reachability.unreachable,
 	}
 	for c := range numClasses {
 		v.Queued[c.String()] = s.queue.classes[c].length
