gateway: compute fingerprints before the service is locked

Found by reading: fingerprints of long bodies were computed under the lock of the service, while there are crash records.

Change: the fingerprint is computed before the lock is taken.

Result: tests of the package pass with the race detector.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -104,6 +104,7 @@
 // submit starts a request. It sets the event's request ID and deadline, and whether the request is quarantined. The
 // request is pending before it is checked, so that refuseQuarantined finds it if it is quarantined after the check.
 func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter) *pendingRequest {
+	e.quarantine.prepare(f)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastID++
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -36,6 +36,13 @@
 	return q
 }
 
+// prepare computes the fingerprint of a request if blocks needs it, so that this is not done under a lock.
+func (q *Quarantine) prepare(f *fingerprinter) {
+	if !q.empty.Load() {
+		f.get()
+	}
+}
+
 // blocks reports whether a request is withheld, and records that it came again if so.
 func (q *Quarantine) blocks(f *fingerprinter) bool {
 	if q.empty.Load() {
