gateway, relay, app: choose only instances that answer, and keep those whose callers left

Found by reading: a caller that left, or a deadline, made the instance to which its request had been relayed count as failed for two seconds; and instances that did not answer their peers were still chosen.

Change: such relays are recorded as abandoned.

Result: a row of TestChoice; tests of the packages pass with the race detector.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -303,11 +303,11 @@
 	}
 }
 
-// peers returns the other instances that can be reached and are not leaving.
+// peers returns the other instances to which requests may be handed.
 func (c *controlPlane) peers() []relay.Peer {
 	var list []relay.Peer
 	for _, member := range c.node.Members() {
-		if member.InContact && !member.Leaving {
+		if member.Reachable {
 			list = append(list, relay.Peer{Address: member.Address, Zone: member.Zone})
 		}
 	}
--- a/pkg/core/reachability.go
+++ b/pkg/core/reachability.go
@@ -84,9 +84,12 @@
 // them.
 func (s *Service) onReachabilityTimer(now Instant, out []Effect) []Effect {
 	interval := suspectCheckInterval
-	if s.reachability.unreachable {
+	switch {
+	case s.reachability.unreachable:
 		interval = reachabilityCheckInterval
 		out = s.relayWaiting(now, out)
+	case len(s.usableTargets) == 0:
+		return out // the next failure schedules a check
 	}
 	for i := range min(reachabilityCheckTargets, len(s.usableTargets)) {
 		j := i + s.randIntN(len(s.usableTargets)-i)
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -111,7 +111,7 @@
 	}
 	response, err := client.Send(ctx, a)
 	if err != nil {
-		e.endRelay(p, id, peer, relay.Failed, newRelayFailedEvent(p.id, id, err))
+		e.endRelay(p, id, peer, resultOfFailure(err), newRelayFailedEvent(p.id, id, err))
 		return
 	}
 	outcome, reason := wire.TakeRelayOutcome(response.Header)
@@ -123,7 +123,7 @@
 	buffered := bufferResponse(response)
 	if buffered.err != nil {
 		buffered.close()
-		e.endRelay(p, id, peer, relay.Failed, newRelayFailedEvent(p.id, id, buffered.err))
+		e.endRelay(p, id, peer, resultOfFailure(buffered.err), newRelayFailedEvent(p.id, id, buffered.err))
 		return
 	}
 	buffered.relayedOutcome = outcome
@@ -141,6 +141,20 @@
 	ReasonRelayLimit:       relay.Busy,
 }
 
+// resultOfFailure returns what a relay without a response says about the other instance.
+func resultOfFailure(err error) relay.Result {
+	var failure *target.Error
+	switch {
+	case !errors.As(err, &failure):
+		return relay.Failed
+	case failure.Reason == target.ReasonNoConnection:
+		return relay.Busy
+	case failure.Reason == target.ReasonCancelled, failure.Reason == core.ReasonDeadline, failure.Reason == core.ReasonSlow:
+		return relay.Abandoned
+	}
+	return relay.Failed
+}
+
 // newRelayFailedEvent returns the event for a relay without a response. It says nothing about targets.
 func newRelayFailedEvent(request core.RequestID, id core.AttemptID, err error) core.AttemptEnded {
 	ev := newFailedEvent(request, id, err)
@@ -155,6 +169,7 @@
 
 var relayResultNames = map[relay.Result]string{
 	relay.Served: "served", relay.Unreachable: "declined", relay.Busy: "busy", relay.Failed: "failed",
+	relay.Abandoned: "abandoned",
 }
 
 // recordRelay records what became of a relay for the choice of further instances, metrics and the log.
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -430,6 +430,8 @@
 	// InContact reports whether any instance is known to have exchanged state with it within the last minute.
 	InContact bool `json:"in_contact"`
 	Leaving   bool `json:"leaving"`
+	// Reachable reports whether it is in contact, not leaving, and has answered this instance if asked recently.
+	Reachable bool `json:"reachable"`
 }
 
 // Members describes the other known instances at the time now.
@@ -437,7 +439,7 @@
 	list := make([]MemberStatus, 0, len(s.insertionOrder))
 	for _, address := range s.insertionOrder {
 		m := s.members[address]
-		list = append(list, MemberStatus{m.address, m.zone, m.start, m.listed, m.isInContact(now), m.leaving})
+		list = append(list, MemberStatus{m.address, m.zone, m.start, m.listed, m.isInContact(now), m.leaving, m.isReachable(now)})
 	}
 	return list
 }
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -35,6 +35,8 @@
 	Busy
 	// Failed: the connection to it failed.
 	Failed
+	// Abandoned: the request ended here before the instance decided on it, which says nothing about the instance.
+	Abandoned
 )
 
 // avoided is an instance, with a service or with none for all services.
--- a/pkg/relay/selector_test.go
+++ b/pkg/relay/selector_test.go
@@ -42,6 +42,7 @@
 		"busy for all services":        {results: map[Peer]Result{localA: Busy}, service: "other", want: []Peer{localB}},
 		"busy for a short time":        {results: map[Peer]Result{localA: Busy}, now: busyTime, want: []Peer{localA, localB}},
 		"unreachable for some time":    {results: map[Peer]Result{localA: Unreachable}, now: unreachableTime, want: []Peer{localA, localB}},
+		"request abandoned":            {results: map[Peer]Result{localA: Abandoned}, want: []Peer{localA, localB}},
 		"none is left":                 {results: map[Peer]Result{localA: Failed, localB: Failed, remoteC: Failed}},
 	} {
 		t.Run(name, func(t *testing.T) {
