core, gateway: tests of relays that mutations showed to be missing

Cause: of 20 mutations of the two changes, six survived: a request handed on twice (in the reducer, and at the boundary), a retry that the budget does not count, too few failures taken for a cut, headers of a refusal rewritten on the way, and a check that a request which may run once cannot reach (equivalent).

Change: tests for the first five.

Result: each of these mutations now fails a test.

--- a/pkg/core/reachability_test.go
+++ b/pkg/core/reachability_test.go
@@ -26,7 +26,9 @@
 	rt := newTestRuntime(t, 5)
 	require.Empty(t, failConnects(rt, 0, 1, 0, 1, 0, 1, 0, 1), "two targets")
 	rt.step(ProbeEnded{Target: targetID(3), OK: true})
-	require.Empty(t, failConnects(rt, 0, 1, 2, 0), "too few failures since the response")
+	require.Empty(t, failConnects(rt, 0, 1, 2), "too few failures since the response")
+	rt.advance(unreachableTime)
+	require.Empty(t, failConnects(rt, 0), "too few failures")
 	require.Equal(t, []bool{true}, failConnects(rt, 1, 2, 3))
 	rt.step(ProbeEnded{Target: targetID(3), Statement: Statement{Responded: true}})
 	require.Equal(t, ReportReachability, rt.lastEffects[0].Kind)
@@ -97,6 +99,12 @@
 	}
 	require.Equal(t, 1, r.relays)
 	require.Zero(t, r.decisions)
+
+	rt = newTestRuntime(t, 3, func(p *Policy) { p.MaxAttempts = 1 })
+	rt.step(FleetChanged{Instances: []string{"", "other"}})
+	rt.arrive(RequestArrived{Class: ClassOnce, Deadline: rt.now + time.Second, Relayed: true})
+	rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeNotSent, Reason: ReasonNotSent, Unreachable: true})
+	require.Equal(t, ReasonAttemptsExhausted, rt.refusal().Reason, "from another instance")
 }
 
 // TestReturnAfterCut guards against an instance that hands requests on although it can connect to targets again, or that
@@ -139,5 +147,6 @@
 	}
 	require.True(t, rt.s.reachability.unreachable)
 	require.Equal(t, 1, lookup.relays)
+	require.Equal(t, 1, rt.s.budget.total.retries, "the first attempt may have reached its target")
 	require.Zero(t, once.relays+once.decisions)
 }
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/relay"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
@@ -107,8 +108,26 @@
 	}
 }
 
-// Guards against a request that wanders between instances none of which reaches a target, and against a false outcome.
-func TestRequestIsRefusedIfNoInstanceReachesTargets(t *testing.T) {
+// Guards against a refusal by another instance that loses its reason or its Retry-After on the way.
+func TestRefusalByAnotherInstanceIsPassedOn(t *testing.T) {
+	otherInstance, other := startRelayTest(t, "127.0.0.1:1")
+	f := quarantine.NewFingerprint(http.MethodPost, "example.com", "/x?y", []byte("body"), "192.0.2.1") // of httptest.NewRequest
+	otherInstance.Quarantine().Merge([]quarantine.Record{{Content: f.Content, Crashes: []quarantine.Crash{
+		{Target: 1, Caller: f.Caller}, {Target: 2, Caller: f.Caller}, {Target: 3, Caller: f.Caller},
+	}}})
+	w := serveOnce(startCutOff(t, other), "body")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, string(core.ReasonCrashesTargets), w.Header().Get(wire.HeaderReason))
+	require.Equal(t, string(wire.OutcomeNotRun), w.Header().Get(wire.HeaderOutcome))
+	require.Equal(t, "60", w.Header().Get("Retry-After"))
+}
+
+// Guards against a request that wanders from one instance to the next, and against a false outcome: the instances to which
+// it may be handed reach no target, but one of theirs does.
+func TestRequestIsHandedOnOnce(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	_, served := startRelayTest(t, strings.TrimPrefix(server.URL, "http://"))
 	var addresses []string
 	for range 3 {
 		other := startCutOff(t)
@@ -118,7 +137,8 @@
 		go server.Serve(l)
 		t.Cleanup(func() { server.Close() })
 		other.SetFleet([]string{"", "others"})
-		other.SetPeers([]relay.Peer{{Address: "127.0.0.1:1"}})
+		other.SetPeers([]relay.Peer{{Address: served}})
+		require.Equal(t, http.StatusOK, serveOnce(other, "").Code, "its own callers are served")
 		addresses = append(addresses, l.Addr().String())
 	}
 	g := startCutOff(t, addresses...)
