gateway, core, docs: usual terms for relays

Read as a newcomer: "hand on" and "cut" are not terms of the field where relay and partition are meant, and the check of connections stood beside the relays.

--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -70,7 +70,7 @@
 // ServiceTargets holds the targets of one service.
 type ServiceTargets struct {
 	Service string `json:"service"`
-	// Unreachable is set while the instance can connect to none of the targets and hands requests to others.
+	// Unreachable is set while the instance can connect to none of the targets and relays requests to others.
 	Unreachable bool              `json:"unreachable,omitempty"`
 	Targets     []core.TargetView `json:"targets"`
 }
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -51,7 +51,7 @@
 	fmt.Fprintf(w, "\nSERVICE\tTARGET\tZONE\tSTATE\tREASON\tIN FLIGHT\tLIMIT\tLATENCY\n")
 	for _, s := range list {
 		if s.Unreachable {
-			fmt.Fprintf(w, "%s: this instance can connect to no target and hands requests to other instances\n", s.Service)
+			fmt.Fprintf(w, "%s: this instance can connect to no target and relays requests to other instances\n", s.Service)
 		}
 		for _, t := range s.Targets {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n",
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -15,7 +15,7 @@
 	respondedAt Instant // time of AttemptCommitted or of the cancellation; equals never until then
 	cancelled   bool
 	dropped     bool // its 5xx response is not delivered, because another attempt is in flight or follows
-	relay       bool // handed to another instance
+	relay       bool // relayed to another instance
 	trial       bool // a trial request to an ejected target
 	// statementRecorded is set once the statement on the response has been applied.
 	statementRecorded bool
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -13,7 +13,7 @@
 	target    TargetID
 	start     int // start number of the target known when the attempt was sent
 	sentAt    Instant
-	relay     bool // handed to another instance
+	relay     bool // relayed to another instance
 	committed bool
 	cancelled bool
 }
@@ -212,7 +212,7 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
-// checkRelay checks that a request may be handed to another instance.
+// checkRelay checks that a request may be relayed to another instance.
 func (rt *testRuntime) checkRelay(e Effect) {
 	r := rt.submitted(e.Request)
 	switch {
--- a/pkg/core/reachability.go
+++ b/pkg/core/reachability.go
@@ -13,7 +13,7 @@
 	unreachableFailures = 5
 	unreachableTime     = 100 * time.Millisecond
 	// suspectFailures is the number of attempts and probes without a response, one after the other, from which on
-	// connections to random targets are tried. An instance with little traffic would otherwise notice a cut too late.
+	// connections to random targets are tried. An instance with little traffic would otherwise notice a partition too late.
 	suspectFailures = 3
 	// suspectCheckInterval and reachabilityCheckInterval are the mean intervals between these tries, before and after the
 	// targets are known to be unreachable. Each is for reachabilityCheckTargets targets and takes at most
--- a/pkg/core/reachability_test.go
+++ b/pkg/core/reachability_test.go
@@ -50,7 +50,7 @@
 var declined = AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonUnreachable}
 
 // TestRequestIsRelayedWhileCutOff guards against requests that wait for targets which cannot be reached, and against one
-// that is handed to another instance although it may have run, came from one, or has nobody to go to.
+// that is relayed to another instance although it may have run, came from one, or has nobody to go to.
 func TestRequestIsRelayedWhileCutOff(t *testing.T) {
 	rt := cutOff(t)
 	r := rt.submit(ClassOnce, time.Second)
@@ -107,7 +107,7 @@
 	require.Equal(t, ReasonAttemptsExhausted, rt.refusal().Reason, "from another instance")
 }
 
-// TestReturnAfterCut guards against an instance that hands requests on although it can connect to targets again, or that
+// TestReturnAfterCut guards against an instance that relays requests although it can connect to targets again, or that
 // does not try to.
 func TestReturnAfterCut(t *testing.T) {
 	rt := cutOff(t)
--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// This file hands requests to another instance while this one can connect to no target. The other instance treats such a
-// request as one of its callers', but never hands it on. Instances that cannot serve it say so within a round trip.
+// This file relays requests to another instance while this one can connect to no target. The other instance treats such a
+// request as one of its callers', but never relays it again. Instances that cannot serve it say so within a round trip.
 
 const (
-	// maxRelays bounds the instances to which one request is handed, one after the other.
+	// maxRelays bounds the instances to which one request is relayed, one after the other.
 	maxRelays = 6
 	// relayPause is how long no request is relayed after no instance was left that may serve one.
 	relayPause = 500 * time.Millisecond
 )
 
-// canRelay reports whether r may be handed to another instance: its outcome is still the one it would have here, and
+// canRelay reports whether r may be relayed to another instance: its outcome is still the one it would have here, and
 // another instance may serve it.
 func (s *Service) canRelay(now Instant, r *request) bool {
 	return len(s.fleet) > 1 && now >= s.relayPausedUntil && !r.relayed && r.relays < maxRelays && now < r.deadline &&
@@ -26,7 +26,7 @@
 // attemptsLeft returns the number of attempts that may still reach a target, apart from those in flight.
 func (r *request) attemptsLeft() int { return r.maxAttempts - r.attemptsReached - len(r.attempts) }
 
-// relay hands r to another instance.
+// relay sends r to another instance, which decides on it.
 func (s *Service) relay(now Instant, r *request, out []Effect) []Effect {
 	left := r.attemptsLeft()
 	a := s.addAttempt(now, r, s.otherInstances)
@@ -61,7 +61,7 @@
 	return s.sendOrQueue(now, r, out)
 }
 
-// relayWaiting hands the requests that wait for targets to other instances, and refuses those that come from one. An
+// relayWaiting relays the requests that wait for targets to other instances, and refuses those that come from one. An
 // idempotent request also waits if its only attempt has no response yet: its connection may have fallen silent.
 func (s *Service) relayWaiting(now Instant, out []Effect) []Effect {
 	var waiting []*request
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -56,7 +56,7 @@
 	attemptsReached int
 	unconnected     bool
 	relayed         bool // by another instance
-	relays          int  // number of instances to which it was handed
+	relays          int  // number of instances to which it was relayed
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	callerLeft bool
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -220,7 +220,7 @@
 	Hops int
 	// Quarantined is set if targets crash when they run the request, so that it must not be sent.
 	Quarantined bool
-	// Relayed is set if another instance, which can connect to no target, has handed the request on. It is not handed on
+	// Relayed is set if another instance, which can connect to no target, has relayed the request. It is not relayed
 	// again.
 	Relayed bool
 }
@@ -337,7 +337,7 @@
 const (
 	// SendAttempt: send the request to Target before Deadline.
 	SendAttempt EffectKind = iota + 1
-	// RelayAttempt: hand the request to another instance, which may make MaxAttempts attempts before Deadline At.
+	// RelayAttempt: relay the request to another instance, which may make MaxAttempts attempts before Deadline At.
 	// AttemptCommitted and AttemptEnded report on it as on an attempt. OutcomeRefused means that the other instance did
 	// not run the request and that a further one may serve it.
 	RelayAttempt
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -23,7 +23,7 @@
 type fingerprinter struct {
 	request *http.Request
 	body    []byte
-	relayed *wire.RelayedRequest // set if another instance handed the request on
+	relayed *wire.RelayedRequest // set if another instance relayed the request
 
 	once  sync.Once
 	value quarantine.Fingerprint
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -52,7 +52,7 @@
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
-		relays:       counter("relays_total", "Requests handed to other instances by what became of them.", "service", "result"),
+		relays:       counter("relays_total", "Requests relayed to other instances by what became of them.", "service", "result"),
 		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -28,7 +28,7 @@
 	relayHeaderBytes = 1 << 10
 )
 
-// relays hands requests to other instances. It is safe for concurrent use.
+// relays sends requests to other instances. It is safe for concurrent use.
 type relays struct {
 	clock    clock
 	cfg      target.Config
@@ -51,7 +51,7 @@
 	return &relays{clock: ck, cfg: c, selector: relay.NewSelector(string(cfg.Policy.Zone)), clients: make(map[string]*target.Client)}
 }
 
-// SetPeers replaces the other instances, to which requests are handed while no target can be reached.
+// SetPeers replaces the other instances, to which requests are relayed while no target can be reached.
 func (g *Gateway) SetPeers(peers []relay.Peer) { g.relays.setPeers(peers) }
 
 func (r *relays) setPeers(peers []relay.Peer) {
@@ -70,7 +70,7 @@
 	}
 }
 
-// choose returns the instance to hand a request to, and false if none may serve it.
+// choose returns the instance to relay a request to, and false if none may serve it.
 func (r *relays) choose(service string) (peer relay.Peer, client *target.Client, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -92,7 +92,7 @@
 	r.selector.Ended(r.clock.now(), peer.Address, service, result)
 }
 
-// startRelay hands a request to another instance in the background.
+// startRelay sends a request to another instance in the background.
 func (e *engine) startRelay(effect core.Effect) {
 	ctx, p, state, a := e.newAttempt(effect)
 	a.Header = a.Header.Clone()
@@ -182,20 +182,7 @@
 	}
 }
 
-// checkConnection opens a connection to a target, which serves the next attempt on it, and reports whether it could.
-func (e *engine) checkConnection(effect core.Effect) {
-	client, _ := e.clients.get(effect.Target)
-	deadline := e.clock.timeAt(effect.At)
-	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), deadline)
-		defer cancel()
-		err := client.Connect(ctx)
-		failure := (*target.Error)(nil)
-		e.dispatch(core.ConnectionChecked{Target: effect.Target, OK: err == nil, Unreachable: errors.As(err, &failure) && failure.Unreachable})
-	}()
-}
-
-// NewRelayServer returns a server for requests that other instances hand to this one.
+// NewRelayServer returns a server for requests that other instances relay to this one.
 func (g *Gateway) NewRelayServer() *Server {
 	limits := g.cfg.HeaderLimits
 	limits.MaxBytes += relayHeaderBytes
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -23,7 +23,7 @@
 )
 
 // startRelayTest starts an instance that may use the targets at the given addresses, and returns it with the address at
-// which other instances hand requests on to it.
+// which other instances relay requests to it.
 func startRelayTest(t *testing.T, targets ...string) (g *Gateway, relayAddress string) {
 	doc, err := rules.Parse("test", []byte("service = \"s\"\nepoch = 1\nrevision = 1\n[rules]\n"+
 		"a = { path = \"/*\", class = \"lookup\", deadline = \"2s\" } # asked by the test\n"))
@@ -123,8 +123,8 @@
 }
 
 // Guards against a request that wanders from one instance to the next, and against a false outcome: the instances to which
-// it may be handed reach no target, but one of theirs does.
-func TestRequestIsHandedOnOnce(t *testing.T) {
+// it may be relayed reach no target, but one of theirs does.
+func TestRequestIsRelayedOnce(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
 	_, served := startRelayTest(t, strings.TrimPrefix(server.URL, "http://"))
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -25,7 +25,7 @@
 	complete bool // prefix holds the whole body
 	gaveUp   bool // the target relays that an instance gave up on a nested call
 	err      error
-	// relayedOutcome is set on the response of another instance to which the request was handed. Its status can be that
+	// relayedOutcome is set on the response of another instance to which the request was relayed. Its status can be that
 	// of a refusal, which is final all the same.
 	relayedOutcome wire.Outcome
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -41,7 +41,7 @@
 	arrived  time.Time
 	rule     *rules.Rule
 	service  string               // selected from the rule's traffic split
-	relayed  *wire.RelayedRequest // set if another instance handed the request on
+	relayed  *wire.RelayedRequest // set if another instance relayed the request
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) { g.serveCall(g.newCall(w, r)) }
@@ -286,7 +286,7 @@
 	g.recordResult(c, result{outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status})
 }
 
-// setRelayOutcome states the outcome to the instance that handed the request on, if any.
+// setRelayOutcome states the outcome to the instance that relayed the request, if any.
 func (c *call) setRelayOutcome(outcome wire.Outcome, reason core.Reason) {
 	if c.relayed == nil {
 		return
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -81,7 +81,7 @@
 	*Node
 	docs    *fakeDocuments
 	crashes CrashRecords
-	// relayListener accepts the connections on which other instances hand requests on.
+	// relayListener accepts the connections on which other instances relay requests.
 	relayListener net.Listener
 	registry      *prometheus.Registry
 	signals       chan membership.Sign
--- a/pkg/peer/relay.go
+++ b/pkg/peer/relay.go
@@ -8,10 +8,10 @@
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 )
 
-// Other instances hand requests on over HTTP, at the same address. The first byte tells the two protocols apart: it is the
+// Other instances relay requests over HTTP, at the same address. The first byte tells the two protocols apart: it is the
 // high byte of a frame's length, which is zero, or the first letter of an HTTP method.
 
-// relayListener is the listener of the connections on which other instances hand requests on.
+// relayListener is the listener of the connections on which other instances relay requests.
 type relayListener struct {
 	address   net.Addr
 	conns     chan net.Conn
@@ -51,7 +51,7 @@
 	}
 }
 
-// RelayListener returns the listener of the connections on which other instances hand requests on. Until it is called,
+// RelayListener returns the listener of the connections on which other instances relay requests. Until it is called,
 // such connections are closed. It must be called before Run.
 func (n *Node) RelayListener(address net.Addr) net.Listener {
 	n.relays = newRelayListener(address)
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -1,4 +1,4 @@
-// Package relay chooses the instance to which a request is handed by one that can connect to no target.
+// Package relay chooses the instance to which a request is relayed by one that can connect to no target.
 package relay
 
 import (
@@ -22,7 +22,7 @@
 	Zone    string
 }
 
-// Result is how an instance dealt with a request that was handed to it.
+// Result is how an instance dealt with a request that was relayed to it.
 type Result uint8
 
 // The results of a relay.
@@ -66,7 +66,7 @@
 	}
 }
 
-// Choose returns the instance to hand a request of a service to, and false if none may serve it. Each call that returns
+// Choose returns the instance to relay a request of a service to, and false if none may serve it. Each call that returns
 // one must be followed by Ended.
 func (s *Selector) Choose(now time.Duration, service string, rng *rand.Rand) (Peer, bool) {
 	var local, remote []Peer
@@ -94,7 +94,7 @@
 	return chosen, true
 }
 
-// Ended records the result of a request that was handed to an instance.
+// Ended records the result of a request that was relayed to an instance.
 func (s *Selector) Ended(now time.Duration, address, service string, result Result) {
 	if s.inFlight[address]--; s.inFlight[address] <= 0 {
 		delete(s.inFlight, address)
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Headers between two instances, when one hands a request to the other.
+// Headers between two instances, when one relays a request to the other.
 const (
 	// HeaderRelayCaller carries the IP address of the caller.
 	HeaderRelayCaller = "Burdockpitch-Relay-Caller"
@@ -20,7 +20,7 @@
 	HeaderRelayReason  = "Burdockpitch-Relay-Reason"
 )
 
-// RelayedRequest is what an instance states about a request that it hands to another one.
+// RelayedRequest is what an instance states about a request that it relays to another one.
 type RelayedRequest struct {
 	CallerIP string
 	Service  string
