gateway, wire: apply leaving signals on relayed responses

Cause: a response with a leaving signal that passed through an instance which reached no target was not recorded there.

Change: the instance that serves a relayed request states the target that announces that it leaves; the other one applies the signal like one of its own.

Result: TestRelayedResponseAnnouncesLeaving fails without the change.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -114,20 +114,24 @@
 		e.endRelay(p, id, peer, resultOfFailure(err), newRelayFailedEvent(p.id, id, err))
 		return
 	}
-	outcome, reason := wire.TakeRelayOutcome(response.Header)
-	if result, declined := declinedRelays[core.Reason(reason)]; declined && outcome == wire.OutcomeNotRun {
+	relayed := wire.TakeRelayedResponse(response.Header)
+	reason := core.Reason(relayed.Reason)
+	if result, declined := declinedRelays[reason]; declined && relayed.Outcome == wire.OutcomeNotRun {
 		_ = response.Body.Close()
-		e.endRelay(p, id, peer, result, core.AttemptEnded{Request: p.id, Attempt: id, Outcome: core.OutcomeRefused, Reason: core.Reason(reason)})
+		e.endRelay(p, id, peer, result, core.AttemptEnded{Request: p.id, Attempt: id, Outcome: core.OutcomeRefused, Reason: reason})
 		return
 	}
+	if relayed.LeavingTarget != "" {
+		e.dispatch(core.TargetLeaving{Target: core.TargetID(relayed.LeavingTarget), Start: relayed.Start})
+	}
 	buffered := bufferResponse(response)
 	if buffered.err != nil {
 		buffered.close()
 		e.endRelay(p, id, peer, resultOfFailure(buffered.err), newRelayFailedEvent(p.id, id, buffered.err))
 		return
 	}
-	buffered.relayedOutcome = outcome
-	e.recordRelay(p, peer, relay.Served, outcome, reason)
+	buffered.relayedOutcome = relayed.Outcome
+	e.recordRelay(p, peer, relay.Served, relayed.Outcome, relayed.Reason)
 	e.offerResponse(p, id, state, buffered)
 }
 
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// Guards against requests to a target that announced, on a response which passed through this instance, that it leaves.
+func TestRelayedResponseAnnouncesLeaving(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(wire.HeaderLeaving, "1")
+		w.Header().Set(wire.HeaderStart, "s1")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	_, other := startRelayTest(t, address)
+	g := startCutOff(t, other)
+	require.Equal(t, http.StatusOK, serveOnce(g, "").Code)
+	g.SetTargets(discovery.InstanceList{Instances: []discovery.Instance{
+		{Service: "s", Address: address, Start: "s1", State: discovery.StateLive},
+	}})
+	require.Equal(t, core.TargetStatusLeaving, g.Status()["s"].Targets[0].Status)
+}
+
 // Guards against a refusal by another instance that loses its reason or its Retry-After on the way.
 func TestRefusalByAnotherInstanceIsPassedOn(t *testing.T) {
 	otherInstance, other := startRelayTest(t, "127.0.0.1:1")
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -235,7 +235,11 @@
 		// The attempt ends before the response is written, so that a slow caller does not occupy the target's slot.
 		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, delivered))
 	}
-	c.setRelayOutcome(d.response.outcome(), "")
+	relayed := wire.RelayedResponse{Outcome: d.response.outcome()}
+	if d.response.Metadata.Leaving {
+		relayed.LeavingTarget, relayed.Start = string(d.target), d.response.Metadata.StartID
+	}
+	c.setRelayHeaders(relayed)
 	end := c.writeResponse(d.response)
 	if !d.response.complete {
 		d.response.close()
@@ -275,24 +279,22 @@
 		target: d.target, attempts: d.attemptsStarted, outcome: outcome, reason: d.refusal.Reason, status: refusalStatus(d.refusal),
 		decisionInfo: d.refusal.DecisionInfo, retryAfter: d.refusal.RetryAfter,
 	}
-	c.setRelayOutcome(outcome, res.reason)
+	c.setRelayHeaders(wire.RelayedResponse{Outcome: outcome, Reason: string(res.reason)})
 	c.writeRefusal(res.status, outcome, res.reason, d.refusal.RetryAfter)
 	g.recordResult(c, res)
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
-	c.setRelayOutcome(wire.OutcomeNotRun, rejected.reason)
+	c.setRelayHeaders(wire.RelayedResponse{Outcome: wire.OutcomeNotRun, Reason: string(rejected.reason)})
 	c.writeRefusal(rejected.status, wire.OutcomeNotRun, rejected.reason, rejected.retryAfter)
 	g.recordResult(c, result{outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status})
 }
 
-// setRelayOutcome states the outcome to the instance that relayed the request, if any.
-func (c *call) setRelayOutcome(outcome wire.Outcome, reason core.Reason) {
-	if c.relayed == nil {
-		return
+// setRelayHeaders informs the instance that relayed the request, if any.
+func (c *call) setRelayHeaders(r wire.RelayedResponse) {
+	if c.relayed != nil {
+		r.SetHeaders(c.Header())
 	}
-	c.Header().Set(wire.HeaderRelayOutcome, string(outcome))
-	c.Header().Set(wire.HeaderRelayReason, string(reason))
 }
 
 // result is the end of a request, for metrics and the log.
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -18,6 +18,9 @@
 	// HeaderRelayOutcome carries the Outcome on the response, and HeaderRelayReason the reason for a refusal.
 	HeaderRelayOutcome = "Burdockpitch-Relay-Outcome"
 	HeaderRelayReason  = "Burdockpitch-Relay-Reason"
+	// HeaderRelayLeaving names the target that announces on the response that it leaves, and HeaderRelayStart its start ID.
+	HeaderRelayLeaving = "Burdockpitch-Relay-Leaving"
+	HeaderRelayStart   = "Burdockpitch-Relay-Start"
 )
 
 // RelayedRequest is what an instance states about a request that it relays to another one.
@@ -47,12 +50,36 @@
 	return r, err == nil && attempts > 0 && attempts <= maxRelayAttempts && r.CallerIP != "" && r.Service != ""
 }
 
-// TakeRelayOutcome returns the outcome and the reason that an instance states on a response, and removes them.
-func TakeRelayOutcome(h http.Header) (o Outcome, reason string) {
-	o, reason = Outcome(h.Get(HeaderRelayOutcome)), h.Get(HeaderRelayReason)
-	h.Del(HeaderRelayOutcome)
-	h.Del(HeaderRelayReason)
-	return o, reason
+// RelayedResponse is what an instance states about its response to a relayed request.
+type RelayedResponse struct {
+	Outcome Outcome
+	// Reason is the reason for a refusal.
+	Reason string
+	// LeavingTarget is the target that announces on the response that it leaves, and Start its start ID; empty if none
+	// does.
+	LeavingTarget, Start string
+}
+
+// SetHeaders encodes r.
+func (r RelayedResponse) SetHeaders(h http.Header) {
+	h.Set(HeaderRelayOutcome, string(r.Outcome))
+	h.Set(HeaderRelayReason, r.Reason)
+	if r.LeavingTarget != "" {
+		h.Set(HeaderRelayLeaving, r.LeavingTarget)
+		h.Set(HeaderRelayStart, r.Start)
+	}
+}
+
+// TakeRelayedResponse decodes a RelayedResponse and removes its headers.
+func TakeRelayedResponse(h http.Header) RelayedResponse {
+	r := RelayedResponse{
+		Outcome: Outcome(h.Get(HeaderRelayOutcome)), Reason: h.Get(HeaderRelayReason),
+		LeavingTarget: h.Get(HeaderRelayLeaving), Start: h.Get(HeaderRelayStart),
+	}
+	for _, name := range []string{HeaderRelayOutcome, HeaderRelayReason, HeaderRelayLeaving, HeaderRelayStart} {
+		h.Del(name)
+	}
+	return r
 }
 
 // errNotRelayed is returned for a response that is not from an instance.
