quarantine, peer: bound the crash records in a request

Cause: an instance sends all records that changed within 5 s with each contact. With many of them (1,024 records of 16 crashes take 364 KB) its peers drop the request as larger than 256 KB, and with it documents and leaving signals.

Change: at most 256 records, quarantined ones first; the reply, which may be 2 MB, still has all of them.

Result: TestRecentCrashRecordsFitARequest and TestRecordsAreBounded.

--- a/pkg/peer/crash_test.go
+++ b/pkg/peer/crash_test.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/rpc"
 	"testing"
 	"time"
 
@@ -70,6 +73,25 @@
 	requireSameRecords(t, append(nodes, restarted), waitTimeout)
 }
 
+// Guards against a request that peers drop as too large, because many records changed at once.
+func TestRecentCrashRecordsFitARequest(t *testing.T) {
+	records := newCrashRecords()
+	var list []quarantine.Record
+	for range quarantine.MaxRecords {
+		r := quarantine.Record{Content: rand.Uint64()}
+		for range quarantine.MaxCrashes {
+			r.Crashes = append(r.Crashes, quarantine.Crash{Target: rand.Uint64(), Caller: rand.Uint64()})
+		}
+		list = append(list, r)
+	}
+	records.Merge(list)
+	var frame bytes.Buffer
+	require.NoError(t, writeFrame(&frame, &rpc.Request{}, &Exchange{Crashes: records.RecentRecords()}))
+	require.Less(t, frame.Len(), maxRequestSize/2) // lists of documents and leaving signals need the rest
+	frame.Reset()
+	require.NoError(t, writeFrame(&frame, &rpc.Response{}, &Exchange{Crashes: records.Records()}))
+}
+
 // Guards against records of another instance that are too large or malformed.
 func TestInvalidCrashRecordsAreRejected(t *testing.T) {
 	for name, records := range map[string][]quarantine.Record{
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 	// MaxRecords and MaxCrashes bound the records and the crashes of each.
 	MaxRecords = 1024
 	MaxCrashes = 16
+	// maxRecentRecords bounds RecentRecords, which instances send to others with each contact.
+	maxRecentRecords = 256
 )
 
 // Crash is the crash of one target while it ran a request of one caller.
@@ -337,9 +339,14 @@
 	return s.list(now, func(*record) bool { return true })
 }
 
-// RecentRecords returns the records that changed within the last seconds.
+// RecentRecords returns the records that changed within the last seconds, at most maxRecentRecords. Quarantined ones come
+// first.
 func (s *State) RecentRecords(now time.Duration) []Record {
-	return s.list(now, func(r *record) bool { return now-r.changedAt < recentTime })
+	recent := func(quarantined bool) []Record {
+		return s.list(now, func(r *record) bool { return now-r.changedAt < recentTime && r.quarantined() == quarantined })
+	}
+	list := append(recent(true), recent(false)...)
+	return list[:min(len(list), maxRecentRecords)]
 }
 
 func (s *State) list(now time.Duration, include func(*record) bool) []Record {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -129,8 +129,8 @@
 	require.Empty(t, reduce(s, 0, RecordsReceived{[]Record{{Content: 1, Crashes: []Crash{{Target: 1}}, Age: suspectTTL}}}), "expired elsewhere")
 }
 
-// Guards against memory that grows with the number of requests that crash targets, and against suspects that push out
-// quarantined requests.
+// Guards against memory and messages that grow with the number of requests that crash targets, and against suspects that
+// push out quarantined requests.
 func TestRecordsAreBounded(t *testing.T) {
 	s := New()
 	reduce(s, 0, crash(1, suspect), crash(2, suspect), crash(3, suspect))
@@ -139,6 +139,10 @@
 	}
 	require.Len(t, s.Records(0), MaxRecords)
 	require.True(t, s.Blocks(suspect))
+	recent := s.RecentRecords(time.Second)
+	require.Len(t, recent, maxRecentRecords)
+	require.Equal(t, suspect.Content, recent[0].Content)
+	require.Empty(t, s.RecentRecords(time.Second+recentTime))
 }
 
 // Guards against fingerprints that differ between repeats of a request or are equal for different requests.
