--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -194,8 +194,8 @@
 // all requests that were in flight on it.
 const minPushInterval = 50 * time.Millisecond
 
-// runRounds passes rounds and changes of documents and crash records to the membership. The jitter keeps the rounds of instances that started
-// together from coinciding.
+// runRounds passes rounds and changes of documents and crash records to the membership. The jitter keeps the rounds of
+// instances that started together from coinciding.
 func (n *Node) runRounds(ctx context.Context) {
 	timer := time.NewTimer(rand.N(n.cfg.RoundInterval/4 + 1))
 	defer timer.Stop()
