--- a/pkg/core/histories_test.go
+++ b/pkg/core/histories_test.go
@@ -8,8 +8,8 @@
 )
 
 // This file drives the reducer through every history of one request that spec/request.pml explores: each attempt may
-// end in each way at each moment, the caller may leave, the request may be quarantined, and time may advance to the next retry or past the deadline.
-// testRuntime checks every step against its own records.
+// end in each way at each moment, the caller may leave, the request may be quarantined, and time may advance to the next
+// retry or past the deadline. testRuntime checks every step against its own records.
 
 // historyDepth is the largest number of steps in a history: enough for three attempts to start and end, plus one step.
 const historyDepth = 6
