gateway, wire: ignore relay headers of targets

Found by reading: the headers in which an instance states the outcome of a relayed request were replaced by those of the target's response, if it had any. A target could state "not-run, unreachable" for a request that it ran, so that the request was sent again, or report any other target as leaving.

Cause: response headers of the target are copied after the instance has set its own.

Change: these headers are removed from every response of a target, also for direct callers.

Evidence: TestTargetCannotStateOutcomeOfRelay fails without the change.

--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -52,6 +52,7 @@
 // writeHeaders forwards the status and the end-to-end headers of a response.
 func (c *callerWriter) writeHeaders(resp *bufferedResponse) {
 	removeHopByHop(resp.Header)
+	wire.RemoveRelayedResponse(resp.Header) // a target's would replace those of this instance
 	h := c.Header()
 	for name, values := range resp.Header {
 		h[name] = values
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,6 +109,24 @@
 	}
 }
 
+// Guards against a target that states the outcome of a relayed request in place of the instance that served it: a request
+// that has run would be sent again, or reported as not run.
+func TestTargetCannotStateOutcomeOfRelay(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		wire.RelayedResponse{
+			Outcome: wire.OutcomeNotRun, Reason: string(core.ReasonUnreachable), LeavingTarget: "victim", Start: "1",
+		}.SetHeaders(w.Header())
+	}))
+	defer server.Close()
+	_, other := startRelayTest(t, strings.TrimPrefix(server.URL, "http://"))
+	w := serveOnce(startCutOff(t, other), "")
+	require.Equal(t, http.StatusOK, w.Code)
+	require.EqualValues(t, 1, runs.Load())
+	require.Equal(t, string(wire.OutcomeAnswered), w.Header().Get(wire.HeaderOutcome))
+}
+
 // Guards against requests to a target that announced, on a response which passed through this instance, that it leaves.
 func TestRelayedResponseAnnouncesLeaving(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -76,10 +76,15 @@
 		Outcome: Outcome(h.Get(HeaderRelayOutcome)), Reason: h.Get(HeaderRelayReason),
 		LeavingTarget: h.Get(HeaderRelayLeaving), Start: h.Get(HeaderRelayStart),
 	}
+	RemoveRelayedResponse(h)
+	return r
+}
+
+// RemoveRelayedResponse removes the headers of a RelayedResponse. Targets must not set them.
+func RemoveRelayedResponse(h http.Header) {
 	for _, name := range []string{HeaderRelayOutcome, HeaderRelayReason, HeaderRelayLeaving, HeaderRelayStart} {
 		h.Del(name)
 	}
-	return r
 }
 
 // errNotRelayed is returned for a response that is not from an instance.
