quarantine: count crashed targets, not pairs of target and caller

Found by reading: if a request of one caller had crashed a target and was acquitted, the crash of the same target under another caller's request was not counted, and the request was withheld one crash too late. Logs and status named the number of pairs as that of targets. A quarantined request that made room for another was dropped without a log line.

Cause: neighbours in the sorted list were compared before the acquitted ones had been left out.

Change: targets are counted over the crashes that count. Removing a record reports its release wherever it happens.

Evidence: the row "crash under two callers, one acquitted before" fails without the change; TestEffects checks the number.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -169,7 +169,7 @@
 	var list []admin.QuarantinedRequest
 	for _, r := range i.gateway.Quarantine().Quarantined() {
 		list = append(list, admin.QuarantinedRequest{
-			Content: quarantine.FormatContent(r.Content), Crashes: len(r.Crashes), IdleSeconds: r.Age.Seconds(),
+			Content: quarantine.FormatContent(r.Content), Crashes: r.Targets(), IdleSeconds: r.Age.Seconds(),
 		})
 	}
 	return list
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -80,7 +80,7 @@
 		content := quarantine.FormatContent(effect.Content)
 		switch effect.Kind {
 		case quarantine.Quarantined:
-			q.log.Info("request quarantined", "content", content, "crashes", effect.Crashes)
+			q.log.Info("request quarantined", "content", content, "targets", effect.Targets)
 			q.onQuarantined(effect.Content)
 		case quarantine.Released:
 			q.log.Info("request no longer quarantined", "content", content)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -53,6 +53,20 @@
 	Age time.Duration
 }
 
+// Targets returns the number of targets that crashed.
+func (r Record) Targets() int { return countTargets(r.Crashes) }
+
+// countTargets returns the number of different targets in crashes, which are sorted by target.
+func countTargets(crashes []Crash) int {
+	n := 0
+	for i, c := range crashes {
+		if i == 0 || c.Target != crashes[i-1].Target {
+			n++
+		}
+	}
+	return n
+}
+
 // Input is one event with its time.
 type Input struct {
 	// Now is the monotonic time since the start of the process.
@@ -101,8 +115,8 @@
 type Effect struct {
 	Kind    EffectKind
 	Content uint64
-	// Crashes is the number of targets that crashed under the request.
-	Crashes int
+	// Targets is the number of targets that crashed under the request.
+	Targets int
 }
 
 // record is what this instance knows of one request. Times are values of Input.Now.
@@ -153,7 +167,7 @@
 			return out
 		}
 		r.crashes = nil
-		s.makeRoom()
+		out = s.makeRoom(out)
 		s.records[r.content] = r
 	}
 	r.seenAt = max(r.seenAt, now-remote.Age)
@@ -189,9 +203,9 @@
 	r.changedAt = now
 	switch quarantined := r.quarantined(); {
 	case quarantined && !quarantinedBefore:
-		out = append(out, Effect{Kind: Quarantined, Content: r.content, Crashes: len(r.crashes)})
+		out = append(out, Effect{Kind: Quarantined, Content: r.content, Targets: countTargets(r.crashes)})
 	case !quarantined && quarantinedBefore:
-		out = append(out, Effect{Kind: Released, Content: r.content, Crashes: len(r.crashes)})
+		out = append(out, Effect{Kind: Released, Content: r.content, Targets: countTargets(r.crashes)})
 	}
 	return append(out, Effect{Kind: RecordsChanged})
 }
@@ -221,24 +235,17 @@
 // those of several callers. Crashes under the requests of one other caller do not block it, since the cause may be
 // something about that caller.
 func (r *record) blocks(caller uint64) bool {
-	own, all, callers := 0, 0, 0
-	for i, c := range r.crashes {
+	own, all := 0, make([]Crash, 0, MaxCrashes)
+	for _, c := range r.crashes {
 		if c.Caller == caller && !c.CallerAcquitted {
 			own++
 		}
-		if c.ContentAcquitted {
-			continue
-		}
-		if i == 0 || c.Target != r.crashes[i-1].Target {
-			all++
-		}
-		if !slices.ContainsFunc(r.crashes[:i], func(earlier Crash) bool {
-			return earlier.Caller == c.Caller && !earlier.ContentAcquitted
-		}) {
-			callers++
+		if !c.ContentAcquitted {
+			all = append(all, c)
 		}
 	}
-	return own >= crashLimit || all >= crashLimit && callers > 1
+	ofSeveralCallers := slices.ContainsFunc(all, func(c Crash) bool { return c.Caller != all[0].Caller })
+	return own >= crashLimit || ofSeveralCallers && countTargets(all) >= crashLimit
 }
 
 // quarantined reports whether requests of any caller are withheld.
@@ -257,22 +264,18 @@
 		return out
 	}
 	s.nextExpiryAt = now + expiryInterval
-	for content, r := range s.records {
-		if !r.expired(now) {
-			continue
-		}
-		if r.quarantined() {
-			out = append(out, Effect{Kind: Released, Content: content, Crashes: len(r.crashes)})
+	for _, r := range s.records {
+		if r.expired(now) {
+			out = s.remove(r, out)
 		}
-		delete(s.records, content)
 	}
 	return out
 }
 
 // makeRoom removes a record if there are MaxRecords: the one seen longest ago, suspects first.
-func (s *State) makeRoom() {
+func (s *State) makeRoom(out []Effect) []Effect {
 	if len(s.records) < MaxRecords {
-		return
+		return out
 	}
 	var oldest *record
 	for _, r := range s.records {
@@ -280,7 +283,15 @@
 			oldest = r
 		}
 	}
-	delete(s.records, oldest.content)
+	return s.remove(oldest, out)
+}
+
+func (s *State) remove(r *record, out []Effect) []Effect {
+	delete(s.records, r.content)
+	if !r.quarantined() {
+		return out
+	}
+	return append(out, Effect{Kind: Released, Content: r.content, Targets: countTargets(r.crashes)})
 }
 
 // compareRetention orders records by which of them is removed first.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,12 @@
 			[]Event{crash(1, suspect), crash(2, otherCaller), crash(3, thirdCaller), ResponseReceived{otherCaller}},
 			map[Fingerprint]bool{suspect: false, otherCaller: false, thirdCaller: false},
 		},
+		"crash under two callers, one acquitted before": {
+			[]Event{
+				crash(1, suspect), ResponseReceived{suspect}, crash(1, otherCaller), crash(2, otherCaller), crash(3, thirdCaller),
+			},
+			map[Fingerprint]bool{otherCaller: true, thirdCaller: true},
+		},
 		"response to another request": {
 			[]Event{crash(1, suspect), crash(2, suspect), ResponseReceived{other}, crash(3, suspect)}, map[Fingerprint]bool{suspect: true},
 		},
@@ -77,6 +84,11 @@
 	}
 }
 
+func recordOf(s *State, content uint64) Record {
+	list := s.Records(0)
+	return list[slices.IndexFunc(list, func(r Record) bool { return r.Content == content })]
+}
+
 // Guards against effects that are missing, so that requests in progress go on, or repeated, so that instances exchange
 // records without end.
 func TestEffects(t *testing.T) {
@@ -86,6 +98,9 @@
 	require.Equal(t, []EffectKind{RecordsChanged, Quarantined, RecordsChanged}, reduce(s, 0, crash(2, suspect), crash(3, suspect)))
 	require.Equal(t, []EffectKind{Released, RecordsChanged}, reduce(s, 0, ResponseReceived{suspect}))
 	require.Empty(t, reduce(s, 0, ResponseReceived{suspect}, RecordsReceived{s.Records(0)}))
+
+	reduce(s, 0, crash(1, other), crash(1, Fingerprint{Content: 2, Caller: 9}))
+	require.Equal(t, 1, recordOf(s, 2).Targets())
 }
 
 // Guards against instances that disagree forever because they received crashes and acquittals in different orders.
