e2e: reserve the loopback network of a test process

Cause: each deployment draws a random loopback network, which two processes can share.

Change: a listener on the port before the first one reserves the network.

--- a/internal/e2e/deployment.go
+++ b/internal/e2e/deployment.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/prometheus/common/expfmt"
@@ -286,7 +288,7 @@
 // LoopbackAddresses returns n addresses on a random loopback network, with ports below the ephemeral range. No outgoing
 // connection takes such a port while the process that listens on it restarts.
 func LoopbackAddresses(n int) []string {
-	network := randomLoopbackNetwork()
+	network := reserveLoopbackNetwork()
 	list := make([]string, n)
 	for i := range list {
 		list[i] = fmt.Sprintf("%s.1:%d", network, firstPort+i)
@@ -294,9 +296,26 @@
 	return list
 }
 
-// randomLoopbackNetwork returns the first three octets of a random loopback network.
-func randomLoopbackNetwork() string {
-	return fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+// reservations keeps the listeners that reserve loopback networks for this process open.
+var reservations struct {
+	mu        sync.Mutex
+	listeners []net.Listener
+}
+
+// reserveLoopbackNetwork returns the first three octets of a random loopback network that no other test process uses. A
+// listener on the port before firstPort reserves the network until the process ends.
+func reserveLoopbackNetwork() string {
+	for {
+		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", network, firstPort-1))
+		if err != nil {
+			continue // another process has reserved it
+		}
+		reservations.mu.Lock()
+		defer reservations.mu.Unlock()
+		reservations.listeners = append(reservations.listeners, l)
+		return network
+	}
 }
 
 // SetFault enables a fault on the target stand-in at addr.
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -77,7 +77,7 @@
 	}
 	f := &Fleet{
 		Cluster: c, PlatformAddress: addr, GroupCount: 1,
-		network: randomLoopbackNetwork(), client: http.Client{Timeout: requestTimeout},
+		network: reserveLoopbackNetwork(), client: http.Client{Timeout: requestTimeout},
 	}
 	if _, err := c.Start("standin", "platform", "--listen", addr); err != nil {
 		return nil, err
