gateway, peer: contain panics in connection checks and first bytes

Found by reading: two new goroutines, one that checks a connection to a target and the part of a peer connection that waits for the first byte, did not contain a panic, which would end the process.

Change: both are covered like all others.

Result: tests of the packages pass with the race detector; no test provokes a panic in these two places.

--- a/pkg/gateway/reachability.go
+++ b/pkg/gateway/reachability.go
@@ -29,6 +29,7 @@
 	client, _ := e.clients.get(effect.Target)
 	deadline := e.clock.timeAt(effect.At)
 	go func() {
+		defer e.recoverConnectionCheck()
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 		err := client.Connect(ctx)
--- a/pkg/gateway/recover.go
+++ b/pkg/gateway/recover.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// recoverConnectionCheck ends a panic while a connection is checked. It must be deferred.
+func (e *engine) recoverConnectionCheck() {
+	if cause := recover(); cause != nil {
+		e.logPanic("connection check", cause)
+	}
+}
+
 func (e *engine) logPanic(task string, cause any) {
 	e.metrics.panics.WithLabelValues(e.name, task).Inc()
 	e.log.Info("panic contained", "task", task, "cause", eris.Errorf("%v", cause).Error(), "stack", string(debug.Stack()))
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -47,6 +47,7 @@
 		return
 	}
 	go func() {
+		defer n.recoverPanic("serve peer", conn.RemoteAddr().String())
 		relay := n.isRelay(conn)
 		if relay && n.relays != nil {
 			<-n.connectionSlots
@@ -57,7 +58,6 @@
 		defer conn.Close()
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		defer stop()
-		defer n.recoverPanic("serve peer", conn.RemoteAddr().String())
 		n.serveConnection(ctx, conn)
 	}()
 }
