gateway: compute fingerprints of answered requests before the service is locked

Found by reading: a response acquits its request, whose fingerprint was computed under the lock of the service if there had been no crash records when the request arrived.

Change: the fingerprint is computed before the lock is taken.

Result: tests of the package pass with the race detector.

--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -282,6 +282,9 @@
 
 // endAttempt reports the end of an attempt and frees its resources.
 func (e *engine) endAttempt(p *pendingRequest, id core.AttemptID, ev core.AttemptEnded) {
+	if ev.Outcome == core.OutcomeAnswered {
+		e.quarantine.prepare(p.fingerprint)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := p.attempts[id]
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -36,7 +36,8 @@
 	return q
 }
 
-// prepare computes the fingerprint of a request if blocks needs it, so that this is not done under a lock.
+// prepare computes the fingerprint of a request if blocks or recordResponse needs it, so that this is not done under the
+// lock of a service.
 func (q *Quarantine) prepare(f *fingerprinter) {
 	if !q.empty.Load() {
 		f.get()
@@ -129,7 +130,8 @@
 // Changed implements peer.CrashRecords.
 func (q *Quarantine) Changed() <-chan struct{} { return q.changed }
 
-// refuseQuarantined refuses the requests in progress that have been quarantined.
+// refuseQuarantined refuses the requests in progress that have been quarantined. It computes the fingerprints of all requests
+// in progress under the locks of their services, which is rare: once for each content that is quarantined.
 func (g *Gateway) refuseQuarantined(content uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
