--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -303,7 +303,7 @@
 	}
 }
 
-// peers returns the other instances to which requests may be handed.
+// peers returns the other instances to which requests may be relayed.
 func (c *controlPlane) peers() []relay.Peer {
 	var list []relay.Peer
 	for _, member := range c.node.Members() {
