peer: count bytes and messages between instances

Cause: no metric shows what instances send to each other, so that a rise of the traffic between zones is visible only at the network.

Change: peer_bytes_total and peer_messages_total count each frame by message, direction and zone of the other instance. The zone is looked up per frame, because an instance can be listed after its connection was accepted.

Measured: go test ./pkg/peer/... passes; cost per frame not measured.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -37,7 +37,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	client := rpc.NewClientWithCodec(newCodec(conn, MaxMessageSize))
+	client := rpc.NewClientWithCodec(n.newCountedCodec(conn, MaxMessageSize))
 	defer client.Close()
 
 	local, remote := n.localState(), &Exchange{}
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -72,23 +72,33 @@
 	return value, 1 + count
 }
 
+// writeFrame encodes and writes one frame.
 func writeFrame(w io.Writer, header, body any) error {
+	frame, err := marshalFrame(header, body)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return eris.Wrap(err, "write frame of peer message")
+}
+
+// marshalFrame returns the bytes of one frame, including its length.
+func marshalFrame(header, body any) ([]byte, error) {
 	var buf bytes.Buffer
 	buf.Write(make([]byte, frameLengthSize))
 	enc := gob.NewEncoder(&buf)
 	if err := enc.Encode(header); err != nil {
-		return eris.Wrap(err, "encode header of peer message")
+		return nil, eris.Wrap(err, "encode header of peer message")
 	}
 	if err := enc.Encode(body); err != nil {
-		return eris.Wrap(err, "encode body of peer message")
+		return nil, eris.Wrap(err, "encode body of peer message")
 	}
 	frame := buf.Bytes()
 	if len(frame)-frameLengthSize > MaxMessageSize {
-		return errTooLarge
+		return nil, errTooLarge
 	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameLengthSize))
-	_, err := w.Write(frame)
-	return eris.Wrap(err, "write frame of peer message")
+	return frame, nil
 }
 
 // decodeBody decodes and validates a body. A nil body is skipped.
@@ -111,6 +121,7 @@
 	conn      io.ReadWriteCloser
 	readLimit int // maximum size of a received message in bytes
 	dec       *gob.Decoder
+	traffic   *trafficCounter // nil if frames are not counted
 	// firstErr is the first read or write error. It is kept because rpc.Server does not return errors of writing a reply.
 	firstErr error
 }
@@ -128,6 +139,31 @@
 	if err := c.dec.Decode(header); err != nil {
 		return c.recordError(fmt.Errorf("%w: %v", errMalformed, err))
 	}
+	c.traffic.count(methodOf(header), directionIn, frameLengthSize+len(frame))
+	return nil
+}
+
+// methodOf returns the method of a call from the header of its request or reply.
+func methodOf(header any) string {
+	switch h := header.(type) {
+	case *rpc.Request:
+		return h.ServiceMethod
+	case *rpc.Response:
+		return h.ServiceMethod
+	}
+	return ""
+}
+
+// write sends one frame of the call of a method.
+func (c *codec) write(method string, header, body any) error {
+	frame, err := marshalFrame(header, body)
+	if err != nil {
+		return err
+	}
+	if _, err := c.conn.Write(frame); err != nil {
+		return eris.Wrap(err, "write frame of peer message")
+	}
+	c.traffic.count(method, directionOut, len(frame))
 	return nil
 }
 
@@ -151,14 +187,16 @@
 
 // WriteResponse implements rpc.ServerCodec.
 func (c *codec) WriteResponse(r *rpc.Response, body any) error {
-	if err := writeFrame(c.conn, r, body); err != nil {
+	if err := c.write(r.ServiceMethod, r, body); err != nil {
 		return c.recordError(err)
 	}
 	return nil
 }
 
 // WriteRequest implements rpc.ClientCodec.
-func (c *codec) WriteRequest(r *rpc.Request, body any) error { return writeFrame(c.conn, r, body) }
+func (c *codec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(r.ServiceMethod, r, body)
+}
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *codec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
--- a/pkg/peer/follow.go
+++ b/pkg/peer/follow.go
@@ -144,6 +144,6 @@
 	if err != nil {
 		return eris.Wrapf(err, "connect to %s", f.address)
 	}
-	f.conn, f.client = conn, rpc.NewClientWithCodec(newCodec(conn, MaxMessageSize))
+	f.conn, f.client = conn, rpc.NewClientWithCodec(f.node.newCountedCodec(conn, MaxMessageSize))
 	return nil
 }
--- a/pkg/peer/metrics.go
+++ b/pkg/peer/metrics.go
@@ -9,6 +9,7 @@
 	pulledDocuments    prometheus.Counter
 	fleetSize          prometheus.Gauge
 	panics             *prometheus.CounterVec
+	traffic            *trafficMetrics
 }
 
 // NewMetrics registers the metrics with reg.
@@ -25,6 +26,7 @@
 			Namespace: "burdockpitch", Name: "fleet_size", Help: "Largest number of entry instances seen in ten minutes.",
 		}),
 	}
+	m.traffic = newTrafficMetrics(reg)
 	reg.MustRegister(m.contacts, m.droppedConnections, m.pulledDocuments, m.fleetSize, m.panics)
 	return m
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -78,7 +78,7 @@
 		n.log.Error(err, "cannot register peer service")
 		return
 	}
-	c := newCodec(conn, maxRequestSize)
+	c := n.newCountedCodec(conn, maxRequestSize)
 	for {
 		if err := conn.SetDeadline(time.Now().Add(n.cfg.IdleTimeout + maxFollowWait)); err != nil {
 			return
