core: targets in evacuated availability zones are not usable

Cause: operators need to take a zone out of service by an order that all instances follow. Change: the event EvacuationChanged replaces the evacuated zones. A listed target in one of them is not usable, so no attempt, hedge, retry, trial, health probe or load probe is sent to it; waiting requests are decided again in the same step, with the reason evacuated if no other target is left. When the order ends, load, latency and warm-up state of the target are discarded, and with probes it gets no requests before it has answered one.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -142,7 +142,7 @@
 		}
 		if s.usableCount == 0 {
 			s.removeFromQueue(now, r)
-			out = s.refuse(now, r, ReasonNoTarget, out)
+			out = s.refuse(now, r, s.noTargetReason(), out)
 			continue
 		}
 		t := s.chooseTarget(now, r, false)
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -49,12 +49,14 @@
 	return order
 }
 
-// enterBacklog puts r into the backlog, or refuses it if the service is stopping, the backlog is full or r would miss
-// its deadline.
+// enterBacklog puts r into the backlog, or refuses it if the service is stopping, no target is usable, the backlog is full
+// or r would miss its deadline.
 func (s *Service) enterBacklog(now Instant, r *request, out []Effect) []Effect {
 	switch {
 	case s.stopping && r.attemptsStarted == 0:
 		return s.refuse(now, r, ReasonStopping, out)
+	case s.usableCount == 0:
+		return s.refuse(now, r, s.noTargetReason(), out)
 	case len(s.backlog.waiting) >= s.policy.QueueLimit:
 		return s.refuse(now, r, ReasonQueueFull, out)
 	case now+s.expectedBacklogWait(now, r)+s.runTime(r) > r.deadline:
@@ -105,7 +107,7 @@
 	for _, r := range s.waitingInOrder(now) {
 		if s.usableCount == 0 {
 			s.leaveBacklog(now, r)
-			out = s.refuse(now, r, ReasonNoTarget, out)
+			out = s.refuse(now, r, s.noTargetReason(), out)
 			continue
 		}
 		if t, _ := s.bestReported(now, r, freshReportAge); t != nil {
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -100,10 +100,10 @@
 	return s.sendLoadProbes(now, targets, count, accept, func(t *targetState) { r.probedTargets = append(r.probedTargets, t) }, out)
 }
 
-// isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit may have
-// ended.
+// isWorthProbing reports whether a load probe of t can help a request: t may receive one now or once it has answered, or
+// its rate limit may have ended.
 func (s *Service) isWorthProbing(t *targetState, now Instant) bool {
-	return s.isAvailable(t, now) || !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.isCheckDue(now)
+	return !t.ejection.active && now >= t.backoffEnd() && (t.rateLimit.admits(now) || t.rateLimit.isCheckDue(now))
 }
 
 // sendLoadProbes probes up to count random targets that accept admits, and calls onProbed for each. A target with a
@@ -135,9 +135,9 @@
 	return out
 }
 
-// probesEnded reports whether no probe that r waits for is still in flight.
+// probesEnded reports whether no probe that r waits for is still in flight. The load of evacuated targets is not needed.
 func (r *request) probesEnded() bool {
-	return !slices.ContainsFunc(r.probedTargets, func(t *targetState) bool { return t.probing })
+	return !slices.ContainsFunc(r.probedTargets, func(t *targetState) bool { return t.probing && !t.evacuated })
 }
 
 // reviewProbingRequests decides again on all requests that wait for load probes, after a probe has ended.
@@ -221,6 +221,7 @@
 // loadProbeEnded applies the result of a load probe of t.
 func (s *Service) loadProbeEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
 	t.probing = false
+	t.recordProbeAnswer(ev)
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
 	t.unhealthy = !ev.OK
 	switch {
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -59,6 +59,12 @@
 // scheduleProbes runs onProbeTimer at the end of the current step.
 func (s *Service) scheduleProbes(now Instant) { s.schedule(&s.healthProbeBudget.timer, now) }
 
+// sendsHealthProbes reports whether the policy has health probes.
+func (s *Service) sendsHealthProbes() bool {
+	p := &s.policy
+	return p.ProbeShare > 0 && p.ProbeCost > 0 && !p.Selection.isBaseline() && !s.probesLoad()
+}
+
 // onProbeTimer sends at most one health probe and schedules the next check. If the service probes targets for their
 // load, it handles the backlog instead.
 func (s *Service) onProbeTimer(now Instant, out []Effect) []Effect {
@@ -66,7 +72,7 @@
 		return s.onBacklogTimer(now, out)
 	}
 	p := &s.policy
-	if p.ProbeShare <= 0 || p.ProbeCost <= 0 || p.Selection.isBaseline() || s.stopping {
+	if !s.sendsHealthProbes() || s.stopping {
 		return out // a policy change schedules the next check
 	}
 	allowance := s.probeAllowance()
@@ -151,6 +157,7 @@
 	if s.probesLoad() {
 		return s.loadProbeEnded(now, t, ev, out)
 	}
+	t.recordProbeAnswer(ev)
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.observedAt = now
--- a/pkg/core/reachability.go
+++ b/pkg/core/reachability.go
@@ -48,6 +48,9 @@
 
 // recordUnreachable records that no connection to t could be opened.
 func (s *Service) recordUnreachable(now Instant, t *targetState, out []Effect) []Effect {
+	if t.evacuated { // the zone may be without power
+		return out
+	}
 	s.recordUnanswered(now)
 	r := &s.reachability
 	if r.failures == 0 {
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -187,7 +187,7 @@
 		return s.refuse(now, r, ReasonDeadline, out)
 	}
 	if s.usableCount == 0 {
-		return s.refuse(now, r, ReasonNoTarget, out)
+		return s.refuse(now, r, s.noTargetReason(), out)
 	}
 	if s.reachability.unreachable && s.canRelay(now, r) {
 		return s.relay(now, r, out)
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -35,7 +35,7 @@
 	case now+stated >= r.deadline:
 		return ReasonRateLimit, out
 	case s.usableCount == 0:
-		return ReasonNoTarget, out
+		return s.noTargetReason(), out
 	case !s.budget.takeRetry(now, &s.policy):
 		return ReasonRetryBudget, append(out, Effect{Kind: CountDenied, Reason: cause})
 	}
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -131,9 +131,10 @@
 	return nil
 }
 
-// isAvailable reports whether t is not ejected or in backoff, and admits a request by the rate that it states.
+// isAvailable reports whether t is not ejected or in backoff, has answered a probe if it has to, and admits a request by
+// the rate that it states.
 func (s *Service) isAvailable(t *targetState, now Instant) bool {
-	return !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.admits(now)
+	return !t.ejection.active && now >= t.backoffEnd() && !t.awaitsProbe(now) && t.rateLimit.admits(now)
 }
 
 // hasCapacity reports whether t may receive an attempt now: it is available and below its in-flight limit. Baselines
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -46,6 +46,7 @@
 
 	targets        map[TargetID]*targetState
 	startHistories map[TargetID]*startHistory
+	evacuatedZones []Zone
 	listedTargets  []*targetState // in the order of the target list
 	usableTargets  []*targetState // selection changes the order
 	localTargets   []*targetState // usable targets in this instance's zone; selection changes the order
@@ -84,13 +85,14 @@
 	return s
 }
 
-// Successor returns a service with the policy and the leaving signals of s, but without targets and requests. It replaces
+// Successor returns a service with the policy, the leaving signals and the evacuated zones of s, but without targets and requests. It replaces
 // a service whose state may be inconsistent after a panic.
 func (s *Service) Successor() *Service {
 	successor := NewService(s.policy)
 	successor.startHistories = s.startHistories
 	successor.fleet = s.fleet
 	successor.stopping = s.stopping
+	successor.evacuatedZones = s.evacuatedZones
 	return successor
 }
 
@@ -122,6 +124,8 @@
 	case PolicyChanged:
 		s.setPolicy(now, ev.Policy)
 		return s.dispatch(now, nil, out)
+	case EvacuationChanged:
+		return s.setEvacuatedZones(now, ev.Zones, out)
 	case FleetChanged:
 		s.setFleet(now, ev.Instances)
 	case TargetLeaving:
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -9,7 +9,11 @@
 	starts  *startHistory
 	leaving bool // cached starts.leaving()
 	listed  bool
-	timer   timer
+	// evacuated is set while the zone of t is evacuated.
+	evacuated bool
+	// unprobedUntil is the time until which t gets no requests unless it answers a probe; 0 if it need not.
+	unprobedUntil Instant
+	timer         timer
 
 	inFlight int
 	attempts list[attempt] // in flight, in order of sending
@@ -48,8 +52,8 @@
 	probedAt          Instant // start of the latest probe
 }
 
-// usable reports whether t may get new attempts: it is listed and not leaving.
-func (t *targetState) usable() bool { return t.listed && !t.leaving }
+// usable reports whether t may get new attempts and probes: it is listed, not leaving, and its zone is not evacuated.
+func (t *targetState) usable() bool { return t.listed && !t.leaving && !t.evacuated }
 
 // setTargets replaces the list of targets and drops the state of those no longer listed.
 func (s *Service) setTargets(now Instant, entries []Target, out []Effect) []Effect {
@@ -135,6 +139,7 @@
 
 // refreshTargets recomputes everything that depends on the set of usable targets.
 func (s *Service) refreshTargets(now Instant) {
+	s.applyEvacuation(now)
 	s.usableCount, s.limitSum, s.allFull = 0, 0, false
 	s.usableTargets, s.localTargets = s.usableTargets[:0], s.localTargets[:0]
 	for _, t := range s.listedTargets {
@@ -168,6 +173,9 @@
 	if wait := t.rateLimit.wait(now); wait > 0 && wait != never {
 		at = min(at, now+wait)
 	}
+	if t.awaitsProbe(now) {
+		at = min(at, t.unprobedUntil)
+	}
 	if now < t.slowStartUntil {
 		at = min(at, now+slowStartRecheckInterval, t.slowStartUntil)
 	}
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -89,6 +89,8 @@
 	switch {
 	case t.leaving:
 		return TargetStatusLeaving, ReasonDraining
+	case t.evacuated:
+		return TargetStatusEvacuated, ReasonEvacuated
 	case t.ejection.active:
 		return TargetStatusEjected, t.ejection.reason
 	case now < t.backoffEnd():
