gateway: pass evacuated zones to all services

Cause: the reducer of each service needs the orders, also a service that appears later. Measured: not measured.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -87,6 +87,9 @@
 	mu      sync.Mutex
 	engines map[string]*engine
 	fleet   []string // of the latest SetFleet, sorted
+	// evacuatedZones are those of the latest SetEvacuatedZones, sorted.
+	evacuatedZones []string
+	hasTargetList  bool // SetTargets was called
 }
 
 // New returns a gateway without rules and targets. It refuses every request until SetDocuments is called.
@@ -152,6 +155,10 @@
 	for name, e := range g.engines {
 		e.dispatch(core.TargetsChanged{Targets: byService[name]})
 	}
+	if !g.hasTargetList {
+		g.hasTargetList = true
+		g.logEvacuations("availability zone is evacuated", g.evacuatedZones)
+	}
 }
 
 // SetFleetSize sets the number of instances that share the targets. A number below the InstanceCount of the policy that
@@ -199,6 +206,7 @@
 	if e == nil {
 		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.relays, g.metrics, g.log)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
+		e.dispatch(evacuationChanged(g.evacuatedZones))
 		g.engines[name] = e
 	}
 	return e
