discovery, peer, platform: distribute orders to evacuate a zone

Cause: orders have to reach all instances as the configuration does. Change: the key op/evacuate/ZONE is decoded to an item of the view, which passes its zones to the sink before the targets of the same change. An order that a restored store has lost stays in force until its key is written and removed again, and one that is known to have ended is not brought back by the copy. Peers pass orders on; an answer of an older build, which drops them, counts as none (ErrOutdatedFeed), and that instance is left out of the tree like one without recent data. Keys that are too long for a peer message are left out of it.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -208,6 +208,9 @@
 // HasDocument implements discovery.Sink.
 func (s sink) HasDocument(e discovery.IndexEntry) bool { return s.configStore.Has(e) }
 
+// SetEvacuatedZones implements discovery.WatcherSink.
+func (s sink) SetEvacuatedZones(zones []string) { s.gateway.SetEvacuatedZones(zones) }
+
 // SetInstances implements discovery.Sink. The list may be outdated, so targets with a leaving signal in effect count as
 // leaving from the start.
 func (s sink) SetInstances(list discovery.InstanceList) {
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -12,6 +12,10 @@
 // instance has no complete view.
 var ErrHistoryGone = eris.New("history of changes is no longer available")
 
+// ErrOutdatedFeed is returned by a Source that is another instance whose build passes on fewer kinds of items than this
+// one knows. Its data counts as none.
+var ErrOutdatedFeed = eris.New("instance of an older build passes on incomplete data")
+
 // Source is a store of items with one revision counter, which can be read and watched. Implementations are safe for
 // concurrent use.
 type Source interface {
@@ -35,6 +39,11 @@
 	Document []byte
 	// Target is the entry of a target; nil for other items and for an entry that could not be decoded.
 	Target *Instance
+	// EvacuatedZone is the availability zone that is evacuated while the key exists; empty for other items.
+	EvacuatedZone string
+	// Retained is set for an order to evacuate a zone that is in force although the source lost its key in a restore from
+	// an older copy: the revision that the key had before.
+	Retained uint64
 	// DecodeErr is set if the entry could not be decoded.
 	DecodeErr error
 }
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -24,6 +24,8 @@
 	offers *prometheus.CounterVec
 	reads  *prometheus.CounterVec
 	panics prometheus.Counter
+	// undecodable counts each version of an entry once.
+	undecodable prometheus.Counter
 }
 
 // countRead counts a read from the platform's store or from another instance. For the latter, the label has the prefix
@@ -45,11 +47,16 @@
 	panics := prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "burdockpitch", Name: "platform_panics_total", Help: "Contained panics while the platform was read.",
 	})
-	reg.MustRegister(panics)
+	undecodable := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "burdockpitch", Name: "platform_undecodable_entries_total",
+		Help: "Entries of the platform's store that could not be decoded and were ignored.",
+	})
+	reg.MustRegister(panics, undecodable)
 	return &Metrics{
-		panics: panics,
-		offers: counter("configuration_offers_total", "Offered documents by what became of them.", "result"),
-		reads:  counter("platform_reads_total", "Reads of the platform by result.", "result"),
+		panics:      panics,
+		undecodable: undecodable,
+		offers:      counter("configuration_offers_total", "Offered documents by what became of them.", "result"),
+		reads:       counter("platform_reads_total", "Reads of the platform by result.", "result"),
 	}
 }
 
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -41,6 +41,7 @@
 	// removed holds the last revisions of removed entries by key, removedOrder their keys, oldest first.
 	removed      map[string]uint64
 	removedOrder []string
+	orders       orderMemory
 }
 
 // entry is one item of a View.
@@ -126,7 +127,9 @@
 		return false
 	}
 	v.extendGrace(now, s.Grace)
-	if v.complete && s.Generation > v.generation {
+	restored := v.complete && s.Generation > v.generation
+	s.Items = v.withoutEndedOrders(s, restored)
+	if restored {
 		s.Items = v.withoutReverts(s.Items)
 		v.extendGrace(now, recoveryGrace)
 		v.history, v.newestChange, v.compactedRevision = nil, 0, s.Revision
@@ -142,7 +145,7 @@
 		changed = v.put(item) || changed
 	}
 	for _, key := range slices.Collect(maps.Keys(v.entries)) {
-		if !present[key] {
+		if !present[key] && !v.retainsOrder(key, s.Revision, restored) {
 			changed = v.remove(now, Item{Key: key, Revision: s.Revision, Removed: true}) || changed
 		}
 	}
@@ -154,11 +157,11 @@
 
 // withoutReverts returns the items of a restored source without those that are known to be outdated: entries that were
 // removed after the copy was made, and targets that were live then and have announced since that they are leaving. The
-// source has lost both until the writers repeat them.
+// source has lost both until the writers repeat them. Orders are handled by withoutEndedOrders.
 func (v *View) withoutReverts(items []Item) []Item {
 	var list []Item
 	for _, item := range items {
-		if revision, removed := v.removed[item.Key]; removed && revision == item.Revision {
+		if revision, removed := v.removed[item.Key]; removed && revision == item.Revision && !item.isOrder() {
 			continue
 		}
 		known := v.entries[item.Key].Target
@@ -195,6 +198,9 @@
 			changed = v.remove(now, item) || changed
 			continue
 		}
+		if item.Retained != 0 && !v.acceptsOrder(item, false) {
+			continue
+		}
 		changed = v.put(item) || changed
 	}
 	v.revision = max(v.revision, c.Revision)
@@ -219,6 +225,9 @@
 func (v *View) put(item Item) bool {
 	old, known := v.entries[item.Key]
 	v.entries[item.Key] = entry{Item: item}
+	if item.isOrder() {
+		v.orders.seen = remember(v.orders.seen, item.orderVersion())
+	}
 	if known && !old.missing && old.Revision == item.Revision {
 		return false
 	}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -38,6 +38,9 @@
 type WatcherSink interface {
 	// OfferDocument receives the text of a document that may be new.
 	OfferDocument(source, service string, text []byte)
+	// SetEvacuatedZones receives the zones that are evacuated, sorted, before SetInstances of the same change. It is called
+	// on every change of the view, also if the zones are the same.
+	SetEvacuatedZones(zones []string)
 	// SetInstances receives the complete list of targets after a change.
 	SetInstances(list InstanceList)
 }
@@ -127,6 +130,9 @@
 		case errors.Is(err, ErrHistoryGone) && c.name == sourceName:
 			w.log.Info("store no longer has the history, reading a full snapshot", "revision", w.revision())
 			complete = false
+		case errors.Is(err, ErrOutdatedFeed):
+			w.log.V(1).Info("instance of an older build is not followed", "peer", c.name)
+			w.peers.MarkStale(ctx, c.name)
 		case errors.Is(err, ErrHistoryGone): // from a peer, possibly because it has no view yet
 			complete = false
 			sleep(ctx, rand.N(2*joinPollInterval))
@@ -290,8 +296,10 @@
 func (w *Watcher) publish(cause, from string) {
 	w.notifyWaiters()
 	w.logDecodeErrors()
-	list := w.view.Instances()
-	w.log.Info("view changed", "cause", cause, "from", from, "revision", list.Sequence, "targets", len(list.Instances))
+	list, zones := w.view.Instances(), w.view.EvacuatedZones()
+	w.log.Info("view changed", "cause", cause, "from", from, "revision", list.Sequence, "targets", len(list.Instances),
+		"evacuated_zones", len(zones))
+	w.sink.SetEvacuatedZones(zones)
 	w.sink.SetInstances(list)
 	w.offerDocuments()
 }
@@ -314,11 +322,12 @@
 	}
 }
 
-// logDecodeErrors logs the entries that could not be decoded, once for each version of an entry.
+// logDecodeErrors logs and counts the entries that could not be decoded, once for each version of an entry.
 func (w *Watcher) logDecodeErrors() {
 	decodeErrs := w.view.DecodeErrors()
 	for key, err := range decodeErrs {
 		if w.decodeErrs[key] != err {
+			w.metrics.undecodable.Inc()
 			w.log.Info("ignoring store entry that cannot be decoded", "key", key, "error", err.Error())
 		}
 	}
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -111,6 +111,7 @@
 type recorder struct {
 	mu        sync.Mutex
 	list      discovery.InstanceList
+	zones     []string
 	documents []string
 }
 
@@ -182,6 +183,12 @@
 	return slices.Clone(r.documents)
 }
 
+func (r *recorder) SetEvacuatedZones(zones []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.zones = zones
+}
+
 func (r *recorder) SetInstances(list discovery.InstanceList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/peer/follow.go
+++ b/pkg/peer/follow.go
@@ -17,28 +17,39 @@
 	if request.All {
 		s, err := feed.Snapshot()
 		*reply = Update{
-			Items: n.toPeerItems(s.Items, request.AcceptsCompressed), Revision: s.Revision, Generation: s.Generation,
-			Age: s.Age, Grace: s.Grace, Gone: err != nil,
+			Items: n.toPeerItems(s.Items, request), Revision: s.Revision, Generation: s.Generation,
+			Age: s.Age, Grace: s.Grace, Gone: err != nil, FeedVersion: feedVersion,
 		}
 		return nil
 	}
 	c, err := feed.Since(ctx, request.After, request.Wait)
 	*reply = Update{
-		Items: n.toPeerItems(c.Items, request.AcceptsCompressed), Revision: c.Revision, Generation: c.Generation,
-		Age: c.Age, Grace: c.Grace, Gone: err != nil,
+		Items: n.toPeerItems(c.Items, request), Revision: c.Revision, Generation: c.Generation,
+		Age: c.Age, Grace: c.Grace, Gone: err != nil, FeedVersion: feedVersion,
 	}
 	return nil
 }
 
-func (n *Node) toPeerItems(items []discovery.Item, compress bool) []Item {
-	list := make([]Item, len(items))
-	for i, item := range items {
-		list[i] = Item{
+// toPeerItems converts the items that the caller of a Follow knows. It leaves out keys that are too long, which cannot
+// be those of valid items: the caller would reject the whole message.
+func (n *Node) toPeerItems(items []discovery.Item, request *Follow) []Item {
+	maxLength := maxKeyLength
+	if request.FeedVersion < feedVersion {
+		maxLength = maxNameLength
+	}
+	list := make([]Item, 0, len(items))
+	for _, item := range items {
+		if len(item.Key) > maxLength {
+			continue
+		}
+		converted := Item{
 			Key: item.Key, Revision: item.Revision, Removed: item.Removed, Document: item.Document, Target: item.Target,
+			EvacuatedZone: item.EvacuatedZone, Retained: item.Retained,
 		}
-		if compress {
-			list[i].Document, list[i].Compressed = n.compressor.compress(item.Document)
+		if request.AcceptsCompressed {
+			converted.Document, converted.Compressed = n.compressor.compress(item.Document)
 		}
+		list = append(list, converted)
 	}
 	return list
 }
@@ -52,6 +63,7 @@
 		}
 		list[i] = discovery.Item{
 			Key: item.Key, Revision: item.Revision, Removed: item.Removed, Document: document, Target: item.Target,
+			EvacuatedZone: item.EvacuatedZone, Retained: item.Retained,
 		}
 	}
 	return list, nil
@@ -79,13 +91,14 @@
 
 // Read implements discovery.Source.
 func (f *Follower) Read(ctx context.Context) (discovery.Snapshot, error) {
-	u, items, err := f.call(ctx, &Follow{All: true, AcceptsCompressed: true})
+	u, items, err := f.call(ctx, &Follow{All: true, AcceptsCompressed: true, FeedVersion: feedVersion})
 	return discovery.Snapshot{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace}, err
 }
 
 // Watch implements discovery.Source.
 func (f *Follower) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
-	u, items, err := f.call(ctx, &Follow{After: after, Wait: min(wait, maxFollowWait), AcceptsCompressed: true})
+	request := &Follow{After: after, Wait: min(wait, maxFollowWait), AcceptsCompressed: true, FeedVersion: feedVersion}
+	u, items, err := f.call(ctx, request)
 	return discovery.Changes{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace}, err
 }
 
@@ -127,6 +140,9 @@
 	if err := f.conn.SetDeadline(time.Time{}); err != nil {
 		f.disconnect()
 	}
+	if update.FeedVersion < feedVersion {
+		return update, nil, discovery.ErrOutdatedFeed
+	}
 	if update.Gone {
 		return update, nil, discovery.ErrHistoryGone
 	}
--- a/pkg/peer/follow_test.go
+++ b/pkg/peer/follow_test.go
@@ -185,11 +185,11 @@
 	changes, err := n.NewFollower(address, 5*time.Second).Watch(t.Context(), 3, time.Second)
 	require.NoError(t, err)
 	require.Equal(t, []discovery.Item{item}, changes.Items)
-	sent := n.toPeerItems([]discovery.Item{item}, true)[0]
+	sent := n.toPeerItems([]discovery.Item{item}, &Follow{AcceptsCompressed: true})[0]
 	require.Empty(t, sent.Document)
 	require.Less(t, len(sent.Compressed), len(document)/5)
 
-	plain := n.toPeerItems([]discovery.Item{item}, false)[0]
+	plain := n.toPeerItems([]discovery.Item{item}, &Follow{})[0]
 	require.Equal(t, document, plain.Document, "an older instance gets the text")
 	require.Empty(t, plain.Compressed)
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -29,6 +29,7 @@
 	maxRequestSize   = 256 << 10
 	maxDigestEntries = 2048
 	maxNameLength    = 256     // bytes
+	maxKeyLength     = 512     // bytes, of a key of the platform's store; it can contain a name
 	maxDocumentSize  = 1 << 20 // bytes
 	// maxFollowWait is the maximum wait of a Follow. It is below the time after which a connection without a request is
 	// closed.
@@ -100,8 +101,15 @@
 	Wait time.Duration
 	// AcceptsCompressed allows compressed documents in the reply.
 	AcceptsCompressed bool
+	// FeedVersion is the feedVersion of the caller.
+	FeedVersion int
 }
 
+// feedVersion counts the kinds of items that instances pass on. A build with a lower version drops some of the items that
+// a build with a higher one needs, so its data counts as none for the latter. Version 0 has documents and targets, version
+// 1 also orders to evacuate zones.
+const feedVersion = 1
+
 // Update is the reply to a Follow.
 type Update struct {
 	// Items holds the changed items, or all items if the request set All.
@@ -116,9 +124,11 @@
 	Age time.Duration
 	// Grace is how much longer targets are kept whose entries went missing while the platform was unavailable.
 	Grace time.Duration
+	// FeedVersion is the feedVersion of the sender.
+	FeedVersion int
 }
 
-// Item is one item of the platform's store: a document, a target, or the removal of its key.
+// Item is one item of the platform's store: a document, a target, an order to evacuate a zone, or the removal of its key.
 type Item struct {
 	Key      string
 	Revision uint64
@@ -127,6 +137,9 @@
 	// Compressed replaces Document by its text in the DEFLATE format.
 	Compressed []byte
 	Target     *discovery.Instance
+	// EvacuatedZone and Retained are those of discovery.Item.
+	EvacuatedZone string
+	Retained      uint64
 }
 
 // message is implemented by all requests and replies. validate checks the content of a decoded message.
@@ -191,8 +204,8 @@
 		return eris.New("age or grace period of update is negative")
 	}
 	for _, i := range u.Items {
-		if i.Key == "" || len(i.Key) > maxNameLength || max(len(i.Document), len(i.Compressed)) > maxDocumentSize {
-			return eris.New("key of item in update is empty or too long, or its document is too large")
+		if i.Key == "" || len(i.Key) > maxKeyLength || len(i.EvacuatedZone) > maxNameLength || max(len(i.Document), len(i.Compressed)) > maxDocumentSize {
+			return eris.New("key of item in update is empty or too long, its zone is too long, or its document is too large")
 		}
 	}
 	return nil
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -147,7 +147,7 @@
 	feed := s.node.feed
 	s.node.mu.Unlock()
 	if feed == nil {
-		reply.Gone = true
+		reply.Gone, reply.FeedVersion = true, feedVersion
 		return nil
 	}
 	return s.node.answerFollow(s.ctx, feed, request, reply)
