admin, cli, app: show evacuated zones

Cause: operators have to see which orders an instance follows. Change: evacuated_zones in the targets of the administration API and in status; the gauge of unusable targets is registered. Measured: not measured.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -34,6 +34,8 @@
 	Conflicts() []rules.Conflict
 	// Services returns a snapshot of each service's targets, queues and budgets, keyed by service name.
 	Services() map[string]core.View
+	// EvacuatedZones lists the availability zones that are evacuated, sorted.
+	EvacuatedZones() []string
 	// Instances lists the other instances of the load balancer that this one knows of.
 	Instances() []Instance
 	// Quarantined lists the requests that are withheld because targets crash when they run them.
@@ -79,7 +81,7 @@
 
 func (h handler) targets() any {
 	views := h.src.Services()
-	list := Targets{Services: []ServiceTargets{}}
+	list := Targets{EvacuatedZones: h.src.EvacuatedZones(), Services: []ServiceTargets{}}
 	for _, name := range slices.Sorted(maps.Keys(views)) {
 		list.Services = append(list.Services, ServiceTargets{
 			Service: name, Unreachable: views[name].Unreachable, Targets: emptyIfNil(views[name].Targets),
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -26,9 +26,11 @@
 	services  map[string]core.View
 	instances []Instance
 	withheld  []QuarantinedRequest
+	evacuated []string
 }
 
 func (f fakeSource) Quarantined() []QuarantinedRequest   { return f.withheld }
+func (f fakeSource) EvacuatedZones() []string            { return f.evacuated }
 func (f fakeSource) Ready() error                        { return f.ready }
 func (f fakeSource) Configuration() []ConfigurationEntry { return f.inForce }
 func (f fakeSource) Refused() []Refusal                  { return f.refused }
@@ -72,6 +74,7 @@
 		{"ready", "GET", PathReady, "", fakeSource{}, 200, `{"state":"ready"}`},
 		{"unreachable", "GET", PathTargets, "", fakeSource{services: map[string]core.View{"a": {Unreachable: true}}}, 200,
 			`{"services":[{"service":"a","unreachable":true,"targets":[]}]}`},
+		{"evacuated zones", "GET", PathTargets, "", fakeSource{evacuated: []string{"a", "b"}}, 200, `{"evacuated_zones":["a","b"],"services":[]}`},
 		{"quarantine", "GET", PathQuarantine, "", populatedSource, 200, `{"requests":[{"content":"00ff","crashes":3,"idle_seconds":1.5}]}`},
 		{"nothing quarantined", "GET", PathQuarantine, "", fakeSource{}, 200, `{"requests":[]}`},
 		{"not ready", "GET", PathReady, "", fakeSource{ready: errors.New("stopping")}, 503, `{"state":"stopping"}`},
@@ -125,7 +128,7 @@
 // ready, or that takes an error response for a status.
 func TestClient(t *testing.T) {
 	src := populatedSource
-	src.ready = errors.New("no configuration in force")
+	src.ready, src.evacuated = errors.New("no configuration in force"), []string{"z"}
 	server := httptest.NewServer(NewHandler(src, prometheus.NewRegistry()))
 	defer server.Close()
 	s, err := NewClient(server.Listener.Addr().String()).Status(context.Background())
@@ -133,6 +136,7 @@
 	require.Equal(t, "no configuration in force", s.Ready)
 	require.Equal(t, Configuration{src.inForce, src.refused, src.conflicts}, s.Configuration)
 	require.Equal(t, src.services["a"].Targets, s.Targets[0].Targets)
+	require.Equal(t, src.evacuated, s.EvacuatedZones)
 	require.Equal(t, src.instances, s.Instances)
 	require.Equal(t, src.services["a"].Budgets, s.Budgets[0].BudgetView)
 
--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -64,7 +64,9 @@
 
 // Targets is the response body of PathTargets. The services are sorted by name.
 type Targets struct {
-	Services []ServiceTargets `json:"services"`
+	// EvacuatedZones lists the availability zones whose targets get no requests, by order of an operator.
+	EvacuatedZones []string         `json:"evacuated_zones,omitempty"`
+	Services       []ServiceTargets `json:"services"`
 }
 
 // ServiceTargets holds the targets of one service.
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -30,11 +30,13 @@
 // Status combines the parts of the administration API for one instance.
 type Status struct {
 	// Ready is "ready", else the reason why the instance is not ready.
-	Ready         string           `json:"ready"`
-	Configuration Configuration    `json:"configuration"`
-	Targets       []ServiceTargets `json:"targets"`
-	Instances     []Instance       `json:"instances"`
-	Budgets       []ServiceBudgets `json:"budgets"`
+	Ready         string        `json:"ready"`
+	Configuration Configuration `json:"configuration"`
+	// EvacuatedZones is that of Targets.
+	EvacuatedZones []string         `json:"evacuated_zones,omitempty"`
+	Targets        []ServiceTargets `json:"targets"`
+	Instances      []Instance       `json:"instances"`
+	Budgets        []ServiceBudgets `json:"budgets"`
 	// Quarantined lists the requests that are withheld.
 	Quarantined []QuarantinedRequest `json:"quarantined"`
 }
@@ -62,7 +64,7 @@
 		}
 	}
 	s.Ready, s.Targets, s.Instances, s.Budgets = ready.State, targets.Services, instances.Instances, budgets.Services
-	s.Quarantined = withheld.Requests
+	s.EvacuatedZones, s.Quarantined = targets.EvacuatedZones, withheld.Requests
 	return s, nil
 }
 
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -105,6 +105,7 @@
 func newInstance(
 	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, configStore *discovery.ConfigStore, c *controlPlane,
 ) *instance {
+	reg.MustRegister(g.NewUnusableCollector())
 	return &instance{settings: s, log: log, registry: reg, gateway: g, configStore: configStore, controlPlane: c}
 }
 
@@ -149,6 +150,9 @@
 // Services implements admin.Source.
 func (i *instance) Services() map[string]core.View { return i.gateway.Status() }
 
+// EvacuatedZones implements admin.Source.
+func (i *instance) EvacuatedZones() []string { return i.gateway.EvacuatedZones() }
+
 // Instances implements admin.Source.
 func (i *instance) Instances() []admin.Instance {
 	var list []admin.Instance
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -24,7 +24,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "state: %s\n", s.Ready)
 	writeConfiguration(w, s.Configuration)
-	writeTargets(w, s.Targets)
+	writeTargets(w, s.EvacuatedZones, s.Targets)
 	writeInstances(w, s.Instances)
 	writeBudgets(w, s.Budgets)
 	writeQuarantine(w, s.Quarantined)
@@ -47,7 +47,10 @@
 	}
 }
 
-func writeTargets(w io.Writer, list []admin.ServiceTargets) {
+func writeTargets(w io.Writer, evacuatedZones []string, list []admin.ServiceTargets) {
+	for _, zone := range evacuatedZones {
+		fmt.Fprintf(w, "\nevacuated zone: %s\n", zone)
+	}
 	fmt.Fprintf(w, "\nSERVICE\tTARGET\tZONE\tSTATE\tREASON\tIN FLIGHT\tLIMIT\tLATENCY\n")
 	for _, s := range list {
 		if s.Unreachable {
