core: test paths to evacuated zones and the end of an order

Cause: a path to targets that does not follow from the usable targets would break the order. Attempts that were sent before the end of an order no longer count as observations: a slow one ejected the target just after the order. The answer to the awaited probe dispatches waiting requests also while the service was full. Measured: not measured.

--- a/pkg/core/estimate.go
+++ b/pkg/core/estimate.go
@@ -80,13 +80,13 @@
 }
 
 // longestOutstanding returns how long the oldest attempt on t has been in flight. Time before the end of the last pause
-// of this process does not count.
+// of this process, or of the last evacuation of the zone, does not count.
 func (s *Service) longestOutstanding(t *targetState, now Instant) time.Duration {
 	oldest := t.attempts.head()
 	if oldest == nil {
 		return 0
 	}
-	return now - max(oldest.sentAt, s.resumedAt)
+	return now - max(oldest.sentAt, s.resumedAt, t.evacuationEndedAt)
 }
 
 // observeLatency adds a sample to the latency estimate of t.
--- a/pkg/core/evacuation.go
+++ b/pkg/core/evacuation.go
@@ -50,6 +50,7 @@
 // endEvacuation makes t usable again, with a slow start and, if the service sends probes, not before t has answered one.
 // Health probes have a small budget, so the wait for one of them is bounded.
 func (s *Service) endEvacuation(now Instant, t *targetState) {
+	t.evacuationEndedAt = now
 	t.markWarmupUnknown()
 	s.setLimit(t, float64(s.slots(t)))
 	switch {
@@ -76,9 +77,11 @@
 
 // recordProbeAnswer ends the wait of t for an answer to a probe. An answer that reports a failure counts too, because it
 // is not out of date.
-func (t *targetState) recordProbeAnswer(ev ProbeEnded) {
-	if ev.OK || ev.Load.Slots > 0 || ev.Statement.Responded {
+func (s *Service) recordProbeAnswer(now Instant, t *targetState, ev ProbeEnded) {
+	if t.awaitsProbe(now) && (ev.OK || ev.Load.Slots > 0 || ev.Statement.Responded) {
 		t.unprobedUntil = 0
+		s.allFull = false
+		s.schedule(&t.timer, now) // dispatches waiting requests in this step
 	}
 }
 
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -221,7 +221,7 @@
 // loadProbeEnded applies the result of a load probe of t.
 func (s *Service) loadProbeEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
 	t.probing = false
-	t.recordProbeAnswer(ev)
+	s.recordProbeAnswer(now, t, ev)
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
 	t.unhealthy = !ev.OK
 	switch {
--- a/pkg/core/observation.go
+++ b/pkg/core/observation.go
@@ -5,7 +5,10 @@
 // recordAttempt updates the state of the target from an attempt that has ended.
 func (s *Service) recordAttempt(now Instant, a *attempt, ev AttemptEnded, out []Effect) []Effect {
 	t := a.target
-	t.observedAt, t.trafficObservedAt = now, now
+	outdated := a.sentAt < t.evacuationEndedAt
+	if !outdated {
+		t.observedAt, t.trafficObservedAt = now, now
+	}
 	switch {
 	case ev.Unreachable:
 		out = s.recordUnreachable(now, t, out)
@@ -16,9 +19,11 @@
 	}
 	ev.Statement.Leaving = ev.Statement.Leaving || ev.Reason == ReasonDraining
 	out = s.recordAttemptStatement(now, a, ev.Statement, out)
-	s.recordLoad(now, t, ev.Load, 0)
+	if !outdated {
+		s.recordLoad(now, t, ev.Load, 0)
+	}
 	good := false
-	if a.sentAt >= s.resumedAt { // a time that spans a pause of this process says nothing about the target
+	if a.sentAt >= s.resumedAt && !outdated { // a time that spans a pause of this process says nothing about the target
 		good, out = s.recordOutcome(now, a, ev, out)
 	}
 	if a.trial {
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -68,6 +68,9 @@
 	listed        map[TargetID]bool
 	limitedSends  map[TargetID][]Instant // since the target last changed its request rate
 	maxTargets    int                    // length of the longest list
+	zones         map[TargetID]Zone      // of the latest list
+	evacuated     map[Zone]bool
+	contacts      []TargetID // targets of attempts, probes and connection checks
 }
 
 func newEmptyTestRuntime(t fataler, p Policy) *testRuntime {
@@ -107,12 +110,18 @@
 		rt.timerAt = never
 	case ProbeEnded:
 		delete(rt.probing, ev.Target)
+	case EvacuationChanged:
+		rt.evacuated = make(map[Zone]bool)
+		for _, z := range ev.Zones {
+			rt.evacuated[z] = true
+		}
 	case RequestQuarantined:
 		rt.submitted(ev.Request).quarantined = true
 	case TargetsChanged:
 		rt.listed = make(map[TargetID]bool)
+		rt.zones = make(map[TargetID]Zone)
 		for _, t := range ev.Targets {
-			rt.listed[t.ID] = true
+			rt.listed[t.ID], rt.zones[t.ID] = true, t.Zone
 		}
 		rt.maxTargets = max(rt.maxTargets, len(rt.listed))
 		for id := range rt.probing {
@@ -144,6 +153,12 @@
 }
 
 func (rt *testRuntime) checkEffect(e Effect) {
+	if e.Kind == SendAttempt || e.Kind == SendProbe || e.Kind == CheckConnection {
+		rt.contacts = append(rt.contacts, e.Target)
+		if rt.evacuated[rt.zones[e.Target]] {
+			rt.Fatalf("effect of kind %d for %s in an evacuated zone", e.Kind, e.Target)
+		}
+	}
 	switch e.Kind {
 	case SendProbe:
 		rt.checkProbe(e)
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -127,10 +127,10 @@
 }
 
 // nextProbeAt returns the earliest time for a probe of t. A target with attempts in flight is not probed, because their
-// responses give more information than a probe. A target that sheds load is spared the cost of a probe until its
+// responses give more information than a probe, unless it gets no requests before it is probed. A target that sheds load is spared the cost of a probe until its
 // backoff ends.
 func (s *Service) nextProbeAt(now Instant, t *targetState) Instant {
-	if t.probing || t.inFlight > 0 {
+	if t.probing || t.inFlight > 0 && !t.awaitsProbe(now) {
 		return now + probeAfterIdle
 	}
 	return max(t.observedAt+probeAfterIdle, t.backoffEnd())
@@ -157,7 +157,7 @@
 	if s.probesLoad() {
 		return s.loadProbeEnded(now, t, ev, out)
 	}
-	t.recordProbeAnswer(ev)
+	s.recordProbeAnswer(now, t, ev)
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.observedAt = now
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -43,7 +43,7 @@
 func targetID(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
 
 // TestRandomEvents guards against orders of events that break the outcome accounting, the budgets, the decision by the
-// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving ones.
+// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving and evacuated ones.
 // The checks are in testRuntime.
 func TestRandomEvents(t *testing.T) {
 	setRapidDefaults(t)
@@ -65,6 +65,7 @@
 			"restart":    sc.drawRestart,
 			"sign":       sc.drawLeavingSignal,
 			"probe":      sc.drawProbe,
+			"evacuate":   sc.drawEvacuation,
 			"rate":       sc.drawRequestRate,
 			"stop":       sc.drawStop,
 		})
@@ -257,6 +258,11 @@
 	sc.step(LoadReported{Target: id, Load: LoadReport{InUse: 3, Slots: 4}, Age: 5 * time.Millisecond})
 }
 
+// drawEvacuation replaces the evacuated zones.
+func (sc *randomScenario) drawEvacuation(t *rapid.T) {
+	sc.step(EvacuationChanged{Zones: rapid.SliceOfNDistinct(rapid.SampledFrom([]Zone{"a", "b", "c"}), 0, 3, rapid.ID).Draw(t, "zones")})
+}
+
 // drawRequestRate makes a target state a request rate, or withdraw it.
 func (sc *randomScenario) drawRequestRate(t *rapid.T) {
 	_, id := sc.drawTarget(t)
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -11,6 +11,8 @@
 	listed  bool
 	// evacuated is set while the zone of t is evacuated.
 	evacuated bool
+	// evacuationEndedAt is the end of the latest evacuation. Attempts sent before it do not show the state of t.
+	evacuationEndedAt Instant
 	// unprobedUntil is the time until which t gets no requests unless it answers a probe; 0 if it need not.
 	unprobedUntil Instant
 	timer         timer
