core: check in random events that returning targets are probed first

Cause: a mutation that skips the probe after an evacuation failed no test. Change: the runtime of the tests fails on an attempt to a target that has not answered a probe since its zone was evacuated; the random test also draws load probes as the selection method, whose probes have a budget of their own.

--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -71,12 +71,15 @@
 	zones         map[TargetID]Zone      // of the latest list
 	evacuated     map[Zone]bool
 	contacts      []TargetID // targets of attempts, probes and connection checks
+	// unprobedSince holds, for each target that has not answered a probe since its zone was last evacuated, the end of
+	// that evacuation.
+	unprobedSince map[TargetID]Instant
 }
 
 func newEmptyTestRuntime(t fataler, p Policy) *testRuntime {
 	return &testRuntime{
 		fataler: t, s: NewService(p), timerAt: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
-		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant),
+		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant), unprobedSince: make(map[TargetID]Instant),
 	}
 }
 
@@ -110,18 +113,32 @@
 		rt.timerAt = never
 	case ProbeEnded:
 		delete(rt.probing, ev.Target)
+		if ev.OK || ev.Load.Slots > 0 || ev.Statement.Responded {
+			delete(rt.unprobedSince, ev.Target)
+		}
 	case EvacuationChanged:
+		before := rt.evacuated
 		rt.evacuated = make(map[Zone]bool)
 		for _, z := range ev.Zones {
 			rt.evacuated[z] = true
 		}
+		for id, z := range rt.zones {
+			if before[z] && !rt.evacuated[z] {
+				rt.unprobedSince[id] = rt.now
+			}
+		}
 	case RequestQuarantined:
 		rt.submitted(ev.Request).quarantined = true
 	case TargetsChanged:
 		rt.listed = make(map[TargetID]bool)
+		before := rt.unprobedSince
+		rt.unprobedSince = make(map[TargetID]Instant)
 		rt.zones = make(map[TargetID]Zone)
 		for _, t := range ev.Targets {
 			rt.listed[t.ID], rt.zones[t.ID] = true, t.Zone
+			if at, ok := before[t.ID]; ok {
+				rt.unprobedSince[t.ID] = at
+			}
 		}
 		rt.maxTargets = max(rt.maxTargets, len(rt.listed))
 		for id := range rt.probing {
@@ -141,6 +158,9 @@
 		rt.Fatalf("probe of %s, which is unlisted, leaving or probed already", e.Target)
 	}
 	rt.probing[e.Target] = true
+	if p.Selection == SelectAsk {
+		return // load probes have a budget of their own
+	}
 	rt.probeTimes = append(rt.probeTimes, rt.now)
 	n := 0
 	for n < len(rt.probeTimes) && rt.now-rt.probeTimes[len(rt.probeTimes)-1-n] <= BudgetWindow+ProbeTimeout {
@@ -218,6 +238,7 @@
 	case rt.leavingStarts[startID(e.Target, rt.knownStarts[e.Target])]:
 		rt.Fatalf("attempt to the leaving target %s", e.Target)
 	}
+	rt.checkProbed(e.Target)
 	rt.checkRequestRate(e.Target)
 	r.attempts++
 	r.inFlight++
@@ -227,6 +248,18 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
+// checkProbed checks that a target whose zone was evacuated has answered a probe, if the service sends any, before it
+// gets an attempt.
+func (rt *testRuntime) checkProbed(id TargetID) {
+	since, unprobed := rt.unprobedSince[id]
+	p := rt.s.policy
+	switch {
+	case !unprobed, p.Selection != SelectAsk && (p.ProbeShare == 0 || p.Selection.isBaseline()):
+	case p.Selection == SelectAsk, rt.now < since+maxTrialWait:
+		rt.Fatalf("attempt to %s before it has answered a probe since the end of the evacuation", id)
+	}
+}
+
 // checkRelay checks that a request may be relayed to another instance.
 func (rt *testRuntime) checkRelay(e Effect) {
 	r := rt.submitted(e.Request)
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -75,7 +75,7 @@
 
 func newRandomScenario(t *rapid.T) *randomScenario {
 	p := DefaultPolicy()
-	methods := []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices, SelectRoundRobin, SelectRandom}
+	methods := []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices, SelectRoundRobin, SelectRandom, SelectAsk}
 	p.Selection = rapid.SampledFrom(methods).Draw(t, "selection")
 	p.Zone = "a"
 	p.QueueLimit = rapid.IntRange(0, 8).Draw(t, "queueLimit")
