--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -59,6 +59,12 @@
 // scheduleProbes runs onProbeTimer at the end of the current step.
 func (s *Service) scheduleProbes(now Instant) { s.schedule(&s.healthProbeBudget.timer, now) }
 
+// sendsHealthProbes reports whether the policy has health probes.
+func (s *Service) sendsHealthProbes() bool {
+	p := &s.policy
+	return p.ProbeShare > 0 && p.ProbeCost > 0 && !p.Selection.isBaseline() && !s.probesLoad()
+}
+
 // onProbeTimer sends at most one health probe and schedules the next check. If the service probes targets for their
 // load, it handles the backlog instead.
 func (s *Service) onProbeTimer(now Instant, out []Effect) []Effect {
@@ -66,7 +72,7 @@
 		return s.onBacklogTimer(now, out)
 	}
 	p := &s.policy
-	if p.ProbeShare <= 0 || p.ProbeCost <= 0 || p.Selection.isBaseline() || s.stopping {
+	if !s.sendsHealthProbes() || s.stopping {
 		return out // a policy change schedules the next check
 	}
 	allowance := s.probeAllowance()
@@ -121,10 +127,10 @@
 }
 
 // nextProbeAt returns the earliest time for a probe of t. A target with attempts in flight is not probed, because their
-// responses give more information than a probe. A target that sheds load is spared the cost of a probe until its
+// responses give more information than a probe, unless it gets no requests before it is probed. A target that sheds load is spared the cost of a probe until its
 // backoff ends.
 func (s *Service) nextProbeAt(now Instant, t *targetState) Instant {
-	if t.probing || t.inFlight > 0 {
+	if t.probing || t.inFlight > 0 && !t.awaitsProbe(now) {
 		return now + probeAfterIdle
 	}
 	return max(t.observedAt+probeAfterIdle, t.backoffEnd())
@@ -151,6 +157,7 @@
 	if s.probesLoad() {
 		return s.loadProbeEnded(now, t, ev, out)
 	}
+	s.recordProbeAnswer(now, t, ev)
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
 	t.probing = false
 	t.observedAt = now
