core: move the sharing of a request rate into pkg/fleetrate

Cause: the bound on requests to cold targets needs the same senders and token buckets as the request rates that targets state.

Change: pkg/fleetrate holds the rendezvous hash, the share and the bucket; pkg/core keeps what targets state. Speed not measured.

--- a/pkg/core/rate_limit.go
+++ b/pkg/core/rate_limit.go
@@ -5,15 +5,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/burdockpitch/burdockpitch/pkg/fleetrate"
 )
 
 // This file keeps the request rates that targets state to accept. A rate is for all instances together, which do not
-// coordinate each request. It is divided evenly among a few of them, the senders, each of which has a token bucket that
-// holds one request. All instances that know the same fleet agree on the senders of a target without communication.
+// coordinate each request; package fleetrate divides it among a few of them.
 //
-// Dividing among all instances would let a large fleet send a burst: after a pause, each instance may send one request
-// at once. The number of senders follows the rate, so that the burst is about what the target accepts in one second.
+// The number of senders follows the rate, so that the burst after a pause is about what the target accepts in one second.
 
 const (
 	// additionalSenders is the number of senders beyond one for each request per second. Several senders remain for a
@@ -25,8 +23,6 @@
 	// rateLimitTTL is the time without a response after which one request may be sent to find out whether the limit
 	// still holds.
 	rateLimitTTL = 30 * time.Second
-	// tokenTolerance absorbs the rounding of times to nanoseconds.
-	tokenTolerance = 1e-6
 )
 
 // rateLimit is the request rate that a target accepts from all instances together, and the share of this instance.
@@ -35,30 +31,16 @@
 	perSecond float64 // requests per second, for all instances
 	// statedAt is the time of the latest response that confirmed the limit.
 	statedAt Instant
-	// share is the part of perSecond that this instance may use; 0 if it is not a sender.
-	share float64
-	// tokens is the number of requests that may be sent at refilledAt, at most 1.
-	tokens     float64
-	refilledAt Instant
-}
-
-// refill adds the tokens since the last refill.
-func (l *rateLimit) refill(now Instant) {
-	l.tokens = min(1, l.tokens+l.share*(now-l.refilledAt).Seconds())
-	l.refilledAt = now
+	bucket   fleetrate.Bucket
 }
 
 // wait returns the time until the limit admits a request; 0 if it admits one now, never for an instance that is not a
 // sender.
 func (l *rateLimit) wait(now Instant) time.Duration {
-	missing := 1 - tokenTolerance - l.tokens - l.share*(now-l.refilledAt).Seconds()
-	switch {
-	case !l.active || missing <= 0 || now-l.statedAt >= rateLimitTTL:
+	if !l.active || now-l.statedAt >= rateLimitTTL {
 		return 0
-	case l.share <= 0:
-		return never
 	}
-	return time.Duration(math.Ceil(min(missing/l.share, maxStatedWait.Seconds()) * float64(time.Second)))
+	return l.bucket.Wait(now, maxStatedWait)
 }
 
 // admits reports whether a request may be sent now.
@@ -69,8 +51,7 @@
 	if !l.active {
 		return
 	}
-	l.refill(now)
-	l.tokens = max(l.tokens-1, 0)
+	l.bucket.Take(now)
 	if now-l.statedAt >= rateLimitTTL {
 		l.statedAt = now
 	}
@@ -94,7 +75,7 @@
 		return out
 	}
 	if !l.active {
-		l.tokens, l.refilledAt = s.randFloat(), now // instances that learn of the limit together do not send together
+		l.bucket.Start(now, s.randFloat()) // instances that learn of the limit together do not send together
 	}
 	l.active, l.perSecond = st.HasRequestRate, st.RequestRate
 	s.updateRateShare(now, t)
@@ -118,33 +99,15 @@
 // updateRateShare recomputes the share of this instance in the request rate of t.
 func (s *Service) updateRateShare(now Instant, t *targetState) {
 	l := &t.rateLimit
-	l.refill(now)
-	l.share = s.rateShare(t.id, l.perSecond)
-	if l.share == 0 {
-		l.tokens = 0
-	}
+	l.bucket.SetShare(now, s.rateShare(t.id, l.perSecond))
 }
 
-// rateShare returns the share of this instance in a request rate of a target. The senders are the instances with the
-// highest rendezvous hash of instance and target. While the fleet is unknown, all instances count as senders.
+// rateShare returns the share of this instance in a request rate of a target. While the fleet is unknown, all instances
+// count as senders.
 func (s *Service) rateShare(id TargetID, perSecond float64) float64 {
 	if len(s.fleet) == 0 {
 		return perSecond / float64(max(s.policy.InstanceCount, 1))
 	}
-	senders := min(float64(len(s.fleet)), math.Ceil(perSecond)+additionalSenders)
-	own, rank := instanceHash(s.policy.InstanceID, id), 0.0
-	for _, instance := range s.fleet {
-		if instance != s.policy.InstanceID && instanceHash(instance, id) > own {
-			rank++
-		}
-	}
-	if rank >= senders {
-		return 0
-	}
-	return perSecond / senders
-}
-
-// instanceHash returns the rendezvous hash of an instance and a target.
-func instanceHash(instance string, id TargetID) uint64 {
-	return xxhash.Sum64String(instance + "/" + string(id))
+	senders := int(math.Ceil(perSecond)) + additionalSenders
+	return fleetrate.Share(perSecond, senders, s.policy.InstanceID, s.fleet, string(id))
 }
--- a/pkg/core/statement.go
+++ b/pkg/core/statement.go
@@ -55,7 +55,7 @@
 		if !l.active && untilAccepted <= 0 {
 			return 0, false
 		}
-		share += l.share
+		share += l.bucket.Share()
 		next = min(next, untilAccepted)
 		allLimited = allLimited && l.active
 	}
--- a/pkg/core/subset.go
+++ b/pkg/core/subset.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/burdockpitch/burdockpitch/pkg/fleetrate"
 )
 
 // chooseSubset selects the targets that this instance probes: Policy.LoadProbeSubset targets of its zone and half as
@@ -36,7 +38,7 @@
 	if limit == 0 || len(targets) <= limit {
 		return targets
 	}
-	hash := func(t *targetState) uint64 { return instanceHash(s.policy.InstanceID, t.id) }
+	hash := func(t *targetState) uint64 { return fleetrate.Hash(s.policy.InstanceID, string(t.id)) }
 	sorted := slices.Clone(targets)
 	slices.SortFunc(sorted, func(a, b *targetState) int { return cmp.Compare(hash(b), hash(a)) })
 	return sorted[:limit]
