core: bound the requests to cold targets

Cause: a target tolerates few requests per second after its start and whenever it becomes cold, and crashes well above that. The instances knew of the warm-up only as a factor of the response estimate. It also began again with every list, although the entry had not changed.

Change: a cold target admits a request only from its senders, by token buckets of pkg/fleetrate. All ways in which an attempt starts pass Service.admits. Requests without a chance are refused with reason warm-up. The time of an entry counts from its first listing; View.Instances passes its revision.

Not measured in this commit.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -81,7 +81,7 @@
 // infeasibleReason returns the reason to refuse a request that would wait too long.
 func (s *Service) infeasibleReason(now Instant) Reason {
 	if wait, stated := s.statedWait(now, 0); stated && wait > 0 {
-		return ReasonRateLimit
+		return s.statedWaitReason(now)
 	}
 	return ReasonInfeasible
 }
@@ -122,7 +122,7 @@
 // dispatch sends queued requests while targets have capacity. freed is the target that may have gained some, or nil.
 func (s *Service) dispatch(now Instant, freed *targetState, out []Effect) []Effect {
 	if s.probesLoad() {
-		return s.dispatchBacklog(now, out)
+		return s.dispatchBacklog(now, s.probeUnknown(now, freed, out))
 	}
 	s.freedTarget = freed
 	out = s.dispatchQueue(now, out)
@@ -147,7 +147,12 @@
 		}
 		t := s.chooseTarget(now, r, false)
 		if t == nil {
-			return out
+			if !s.isHopeless(now, r, s.typicalLatencyFor(r), s.coldWait(now)) {
+				return out
+			}
+			s.removeFromQueue(now, r)
+			out = s.refuse(now, r, ReasonWarmup, out)
+			continue
 		}
 		s.queue.dequeue(r)
 		s.completions.setQueueBusy(now, s.queue.length() > 0)
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -84,6 +84,7 @@
 }
 
 func (s *Service) appendSendEffect(r *request, a *attempt, info DecisionInfo, out []Effect) []Effect {
+	out = countNotAdmitted(r, out)
 	return append(out, Effect{
 		Kind: SendAttempt, Request: r.id, Attempt: a.id, Target: a.target.id, At: r.deadline, FreshConnection: r.class == ClassOnce,
 		DecisionInfo: info,
@@ -100,7 +101,9 @@
 		id: s.lastAttemptID, request: r, target: t, targetStart: t.starts.current, sentAt: now, respondedAt: never,
 		relay: t == s.otherInstances,
 	}
-	t.rateLimit.take(now)
+	if !a.relay {
+		s.takeAdmission(now, t)
+	}
 	t.attempts.push(&a.listNode, a)
 	t.inFlight++
 	t.sentSinceReport++
@@ -109,7 +112,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.triedTargets = append(r.triedTargets, t)
-	if t.rateLimit.active {
+	if t.rateLimit.active || t.warmup.reportedCold {
 		s.scheduleTarget(now, t)
 	}
 	return a
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -57,7 +57,7 @@
 		return s.refuse(now, r, ReasonStopping, out)
 	case len(s.backlog.waiting) >= s.policy.QueueLimit:
 		return s.refuse(now, r, ReasonQueueFull, out)
-	case now+s.expectedBacklogWait(now, r)+s.runTime(r) > r.deadline:
+	case now+s.expectedBacklogWait(now, r)+s.runTime(r) > r.deadline, s.isHopeless(now, r, s.runTime(r), s.coldWait(now)):
 		return s.refuse(now, r, s.infeasibleReason(now), out)
 	}
 	s.recordContention(now, r)
@@ -118,13 +118,15 @@
 	return out
 }
 
-// probeAdmitting probes t if its rate limit admits a request again and requests wait. The rounds of onBacklogTimer would
+// probeAdmitting probes t if its rate limit or warm-up admits a request again and requests wait. The rounds of onBacklogTimer would
 // reach it too late: until it is used, the share of this instance stays unused.
 func (s *Service) probeAdmitting(now Instant, t *targetState, out []Effect) []Effect {
-	if !s.probesLoad() || len(s.backlog.waiting) == 0 || !t.rateLimit.active || !t.usable() || !s.isAvailable(t, now) {
+	if !s.probesLoad() || len(s.backlog.waiting) == 0 || !t.rateLimit.active && !s.boundsWarmup() || !t.usable() || s.isOutOfReach(t, now) {
 		return out
 	}
-	accept := func(*targetState) bool { return true }
+	accept := func(t *targetState) bool {
+		return s.isAvailable(t, now) || s.warmthOf(t, now) == unknownWarmth && s.isWorthProbing(t, now)
+	}
 	return s.sendLoadProbes(now, []*targetState{t}, 1, accept, func(*targetState) {}, out)
 }
 
@@ -144,10 +146,15 @@
 // onBacklogTimer refuses waiting requests that cannot be served. If other requests remain, it sends the next round of
 // load probes.
 func (s *Service) onBacklogTimer(now Instant, out []Effect) []Effect {
+	coldWait := s.coldWait(now)
 	for _, r := range slices.Clone(s.backlog.waiting) {
-		if s.shouldRefuse(now, r) {
+		switch {
+		case s.shouldRefuse(now, r):
 			s.leaveBacklog(now, r)
 			out = s.refuse(now, r, ReasonDeadline, out)
+		case s.isHopeless(now, r, s.runTime(r), coldWait):
+			s.leaveBacklog(now, r)
+			out = s.refuse(now, r, ReasonWarmup, out)
 		}
 	}
 	if len(s.backlog.waiting) == 0 {
--- a/pkg/core/ejection.go
+++ b/pkg/core/ejection.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	for i, t := range s.awaitingTrial {
-		if t.inFlight > 0 || now < t.backoffEnd() || !t.rateLimit.admits(now) {
+		if t.inFlight > 0 || now < t.backoffEnd() || !s.admits(t, now) {
 			continue
 		}
 		s.awaitingTrial = slices.Delete(s.awaitingTrial, i, i+1)
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -73,6 +73,7 @@
 	if t := s.chooseTrialTarget(now, r); t != nil {
 		return s.sendTrial(now, r, t, out)
 	}
+	out = s.probeForTrial(now, out)
 	if s.isBehindWaiting(now, r) {
 		return s.enterBacklog(now, r, out)
 	}
@@ -97,18 +98,21 @@
 	}
 	r.probedTargets = r.probedTargets[:0]
 	accept := func(t *targetState) bool { return s.isWorthProbing(t, now) && !r.tried(t) }
-	return s.sendLoadProbes(now, targets, count, accept, func(t *targetState) { r.probedTargets = append(r.probedTargets, t) }, out)
+	out = s.sendLoadProbes(now, targets, count, accept, func(t *targetState) { r.probedTargets = append(r.probedTargets, t) }, out)
+	return s.probeColdOutsideSubset(now, r, out)
 }
 
-// isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit may have
-// ended.
+// isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit or
+// warm-up may have ended.
 func (s *Service) isWorthProbing(t *targetState, now Instant) bool {
-	return s.isAvailable(t, now) || !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.isCheckDue(now)
+	return !t.ejection.active && now >= t.backoffEnd() && (t.rateLimit.admits(now) || t.rateLimit.isCheckDue(now)) &&
+		s.isWarmupWorthProbing(t, now)
 }
 
 // sendLoadProbes probes up to count random targets that accept admits, and calls onProbed for each. A target with a
-// probe in flight counts as probed but gets no second probe; a target with a fresh report is skipped. It stops when the
-// load probe budget is used up.
+// probe in flight counts as probed but gets no second probe; a target with a fresh report is skipped, unless it is not
+// known whether it is cold, because load reports on responses to requests do not tell. It stops when the load probe
+// budget is used up.
 func (s *Service) sendLoadProbes(
 	now Instant, targets []*targetState, count int, accept func(*targetState) bool, onProbed func(*targetState), out []Effect,
 ) []Effect {
@@ -119,7 +123,7 @@
 		j := i + s.randIntN(len(targets)-i)
 		targets[i], targets[j] = targets[j], targets[i]
 		t := targets[i]
-		if !accept(t) || t.hasReport && now-t.reportedAt <= freshReportAge {
+		if !accept(t) || t.hasReport && now-t.reportedAt <= freshReportAge && s.warmthOf(t, now) != unknownWarmth {
 			continue
 		}
 		if !t.probing {
@@ -220,8 +224,10 @@
 
 // loadProbeEnded applies the result of a load probe of t.
 func (s *Service) loadProbeEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
+	sentAt := t.probeSentAt(now)
 	t.probing = false
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
+	s.recordWarmup(now, t, ev, sentAt)
 	t.unhealthy = !ev.OK
 	switch {
 	case ev.OK:
--- a/pkg/core/placement.go
+++ b/pkg/core/placement.go
@@ -60,7 +60,7 @@
 	if inUse+1 > s.fullSpeedSlots(t) {
 		estimate *= lastSlotSlowdown
 	}
-	if now < t.warmupUntil {
+	if now < t.warmupUntil && !s.boundsWarmup() || s.warmthOf(t, now) == cold {
 		estimate *= warmupFactor
 	}
 	if queued := inUse + 1 - slots; queued > 0 {
@@ -109,7 +109,11 @@
 	run := s.runTime(r)
 	required := s.requiredFreeSlots(now, r)
 	for _, t := range s.recentReports(now) {
-		if !s.hasReportedFreeSlots(t, now, age, required) || !s.isCandidate(t, now, r) {
+		if !s.hasReportedFreeSlots(t, now, age, required) {
+			continue
+		}
+		if !s.isCandidate(t, now, r) {
+			s.recordNotAdmitted(now, r, t)
 			continue
 		}
 		e := s.responseEstimate(t, now)
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -82,6 +82,17 @@
 	// Headroom is the share of a target's slots that SelectAsk uses. Small targets are an exception: with the default,
 	// SelectAsk uses all slots of a target that has at most three.
 	Headroom float64
+	// WarmupRate is the number of requests per second that a cold target tolerates from all instances together. 0, the
+	// default, means that requests to cold targets are not bounded.
+	WarmupRate float64
+	// Warmup is how long a target is cold after its start.
+	Warmup time.Duration
+	// WarmupOvershoot and WarmupSlack bound the requests to a cold target in any one second: WarmupRate times
+	// WarmupOvershoot, plus WarmupSlack.
+	WarmupOvershoot, WarmupSlack float64
+	// HasPeers is set if the settings name other instances. An instance that knows none of them sends nothing to cold
+	// targets.
+	HasPeers bool
 }
 
 // instanceShare returns the part that this instance may use of an allowance for all instances together.
@@ -111,5 +122,7 @@
 		LoadProbeSubset:     12,
 		LoadProbesPerTarget: 40,
 		Headroom:            0.8,
+		WarmupOvershoot:     1,
+		WarmupSlack:         2,
 	}
 }
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -152,9 +152,11 @@
 		return s.loadProbeEnded(now, t, ev, out)
 	}
 	outdated := t.probing && (t.trafficObservedAt >= t.probedAt || t.inFlight > 0 || s.resumedAt > t.probedAt)
+	sentAt := t.probeSentAt(now)
 	t.probing = false
 	t.observedAt = now
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
+	s.recordWarmup(now, t, ev, sentAt)
 	if !ev.OK {
 		if outdated {
 			return out // newer traffic, or a pause of this process, outweighs the probe
@@ -180,3 +182,11 @@
 	s.onEjectionTimer(now, t)
 	s.scheduleTarget(now, t)
 }
+
+// probeSentAt returns the start of the probe of t in flight, or now if there is none.
+func (t *targetState) probeSentAt(now Instant) Instant {
+	if t.probing {
+		return t.probedAt
+	}
+	return now
+}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -69,6 +69,8 @@
 	hedgeDenied bool
 	hedged      bool
 
+	notAdmitted, notAdmittedCounted bool // a cold target has not admitted r
+
 	listNode node[request] // in its queue
 }
 
@@ -256,6 +258,8 @@
 	if reason == ReasonCrashesTargets {
 		retryAfter = quarantineRetryAfter
 	}
+	r.notAdmitted = r.notAdmitted || reason == ReasonWarmup
+	out = countNotAdmitted(r, out)
 	out = append(out, Effect{
 		Kind: Refuse, Request: r.id, Reason: reason, NotRun: r.provedNotRun(), RetryAfter: retryAfter,
 		DecisionInfo: s.requestInfo(now, r),
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -33,7 +33,7 @@
 	case now+backoff >= r.deadline:
 		return ReasonDeadline, out
 	case now+stated >= r.deadline:
-		return ReasonRateLimit, out
+		return s.statedWaitReason(now), out
 	case s.usableCount == 0:
 		return ReasonNoTarget, out
 	case !s.budget.takeRetry(now, &s.policy):
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -111,6 +111,7 @@
 		targets[i], targets[j] = targets[j], targets[i]
 		t := targets[i]
 		if !s.hasCapacity(t, now) || !relaxed && (r.tried(t) || !s.slowStartAdmits(t, now)) {
+			s.recordNotAdmitted(now, r, t)
 			continue
 		}
 		best.consider(t, s.score(t, now, r))
@@ -131,9 +132,9 @@
 	return nil
 }
 
-// isAvailable reports whether t is not ejected or in backoff, and admits a request by the rate that it states.
+// isAvailable reports whether t is not ejected or in backoff, and admits a request.
 func (s *Service) isAvailable(t *targetState, now Instant) bool {
-	return !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.admits(now)
+	return !t.ejection.active && now >= t.backoffEnd() && s.admits(t, now)
 }
 
 // hasCapacity reports whether t may receive an attempt now: it is available and below its in-flight limit. Baselines
@@ -141,7 +142,7 @@
 func (s *Service) hasCapacity(t *targetState, now Instant) bool {
 	if s.policy.Selection.isBaseline() {
 		// At the time never, no slow start is in progress.
-		return now >= t.retryAfterUntil && t.rateLimit.admits(now) && t.inFlight < s.capacity(t, never)
+		return now >= t.retryAfterUntil && s.admits(t, now) && t.inFlight < s.capacity(t, never)
 	}
 	return s.isAvailable(t, now) && t.inFlight < s.capacity(t, now)
 }
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -52,6 +52,9 @@
 	// subset holds the targets that this instance probes for their load, localSubset those of them in its zone.
 	subset, localSubset []*targetState
 	reportedTargets     []*targetState // all targets with a recent load report, and possibly others
+	coldTargets         []*targetState // all targets in warm-up, and possibly others
+	changedWarmups      []*targetState // targets that have become cold or warm in this step
+	shareVersion        int            // counts the changes on which the shares in the rates of cold targets depend
 	usableCount         int
 	inFlight            int
 	limitSum            float64      // sum of the limits of the usable targets
@@ -99,6 +102,7 @@
 	s.rng.Seed(in.Rand, uint64(in.Now))
 	out = s.apply(in.Now, in.Event, out)
 	out = s.runDueTimers(in.Now, out)
+	out = s.reportWarmups(in.Now, out)
 	return s.armTimer(out)
 }
 
@@ -150,6 +154,7 @@
 	for _, l := range s.latenciesByKind {
 		l.hedge.quantile = p.HedgeQuantile
 	}
+	s.reviewWarmups(now)
 	s.refreshTargets(now)
 	s.scheduleProbes(now)
 }
--- a/pkg/core/statement.go
+++ b/pkg/core/statement.go
@@ -41,26 +41,39 @@
 // backoffEnd returns the end of the time without new attempts on t, which may have passed.
 func (t *targetState) backoffEnd() Instant { return max(t.backoffUntil, t.retryAfterUntil) }
 
-// statedWait returns how long a request would wait for what the targets state, their request rates and Retry-After, if
-// the given number of requests were sent before it. It returns false if there is no usable target or one of them accepts
-// a request now without a limit.
+// statedWait returns how long a request would wait for what the targets state, their request rates, warm-ups and
+// Retry-After, if the given number of requests were sent before it. It returns false if there is no usable target or one
+// of them accepts a request now without a limit. A target that may be cold counts as one that accepts a request, because
+// a probe has to find out.
 func (s *Service) statedWait(now Instant, ahead int) (wait time.Duration, stated bool) {
 	if len(s.usableTargets) == 0 {
 		return 0, false
 	}
-	share, next, allLimited := 0.0, maxStatedWait, true
+	share, next, allLimited, untilUnlimited := 0.0, maxStatedWait, true, maxStatedWait
 	for _, t := range s.usableTargets {
+		if s.isOutOfReach(t, now) {
+			continue
+		}
 		l := &t.rateLimit
 		untilAccepted := max(l.wait(now), t.retryAfterUntil-now)
-		if !l.active && untilAccepted <= 0 {
+		isCold := s.warmthOf(t, now) == cold
+		if !l.active && !isCold && untilAccepted <= 0 {
 			return 0, false
 		}
-		share += l.bucket.Share()
+		if isCold {
+			if !l.active {
+				untilUnlimited = min(untilUnlimited, max(t.warmup.coldUntil, t.retryAfterUntil)-now)
+			}
+			untilAccepted = max(untilAccepted, s.warmupWait(t, now))
+			share += s.warmupBucket(now, t).Share()
+		} else {
+			share += l.bucket.Share()
+		}
 		next = min(next, untilAccepted)
-		allLimited = allLimited && l.active
+		allLimited = allLimited && (l.active || isCold)
 	}
 	if allLimited && share > 0 {
 		next += time.Duration(float64(ahead) / share * float64(time.Second))
 	}
-	return min(next, maxStatedWait), true
+	return min(next, untilUnlimited, maxStatedWait), true
 }
--- a/pkg/core/subset.go
+++ b/pkg/core/subset.go
@@ -28,6 +28,12 @@
 		limit = (limit + 1) / 2
 	}
 	s.subset = append(s.subset, s.highestHashes(remote, limit)...)
+	for _, t := range s.listedTargets {
+		t.inSubset = false
+	}
+	for _, t := range s.subset {
+		t.inSubset = true
+	}
 }
 
 // isLocal reports whether t is in the zone of this instance; false if the instance has no zone.
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -18,7 +18,7 @@
 	reportedInUse     int
 	sentSinceReport   int     // attempts sent by this instance since the report
 	slowdown          float64 // time that work takes, in multiples of the usual time
-	warmupUntil       Instant
+	warmupUntil       Instant // by the list entry
 	unansweredProbeAt Instant // time of the latest probe that got no answer
 	unhealthy         bool    // its latest load probe failed
 	othersInUse       int     // reported load without the attempts of this instance
@@ -39,6 +39,13 @@
 	retryAfterUntil  Instant // the target has asked for no requests until then
 	slowStartUntil   Instant
 	rateLimit        rateLimit
+	warmup           warmup
+	inSubset         bool // t is in Service.subset
+
+	// entryRevision and entryWarmup are those of the list entry, once entryListed is set.
+	entryListed   bool
+	entryRevision uint64
+	entryWarmup   time.Duration
 
 	ejection ejection
 
@@ -79,15 +86,16 @@
 		t = s.newTarget(now, entry.ID)
 		if !wasEmpty {
 			s.startSlowStart(now, t)
+			s.startWarmup(now, t)
 		}
 	}
 	t.listed = true
 	t.zone = entry.Zone
-	t.warmupUntil = now + entry.Warmup
 	starts := s.startHistory(now, entry.ID)
 	if starts.setCurrent(entry.Start) {
 		s.resetTarget(now, t)
 	}
+	s.listWarmup(now, t, entry)
 	if entry.Leaving {
 		starts.markLeaving(entry.Start)
 	}
@@ -117,6 +125,8 @@
 	t.consecutiveSheds, t.backoffUntil, t.retryAfterUntil = 0, 0, 0
 	t.ejection = ejection{}
 	t.rateLimit = rateLimit{}
+	t.warmup.markUnknown()
+	s.startWarmup(now, t)
 	s.setLimit(t, float64(s.slots(t)))
 	s.startSlowStart(now, t)
 }
@@ -168,18 +178,25 @@
 	if wait := t.rateLimit.wait(now); wait > 0 && wait != never {
 		at = min(at, now+wait)
 	}
+	if s.warmthOf(t, now) == cold {
+		if wait := s.warmupWait(t, now); wait > 0 {
+			at = min(at, now+wait)
+		}
+		at = min(at, t.warmup.coldUntil)
+	}
 	if now < t.slowStartUntil {
 		at = min(at, now+slowStartRecheckInterval, t.slowStartUntil)
 	}
 	s.schedule(&t.timer, at)
 }
 
-// onTargetTimer handles the end of a backoff, of an ejection, of a step of the slow start or of the wait for a request
-// that the rate limit admits.
+// onTargetTimer handles the end of a backoff, of an ejection, of a warm-up, of a step of the slow start or of the wait for
+// a request that the rate limit or the warm-up admits.
 func (s *Service) onTargetTimer(now Instant, t *targetState, out []Effect) []Effect {
 	if t.ejection.active && t.ejection.timerAt <= now {
 		s.onEjectionTimer(now, t)
 	}
+	s.reviewWarmup(now, t)
 	s.scheduleTarget(now, t)
 	out = s.probeAdmitting(now, t, out)
 	return s.dispatch(now, t, out)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -102,6 +102,7 @@
 	ReasonDeadline          Reason = "deadline"            // no time for an attempt; SelectAsk: or objective missed
 	ReasonInfeasible        Reason = "infeasible-deadline" // queueing would take longer than the deadline allows
 	ReasonRateLimit         Reason = "rate-limit"          // all targets limit their request rate or want none for now
+	ReasonWarmup            Reason = "warm-up"             // cold targets admit no further request for now
 	ReasonRetryBudget       Reason = "retry-budget"        // a retry is needed and the budget is used up
 	ReasonAttemptsExhausted Reason = "attempts-exhausted"
 	ReasonMayHaveRun        Reason = "may-have-run"   // a ClassOnce attempt ended without proof that it did not run
@@ -163,6 +164,10 @@
 	HasRequestRate bool
 	// RetryAfter is how long the target wants no requests from this instance; zero if it does not say.
 	RetryAfter time.Duration
+	// Warmup is how much longer the target stays cold, zero if it is warm. Only valid if HasWarmup, and only on responses
+	// to probes.
+	Warmup    time.Duration
+	HasWarmup bool
 }
 
 // Input is one event with the time and the random draw that make its processing deterministic.
@@ -186,6 +191,9 @@
 	Leaving bool   // the target drains and must not get new attempts
 	// Warmup is the remaining time during which the target is slower because it has just started.
 	Warmup time.Duration
+	// Revision identifies the version of the list entry. Warmup counts from the first list with this version; zero if the
+	// list has no versions, then from the first one with the same Warmup.
+	Revision uint64
 }
 
 // TargetsChanged replaces the list of targets. Targets that are no longer listed get no new attempts.
@@ -359,12 +367,15 @@
 	CountHedge
 	// CountEjection: Target was ejected for Reason.
 	CountEjection
-	// CountDenied: a retry, hedge or probe was denied by its budget.
+	// CountDenied: a retry, hedge or probe was denied by its budget, or a request was not admitted by a cold target
+	// (ReasonWarmup).
 	CountDenied
 	// CountLeaving: Target is leaving since this step. Reason is the source of the signal.
 	CountLeaving
 	// ReportRateLimit: Target has changed the request rate that it accepts to Rate, or accepts any rate again if Unlimited.
 	ReportRateLimit
+	// ReportWarmup: Target has become cold for Warmup, or warm if Warmup is 0. Only if requests to cold targets are bounded.
+	ReportWarmup
 	// ReportReachability: no connection to any target of the service can be opened (Unreachable), or one has responded
 	// again.
 	ReportReachability
@@ -392,6 +403,8 @@
 	Rate float64
 	// Unlimited is set if the target no longer limits the rate (ReportRateLimit).
 	Unlimited bool
+	// Warmup is how much longer a target is cold (ReportWarmup).
+	Warmup time.Duration
 	// Unreachable is set if no target can be reached (ReportReachability).
 	Unreachable bool
 	// DecisionInfo holds the inputs of the decision (SendAttempt, RelayAttempt and Refuse).
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -22,6 +22,7 @@
 	TargetStatusBackoff TargetStatus = "backoff" // no new attempts for a time because the target shed load
 	TargetStatusEjected TargetStatus = "ejected" // trial requests only
 	TargetStatusLeaving TargetStatus = "leaving" // draining
+	TargetStatusCold    TargetStatus = "cold"    // in warm-up, gets only a bounded rate of requests
 )
 
 // TargetView is the state of one target.
@@ -36,6 +37,8 @@
 	// RequestRate is the rate that the target accepts from all instances together, in requests per second; nil if it does
 	// not limit the rate.
 	RequestRate *float64 `json:"request_rate,omitempty"`
+	// ColdFor is how much longer the target is cold, in nanoseconds in JSON. Only if requests to cold targets are bounded.
+	ColdFor time.Duration `json:"cold_ns,omitempty"`
 	// Latency is the current estimate of the response time, in nanoseconds in JSON.
 	Latency time.Duration `json:"latency_ns"`
 }
@@ -77,10 +80,14 @@
 		perSecond := t.rateLimit.perSecond // the view is a copy
 		rate = &perSecond
 	}
+	coldFor := time.Duration(0)
+	if s.boundsWarmup() {
+		coldFor = max(t.warmup.coldUntil-now, 0)
+	}
 	return TargetView{
 		ID: t.id, Zone: t.zone, Start: t.starts.current, Status: status, Reason: reason,
 		InFlight: t.inFlight, Limit: s.capacity(t, now), Latency: s.expectedLatency(t, now),
-		RequestRate: rate,
+		RequestRate: rate, ColdFor: coldFor,
 	}
 }
 
@@ -93,6 +100,8 @@
 		return TargetStatusEjected, t.ejection.reason
 	case now < t.backoffEnd():
 		return TargetStatusBackoff, ReasonShed
+	case s.warmthOf(t, now) == cold:
+		return TargetStatusCold, ReasonWarmup
 	case now < t.slowStartUntil:
 		return TargetStatusRamping, ""
 	case s.isSuspect(t, now):
--- a/pkg/discovery/protocol.go
+++ b/pkg/discovery/protocol.go
@@ -60,6 +60,8 @@
 	State InstanceState `json:"state"`
 	// Warmup is how much longer the instance is slow after its start, in nanoseconds in JSON.
 	Warmup time.Duration `json:"warmup_ns,omitempty"`
+	// Revision is the revision of the entry in the store of an adapter. View.Instances sets it; zero elsewhere.
+	Revision uint64 `json:"-"`
 }
 
 // Identity names one start of the instance. It is the address for an instance without an ID.
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -251,9 +251,13 @@
 func (v *View) Instances() InstanceList {
 	list := InstanceList{Sequence: v.revision}
 	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
-		if t := v.entries[key].Target; t != nil {
-			list.Instances = append(list.Instances, *t)
+		e := v.entries[key]
+		if e.Target == nil {
+			continue
 		}
+		listed := *e.Target
+		listed.Revision = e.Revision
+		list.Instances = append(list.Instances, listed)
 	}
 	return list
 }
