gateway, platform, settings: configure the bound on requests to cold targets

Cause: the reducer can bound the requests to cold targets, but nothing sets the policy.

Change: warmup_s and warmup_per_s of the configuration become part of the policy of their service, which SetFleetSize keeps. Warmup-Ms of a health response, warmup_overshoot and warmup_slack are read. Changes are logged, and counted with the requests that were not admitted.

Not measured in this commit.

--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -177,6 +177,6 @@
 	}
 	return core.Statement{
 		Responded: true, Start: m.StartID, Leaving: m.Leaving, RequestRate: m.RequestRate, HasRequestRate: m.HasRequestRate,
-		RetryAfter: m.RetryAfter,
+		RetryAfter: m.RetryAfter, Warmup: m.Warmup, HasWarmup: m.HasWarmup,
 	}
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -71,12 +71,14 @@
 	attemptsStarted int
 }
 
-func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, r *relays, m *Metrics, log logr.Logger) *engine {
+func newEngine(
+	name string, policy core.Policy, probePath string, p *pauseDetector, cl *clients, q *Quarantine, r *relays, m *Metrics, log logr.Logger,
+) *engine {
 	e := &engine{
 		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, relays: r, metrics: m, log: log.WithValues("service", name),
-		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*pendingRequest),
+		service: core.NewService(policy), pending: make(map[core.RequestID]*pendingRequest),
 	}
-	e.probePath.Store(cfg.ProbePath)
+	e.probePath.Store(probePath)
 	e.timer = time.AfterFunc(time.Hour, func() { e.dispatch(core.TimerFired{}) }) // the first core.SetTimer replaces the hour
 	return e
 }
@@ -149,6 +151,8 @@
 		e.log.Info("target is leaving", "target", effect.Target, "source", effect.Reason)
 	case core.ReportReachability:
 		e.log.Info("reachability of targets changed", "unreachable", effect.Unreachable)
+	case core.ReportWarmup:
+		e.log.Info("warm-up of target changed", "target", effect.Target, "cold", effect.Warmup > 0, "cold_ms", effect.Warmup.Milliseconds())
 	case core.ReportRateLimit:
 		e.log.Info("request rate of target changed", "target", effect.Target, "per_second", effect.Rate, "unlimited", effect.Unlimited)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,7 +86,8 @@
 
 	mu      sync.Mutex
 	engines map[string]*engine
-	fleet   []string // of the latest SetFleet, sorted
+	warmups map[string]serviceWarmup // of the latest SetDocuments, by service
+	fleet   []string                 // of the latest SetFleet, sorted
 }
 
 // New returns a gateway without rules and targets. It refuses every request until SetDocuments is called.
@@ -115,10 +116,12 @@
 	return g
 }
 
-// SetDocuments replaces the rules for requests that arrive from now on, and sets the probe paths of their services.
+// SetDocuments replaces the rules for requests that arrive from now on, and sets the probe paths and warm-ups of their
+// services.
 func (g *Gateway) SetDocuments(docs []*rules.Document) {
 	g.splits.setRules(docs)
 	g.ruleTable.Store(rules.NewTable(docs))
+	g.setWarmups(docs)
 	for _, d := range docs {
 		for _, s := range d.Services {
 			if s.ProbePath != "" {
@@ -138,7 +141,7 @@
 		}
 		t := core.Target{
 			ID: core.TargetID(i.Identity()), Zone: core.Zone(i.Zone), Start: i.Start,
-			Leaving: i.State == discovery.StateLeaving, Warmup: i.Warmup,
+			Leaving: i.State == discovery.StateLeaving, Warmup: i.Warmup, Revision: i.Revision,
 		}
 		byService[i.Service] = append(byService[i.Service], t)
 		endpoints[t.ID] = endpoint{address: i.Address, identity: i.ID}
@@ -164,8 +167,8 @@
 		return
 	}
 	g.cfg.Policy.InstanceCount = n
-	for _, e := range g.engines {
-		e.dispatch(core.PolicyChanged{Policy: g.cfg.Policy})
+	for name, e := range g.engines {
+		e.dispatch(core.PolicyChanged{Policy: g.policyLocked(name)})
 	}
 }
 
@@ -197,7 +200,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.relays, g.metrics, g.log)
+		e = newEngine(name, g.policyLocked(name), g.cfg.ProbePath, g.pauses, g.clients, g.quarantine, g.relays, g.metrics, g.log)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		g.engines[name] = e
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -18,6 +18,8 @@
 	budgetDenied *prometheus.CounterVec
 	leaving      *prometheus.CounterVec
 	rateLimits   *prometheus.CounterVec
+	warmups      *prometheus.CounterVec
+	notAdmitted  *prometheus.CounterVec
 	crashes      *prometheus.CounterVec
 	relays       *prometheus.CounterVec
 	quarantined  prometheus.Gauge
@@ -56,6 +58,8 @@
 		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
+		warmups:      counter("warmup_changes_total", "Changes of targets to cold or warm.", "service", "state"),
+		notAdmitted:  counter("warmup_not_admitted_total", "Requests that a cold target did not admit.", "service"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
@@ -92,6 +96,10 @@
 	case core.CountEjection:
 		m.ejections.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.CountDenied:
+		if effect.Reason == core.ReasonWarmup {
+			m.notAdmitted.WithLabelValues(service).Inc()
+			return
+		}
 		m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.ReportReachability:
 		unreachable := 0.0
@@ -99,6 +107,12 @@
 			unreachable = 1
 		}
 		m.unreachable.WithLabelValues(service).Set(unreachable)
+	case core.ReportWarmup:
+		state := "warm"
+		if effect.Warmup > 0 {
+			state = "cold"
+		}
+		m.warmups.WithLabelValues(service, state).Inc()
 	case core.ReportRateLimit:
 		m.rateLimits.WithLabelValues(service).Inc()
 	case core.CountLeaving:
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -118,6 +118,11 @@
 	Name string
 	// ProbePath is the path that health probes and load probes request; empty means the path from the settings.
 	ProbePath string
+	// Warmup is how long a target is cold after its start.
+	Warmup time.Duration
+	// WarmupRate is the number of requests per second that a cold target tolerates from all instances together; 0 means
+	// that it is not bounded.
+	WarmupRate float64
 }
 
 // Limits of a document. They are constants rather than settings because validity depends on the bytes alone.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -35,6 +35,8 @@
 	{"connections.fresh_within", 0, float64(10 * time.Minute), "from 0s to 10m"},
 	{"fleet.repeat_ratio", 0, 1, "a share from 0 to 1"},
 	{"fleet.repeat_slack", 0, 1_000_000, "from 0 to 1000000"},
+	{"fleet.warmup_overshoot", 1, 100, "from 1 to 100"},
+	{"fleet.warmup_slack", 0, 10_000, "from 0 to 10000"},
 	{"retry.ratio", 0, 1, "a share from 0 to 1"},
 	{"retry.floor", 0, 10_000, "from 0 to 10000"},
 	{"retry.max_attempts", 1, 10, "from 1 to 10"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -149,6 +150,10 @@
 	// RepeatSlack is the number of requests that may be sent again per service and 10 s in addition to RepeatRatio. It
 	// has no effect if RepeatRatio is 0. Each instance takes its share. Default 0.
 	RepeatSlack float64 `toml:"repeat_slack"`
+	// WarmupOvershoot and WarmupSlack bound the requests to a cold target in any one second: the rate that the
+	// configuration of its service states times WarmupOvershoot, plus WarmupSlack. Defaults 1 and 2.
+	WarmupOvershoot float64 `toml:"warmup_overshoot"`
+	WarmupSlack     float64 `toml:"warmup_slack"`
 }
 
 // Retry configures retries and bounds the attempts of a request.
@@ -268,6 +273,7 @@
 			WaitLimit:   Duration(t.WaitLimit),
 			FreshWithin: Duration(t.FreshWithin),
 		},
+		Fleet:      Fleet{WarmupOvershoot: p.WarmupOvershoot, WarmupSlack: p.WarmupSlack},
 		Retry:      Retry{Ratio: p.RetryRatio, Floor: p.RetryFloor, MaxAttempts: p.MaxAttempts},
 		Hedge:      Hedge{Ratio: p.HedgeRatio, Floor: p.HedgeFloor, Quantile: p.HedgeQuantile},
 		Probe:      Probe{Share: 0.005, Cost: Duration(5 * time.Millisecond), Path: "/health"},
@@ -323,6 +329,8 @@
 	p.ProbeShare, p.ProbeCost = s.Probe.Share, s.Probe.Cost.Std()
 	p.LoadProbesLocal, p.LoadProbesRemote, p.LoadProbeSubset = s.LoadProbes.Local, s.LoadProbes.Remote, s.LoadProbes.Subset
 	p.InstanceID = cmp.Or(s.PeerListen, s.Listen) // other instances know the peer address
+	p.WarmupOvershoot, p.WarmupSlack = s.Fleet.WarmupOvershoot, s.Fleet.WarmupSlack
+	p.HasPeers = slices.ContainsFunc(s.Peers, func(address string) bool { return address != s.PeerListen })
 	p.LoadProbesPerTarget, p.Headroom = s.LoadProbes.PerTarget, s.LoadProbes.Headroom
 	return p
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -87,6 +87,7 @@
 admin_remote = true
 instances = 7
 hedge = { ratio = 0, floor = 1, quantile = 0.9 }
+fleet = { warmup_overshoot = 1.5, warmup_slack = 8 }
 [targets]
 slots = 3
 [connections]
@@ -117,7 +118,8 @@
 	want.ProbeShare, want.ProbeCost = 0.001, 2*time.Millisecond
 	require.Equal(t, "/alive", s.Probe.Path)
 	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
-	want.InstanceID = s.Listen
+	want.InstanceID, want.HasPeers = s.Listen, true
+	want.WarmupOvershoot, want.WarmupSlack = 1.5, 8
 	require.Equal(t, want, s.Policy())
 	require.Equal(t, target.Config{
 		DialTimeout: 2 * time.Second, WaitLimit: 4 * time.Second, MaxConnections: 14, FreshWithin: 3 * time.Second, IdleTimeout: 9 * time.Second,
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -69,6 +69,10 @@
 	HasRequestRate bool
 	// RetryAfter is how long the target wants no requests from this instance; zero if it does not say.
 	RetryAfter time.Duration
+	// Warmup is how much longer the target stays cold, zero if it is warm; only valid if HasWarmup. It is meaningful on
+	// responses to health probes only.
+	Warmup    time.Duration
+	HasWarmup bool
 	// GaveUp is set if an instance further down the call chain gave up on a nested call.
 	GaveUp bool
 }
