simulation: zones, views of the fleet and targets that become cold

Cause: the bound on requests to cold targets needs fleets of the size of the deployments, in which instances learn at different moments.

Change: fault kind cold, with list entries that reach each instance at another time; zones, divided views, and a check of the requests to a cold target in any second.

--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -18,7 +19,6 @@
 	highSlowdown     = 4.0                    // slowdown of such a target
 	lastSlotSlowdown = 1.6                    // slowdown of a request that takes the last slot
 	oneWayDelay      = 500 * time.Microsecond // between instance and target
-	zone             = "a"                    // of all instances and targets
 )
 
 // target is the model of one target. Up to queueLimit requests beyond its slots wait in it.
@@ -31,6 +31,10 @@
 	shedShare         float64  // share of the requests that it sheds although it has room
 	rateLimit         float64  // requests per second that it states to accept; 0 for no limit
 	arrivals          []core.Instant
+	coldFrom          core.Instant
+	coldUntil         core.Instant   // warm from then on
+	coldArrivals      []core.Instant // since coldFrom
+	mostWhileCold     int            // most requests within coldWindow
 	served            int
 }
 
@@ -89,6 +93,7 @@
 	rng            *rand.Rand
 	targetIDs      []core.TargetID
 	targets        map[core.TargetID]*target
+	list           []core.Target
 	instances      []*instance
 	calls          []*call
 	sentRequests   int     // requests sent by callers, retries included
@@ -100,30 +105,30 @@
 type instance struct {
 	*fleet
 	service     *core.Service
+	list        []core.Target // as received
 	callsByID   map[core.RequestID]*call
 	timerNumber int // number of the latest timer; earlier ones are ignored
 }
 
 func newFleet(p *Pattern, o Options, seed uint64) *fleet {
 	f := &fleet{pattern: p, hiddenSlowdown: 1, rng: rand.New(rand.NewPCG(seed, 2)), targets: make(map[core.TargetID]*target)}
-	var list []core.Target
 	for i := range p.Targets {
 		id := core.TargetID(fmt.Sprint("t", i))
 		f.targetIDs = append(f.targetIDs, id)
 		f.targets[id] = &target{slots: p.Slots, queueLimit: p.Queue, slowdown: 1}
-		list = append(list, core.Target{ID: id, Zone: zone})
+		f.list = append(f.list, core.Target{ID: id, Zone: p.zone(i * p.Zones / p.Targets)})
 	}
 	var instanceIDs []string
 	for n := range p.Instances {
 		instanceIDs = append(instanceIDs, fmt.Sprint("instance-", n))
 	}
-	for _, id := range instanceIDs {
+	for n, id := range instanceIDs {
 		policy := o.policy(p)
-		policy.InstanceID = id
-		i := &instance{fleet: f, service: core.NewService(policy), callsByID: make(map[core.RequestID]*call)}
+		policy.InstanceID, policy.Zone = id, p.zone(n)
+		i := &instance{fleet: f, service: core.NewService(policy), callsByID: make(map[core.RequestID]*call), list: slices.Clone(f.list)}
 		f.instances = append(f.instances, i)
-		i.apply(core.FleetChanged{Instances: instanceIDs})
-		i.apply(core.TargetsChanged{Targets: list})
+		i.apply(core.FleetChanged{Instances: p.view(instanceIDs, n)})
+		i.apply(core.TargetsChanged{Targets: slices.Clone(f.list)})
 	}
 	f.changeSlowdowns()
 	for i := range p.Loads {
@@ -156,7 +161,15 @@
 		f.hiddenSlowdown = max(value, 1)
 		return
 	}
-	for _, id := range f.targetIDs[:f.pattern.affectedTargets(*fault)] {
+	first := int(fault.Skip*float64(f.pattern.Targets) + 0.5)
+	affected := f.targetIDs[first:][:f.pattern.affectedTargets(*fault)]
+	if fault.Kind == FaultCold {
+		if active {
+			f.setCold(affected, f.now+fault.For.Std())
+		}
+		return
+	}
+	for _, id := range affected {
 		switch fault.Kind {
 		case FaultShed:
 			f.targets[id].shedShare = value
@@ -247,11 +260,12 @@
 	case core.SendAttempt:
 		i.attempts++
 		i.callsByID[e.Request].sent = true
-		i.schedule(oneWayDelay, func() { i.serve(e) })
+		sentAt := i.now
+		i.schedule(oneWayDelay, func() { i.serve(e, sentAt) })
 	case core.SendProbe:
 		i.schedule(2*oneWayDelay, func() {
 			t := i.targets[e.Target]
-			i.apply(core.ProbeEnded{Target: e.Target, OK: !t.unhealthy, Load: t.report(), Statement: t.statement()})
+			i.apply(core.ProbeEnded{Target: e.Target, OK: !t.unhealthy, Load: t.report(), Statement: t.warmupStatement(i.now, t.statement())})
 		})
 	case core.SetTimer:
 		i.timerNumber++
@@ -267,9 +281,9 @@
 }
 
 // serve runs an attempt on its target, or rejects it if the target is full.
-func (i *instance) serve(e core.Effect) {
+func (i *instance) serve(e core.Effect, sentAt core.Instant) {
 	t := i.targets[e.Target]
-	t.arrivals = append(t.arrivals, i.now)
+	t.recordArrival(i.now, sentAt)
 	end := func(outcome core.AttemptOutcome, reason core.Reason) {
 		load, statement := t.report(), t.statement()
 		i.schedule(oneWayDelay, func() {
@@ -288,6 +302,9 @@
 	work := func() {
 		t.running++
 		slowdown := t.slowdown
+		if i.now < t.coldUntil {
+			slowdown *= coldSlowdown
+		}
 		if t.running == t.slots {
 			slowdown *= lastSlotSlowdown
 		}
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -29,6 +29,12 @@
 	// Slots and Queue are the requests that a target processes at once and those that wait in it.
 	Slots int `toml:"slots"`
 	Queue int `toml:"queue"`
+	// Zones is the number of availability zones, among which instances and targets are divided evenly.
+	Zones int `toml:"zones"`
+	// Views is the number of parts into which the fleet is divided: an instance knows only those of its part.
+	Views int `toml:"views"`
+	// Warmup is the bound on requests to cold targets.
+	Warmup Warmup `toml:"warmup"`
 	// Duration is the time that is played.
 	Duration Duration `toml:"duration"`
 	// Options are the settings of the instances. Baseline, if set, are those of a second run for comparison.
@@ -89,6 +95,8 @@
 	FaultHiddenSlowdown = "hidden-slowdown"
 	// FaultRateLimit makes targets state that they accept Strength requests per second from all instances together.
 	FaultRateLimit = "rate-limit"
+	// FaultCold makes targets cold.
+	FaultCold = "cold"
 )
 
 // Fault is a fault of some targets.
@@ -96,7 +104,9 @@
 	// Kind is one of the Fault constants.
 	Kind string `toml:"kind"`
 	// Share is the share of the targets that are affected.
-	Share    float64  `toml:"share"`
+	Share float64 `toml:"share"`
+	// Skip is the share of the targets that precede the affected ones.
+	Skip     float64  `toml:"skip"`
 	Strength float64  `toml:"strength"`
 	From     Duration `toml:"from"`
 	For      Duration `toml:"for"`
@@ -146,7 +156,21 @@
 	return float64(p.Targets*(p.Slots-1)) * (1 - slowShare) / p.Loads[0].RunTime.Std().Seconds()
 }
 
-// affectedTargets returns the number of targets that have a fault; they are the first ones.
+// zone returns the name of a zone; numbers count on from the last one.
+func (p *Pattern) zone(n int) core.Zone { return core.Zone(fmt.Sprint("zone-", n%p.Zones)) }
+
+// view returns the instances that instance n knows, itself included.
+func (p *Pattern) view(instances []string, n int) []string {
+	var known []string
+	for i, id := range instances {
+		if i%p.Views == n%p.Views {
+			known = append(known, id)
+		}
+	}
+	return known
+}
+
+// affectedTargets returns the number of targets that have a fault; they are the first ones after Fault.Skip.
 func (p *Pattern) affectedTargets(f Fault) int { return int(f.Share*float64(p.Targets) + 0.5) }
 
 // policy returns the policy of the instances.
@@ -156,7 +180,8 @@
 	if o.Selection != "" {
 		policy.Selection = core.Selection(o.Selection)
 	}
-	policy.Zone, policy.InstanceCount, policy.SlotsPerTarget = zone, p.Instances, p.Slots
+	policy.InstanceCount, policy.SlotsPerTarget = p.Instances, p.Slots
+	p.Warmup.applyTo(&policy)
 	policy.LoadProbesPerTarget, policy.HedgeRatio, policy.HedgeFloor = 60, 0, 0
 	policy.FirstAttemptShare = o.FirstAttemptShare
 	if o.RepeatRatio > 0 {
@@ -191,7 +216,7 @@
 
 // Parse parses and checks a pattern. The error is a findings.List; file is the name of the source in the findings.
 func Parse(file string, text []byte) (*Pattern, error) {
-	p := &Pattern{Instances: 14, Targets: 16, Slots: 3, Queue: 6}
+	p := &Pattern{Instances: 14, Targets: 16, Slots: 3, Queue: 6, Zones: 1, Views: 1}
 	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(p)
 	if err != nil {
 		return nil, decodeFindings(file, err)
@@ -238,6 +263,7 @@
 	c.report(p.Duration > 0, "a duration above 0", "duration %s", p.Duration.Std())
 	c.report(p.Instances > 0 && p.Targets > 0 && p.Slots > 1, "at least one instance, one target and two slots",
 		"%d instances, %d targets, %d slots", p.Instances, p.Targets, p.Slots)
+	c.report(p.Zones > 0 && p.Views > 0, "at least one zone and one view", "%d zones, %d views", p.Zones, p.Views)
 	const wantSelection = "ask, load, load-latency, two-choices, round-robin or random"
 	c.report(p.Options.Check() == nil, wantSelection, "options: unknown selection %q", p.Options.Selection)
 	if p.Baseline != nil {
@@ -248,10 +274,10 @@
 		c.checkLoad(i, &p.Loads[i])
 	}
 	for i, f := range p.Faults {
-		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit}, f.Kind)
-		c.report(known, "shed, unhealthy, hidden-slowdown or rate-limit", "fault %d: unknown kind %q", i+1, f.Kind)
-		c.report(f.Share >= 0 && f.Share <= 1 && f.For > 0, "a share from 0 to 1 and a length above 0",
-			"fault %d: share %v for %s", i+1, f.Share, f.For.Std())
+		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit, FaultCold}, f.Kind)
+		c.report(known, "shed, unhealthy, hidden-slowdown, rate-limit or cold", "fault %d: unknown kind %q", i+1, f.Kind)
+		c.report(f.Share >= 0 && f.Skip >= 0 && f.Skip+f.Share <= 1 && f.For > 0, "shares from 0 to 1 and a length above 0",
+			"fault %d: share %v after %v for %s", i+1, f.Share, f.Skip, f.For.Std())
 	}
 	for i, e := range p.Expect {
 		_, known := core.ParseClass(e.Class)
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -17,6 +17,7 @@
 	servedByTarget []int
 	// arrivalsByTarget holds the times at which requests reached each target.
 	arrivalsByTarget [][]core.Instant
+	mostWhileCold    int // most requests that reached a cold target within coldWindow
 }
 
 // Run plays a pattern with the given options. The same seed gives the same result.
@@ -27,13 +28,14 @@
 	for _, id := range f.targetIDs {
 		r.servedByTarget = append(r.servedByTarget, f.targets[id].served)
 		r.arrivalsByTarget = append(r.arrivalsByTarget, f.targets[id].arrivals)
+		r.mostWhileCold = max(r.mostWhileCold, f.targets[id].mostWhileCold)
 	}
 	return r
 }
 
 // Check returns the expectations of a pattern that a run does not meet. The baseline is the run with p.Baseline, or nil.
 func Check(p *Pattern, r, baseline *Result) []string {
-	var unmet []string
+	unmet := r.checkCold(p)
 	for _, e := range p.Expect {
 		report := func(ok bool, format string, args ...any) {
 			if !ok {
