--- a/pkg/core/evacuation.go
+++ b/pkg/core/evacuation.go
@@ -70,6 +70,7 @@
 	t.hasLatency, t.consecutiveSlow, t.unhealthy = false, 0, false
 	t.consecutiveSheds, t.backoffUntil = 0, 0
 	t.unansweredProbeAt = 0
+	t.warmup.markUnknown()
 }
 
 // awaitsProbe reports whether t has to answer a probe before it gets requests, since its zone is no longer evacuated.
--- a/pkg/core/subset.go
+++ b/pkg/core/subset.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/burdockpitch/burdockpitch/pkg/fleetrate"
 )
 
 // chooseSubset selects the targets that this instance probes: Policy.LoadProbeSubset targets of its zone and half as
@@ -26,6 +28,12 @@
 		limit = (limit + 1) / 2
 	}
 	s.subset = append(s.subset, s.highestHashes(remote, limit)...)
+	for _, t := range s.listedTargets {
+		t.inSubset = false
+	}
+	for _, t := range s.subset {
+		t.inSubset = true
+	}
 }
 
 // isLocal reports whether t is in the zone of this instance; false if the instance has no zone.
@@ -36,7 +44,7 @@
 	if limit == 0 || len(targets) <= limit {
 		return targets
 	}
-	hash := func(t *targetState) uint64 { return instanceHash(s.policy.InstanceID, t.id) }
+	hash := func(t *targetState) uint64 { return fleetrate.Hash(s.policy.InstanceID, string(t.id)) }
 	sorted := slices.Clone(targets)
 	slices.SortFunc(sorted, func(a, b *targetState) int { return cmp.Compare(hash(b), hash(a)) })
 	return sorted[:limit]
