core: test that an order decides waiting requests in the same step

Cause: mutations that leave requests to their timers failed no test. Change: requests that wait for load probes or for a retry are covered.

--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -187,13 +187,13 @@
 		t.Run(string(method), func(t *testing.T) {
 			rt := newTestRuntime(t, 6, func(p *Policy) { p.Selection, p.InstanceCount, p.ProbeShare = method, 1, 10 })
 			rt.submitProbed(4)
-			rt.endAttempt(rt.inFlight[0], broken) // waits for its next attempt
 			for range 40 {
 				rt.submit(ClassLookup, time.Second)
 				rt.endProbes(true, 4)
 			}
 			rt.advance(freshReportAge + time.Millisecond)
 			rt.submit(ClassLookup, time.Second) // with load probes, waits for their answers
+			rt.endAttempt(rt.inFlight[0], refusedAsExpired) // waits for its next attempt
 			running := len(rt.inFlight)
 			rt.order("a", "b", "c")
 			for _, r := range rt.requests {
@@ -215,7 +215,15 @@
 			require.NotZero(t, r.delivered)
 		})
 	}
-	rt := newTestRuntime(t, 1)
+	rt := newTestRuntime(t, 3, func(p *Policy) { p.Selection, p.Zone, p.InstanceCount = SelectAsk, "a", 1 })
+	rt.submit(ClassLookup, time.Second)
+	require.Equal(t, map[TargetID]bool{"t0": true}, rt.probing)
+	rt.order("a")
+	require.Len(t, rt.probing, 3, "a request that waits for probes of the zone has others probed in the same step")
+	rt.order("a", "b", "c")
+	require.Equal(t, ReasonEvacuated, rt.refusal().Reason)
+
+	rt = newTestRuntime(t, 1)
 	rt.order("a")
 	rt.step(TargetLeaving{Target: "t0"})
 	rt.submit(ClassLookup, time.Second)
