--- /dev/null
+++ b/pkg/discovery/evacuation_watch_test.go
@@ -0,0 +1,105 @@
+package discovery_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+)
+
+func (r *recorder) evacuatedZones() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.zones
+}
+
+// stalePeers is a PeerSelector whose parent is of an older build until it is marked as stale.
+type stalePeers struct {
+	fakePeers
+	next  discovery.Source // parent after that; nil: this instance is the root
+	stale []string
+}
+
+func (p *stalePeers) MarkStale(_ context.Context, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale, p.parent = append(p.stale, name), p.next
+}
+
+// Guards against a target that gets requests between its listing and the order to evacuate its zone, against an
+// instance that counts as ready before it has the orders, and against orders that do not reach the followers.
+func TestEvacuatedZonesPrecedeTargets(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	s.items["order"] = discovery.Item{Key: "order", Revision: s.revision, EvacuatedZone: "z"}
+	root, r := startWatcher(t, s, nil)
+	<-root.Synced()
+	require.Equal(t, 1, r.count())
+	require.Equal(t, []string{"z"}, r.evacuatedZones())
+	child, childRecorder := startWatcher(t, &fakeSource{}, &fakePeers{parent: peerSource{Watcher: root}})
+	<-child.Synced()
+	require.Equal(t, []string{"z"}, childRecorder.evacuatedZones())
+	s.change(func() {
+		s.revision++
+		s.items["order"] = discovery.Item{Key: "order", Revision: s.revision, Removed: true, EvacuatedZone: "z"}
+	})
+	for _, each := range []*recorder{r, childRecorder} {
+		require.Eventually(t, func() bool { return len(each.evacuatedZones()) == 0 }, 10*time.Second, time.Millisecond)
+	}
+}
+
+// Guards against an instance that loses orders because it reads from an instance of an older build, which drops them.
+func TestInstanceOfOlderBuildIsNotFollowed(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	s.items["order"] = discovery.Item{Key: "order", Revision: s.revision, EvacuatedZone: "z"}
+	newer, _ := startWatcher(t, s, nil)
+	outdated := peerSource{err: discovery.ErrOutdatedFeed}
+	for name, c := range map[string]struct {
+		next     discovery.Source
+		ownCalls bool
+	}{
+		"another instance is of the own build": {peerSource{Watcher: newer}, false},
+		"all others are older":                 {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			own := &fakeSource{}
+			own.change(func() { own.revision, own.items = s.revision, s.items })
+			peers := &stalePeers{fakePeers: fakePeers{parent: outdated}, next: c.next}
+			started := time.Now()
+			w, r := startWatcher(t, own, peers)
+			<-w.Synced()
+			require.Less(t, time.Since(started), time.Second)
+			require.Equal(t, []string{"z"}, r.evacuatedZones())
+			peers.mu.Lock()
+			require.Equal(t, []string{"peer"}, peers.stale)
+			peers.mu.Unlock()
+			own.change(func() { require.Equal(t, c.ownCalls, own.calls > 0) })
+		})
+	}
+}
+
+// Guards against an entry of an operator that cannot be decoded and that nobody notices, and against one that is counted
+// again with each change of another entry.
+func TestUndecodableEntriesAreCounted(t *testing.T) {
+	s := &fakeSource{}
+	s.set("a")
+	s.items["bad"] = discovery.Item{Key: "bad", Revision: s.revision, DecodeErr: eris.New("no zone")}
+	r, reg := &recorder{}, prometheus.NewRegistry()
+	w := discovery.NewWatcher(watcherConfig, s, nil, r, discovery.NewMetrics(reg), logr.Discard())
+	go w.Run(t.Context())
+	require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+	s.set("b")
+	require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+	const name = "burdockpitch_platform_undecodable_entries_total"
+	want := "# HELP " + name + " Entries of the platform's store that could not be decoded and were ignored.\n# TYPE " + name + " counter\n" + name + " 1\n"
+	require.NoError(t, testutil.GatherAndCompare(reg, strings.NewReader(want), name))
+}
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -111,7 +111,8 @@
 type recorder struct {
 	mu        sync.Mutex
 	list      discovery.InstanceList
-	zones     []string
+	zones     []string // at the time of list
+	lastZones []string
 	documents []string
 }
 
@@ -186,13 +187,13 @@
 func (r *recorder) SetEvacuatedZones(zones []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.zones = zones
+	r.lastZones = zones
 }
 
 func (r *recorder) SetInstances(list discovery.InstanceList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.list = list
+	r.list, r.zones = list, r.lastZones
 }
 
 func (r *recorder) count() int {
