docs, cmd: evacuating an availability zone

Cause: operators need to know how to order it, what they see, and what is promised. The test of documented refusal reasons and the test of the status output cover orders. Measured: not measured.

--- a/cmd/burdockpitch/main_test.go
+++ b/cmd/burdockpitch/main_test.go
@@ -36,6 +36,7 @@
 		Budgets: core.BudgetView{Requests: 900, Retries: 12, Hedges: 3}, Queued: map[string]int{"once": 2, "lookup": 3},
 	}}
 }
+func (fakeSource) EvacuatedZones() []string                { return []string{"qc-c"} }
 func (fakeSource) Quarantined() []admin.QuarantinedRequest { return nil }
 func (fakeSource) Instances() []admin.Instance {
 	return []admin.Instance{{Address: "10.0.0.1:9000", Zone: "qc-b", State: "live"}}
@@ -79,8 +80,8 @@
 		{"explain invalid rules", []string{"explain", "--rules", invalid, "GET", "/"}, 1, []string{"unknown class"}},
 		{"explain without URL", []string{"explain", "--rules", registry, "GET"}, 2, []string{"requires at least 2 arg"}},
 		{"status", []string{"status", "--admin", addr}, 0, []string{"state: ready", "registry  1.42", "refused: registry 1.43 from platform", `rule "x" has no comment`,
-			"conflict: all methods /x", "ejected  slow", "10.0.0.1:9000  qc-b", "900       12       3       5"}},
-		{"status as JSON", []string{"status", "--admin", addr, "--json"}, 0, []string{`"revision": 42`, `"state": "ejected"`}},
+			"conflict: all methods /x", "ejected  slow", "10.0.0.1:9000  qc-b", "900       12       3       5", "evacuated zone: qc-c"}},
+		{"status as JSON", []string{"status", "--admin", addr, "--json"}, 0, []string{`"revision": 42`, `"state": "ejected"`, `"evacuated_zones"`}},
 		{"status of unreachable instance", []string{"status", "--admin", "127.0.0.1:1"}, 1, []string{"read administration API"}},
 		{"serve without settings", []string{"serve"}, 2, []string{`required flag(s) "settings" not set`}},
 		{"serve with invalid settings", []string{"serve", "--settings", registry}, 1, []string{`unknown key "service"`, "zone is missing"}},
--- a/pkg/settings/docs_test.go
+++ b/pkg/settings/docs_test.go
@@ -64,7 +64,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, r := range []core.Reason{
-		core.ReasonNoTarget, core.ReasonQueueFull, core.ReasonDeadline, core.ReasonInfeasible, core.ReasonRetryBudget, core.ReasonAttemptsExhausted,
+		core.ReasonNoTarget, core.ReasonEvacuated, core.ReasonQueueFull, core.ReasonDeadline, core.ReasonInfeasible, core.ReasonRetryBudget, core.ReasonAttemptsExhausted,
 		core.ReasonMayHaveRun, core.ReasonStopping, core.ReasonLoop, core.ReasonNestedGiveUp, core.ReasonCallerLeft, "no-rule", "body-too-large", "body-broken",
 	} {
 		require.Contains(t, string(page), "| `"+string(r)+"` |")
