--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -192,7 +192,7 @@
 				rt.endProbes(true, 4)
 			}
 			rt.advance(freshReportAge + time.Millisecond)
-			rt.submit(ClassLookup, time.Second) // with load probes, waits for their answers
+			rt.submit(ClassLookup, time.Second)             // with load probes, waits for their answers
 			rt.endAttempt(rt.inFlight[0], refusedAsExpired) // waits for its next attempt
 			running := len(rt.inFlight)
 			rt.order("a", "b", "c")
