core: test the reason of a request that would find the queue full

Cause: a mutation of the check in enterBacklog failed no test. Change: the test has no room in the queue. Clearing allFull after a probe had no effect, because the freed target is passed to dispatch. Measured: not measured.

--- a/pkg/core/evacuation.go
+++ b/pkg/core/evacuation.go
@@ -80,7 +80,6 @@
 func (s *Service) recordProbeAnswer(now Instant, t *targetState, ev ProbeEnded) {
 	if t.awaitsProbe(now) && (ev.OK || ev.Load.Slots > 0 || ev.Statement.Responded) {
 		t.unprobedUntil = 0
-		s.allFull = false
 		s.schedule(&t.timer, now) // dispatches waiting requests in this step
 	}
 }
--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -188,7 +188,7 @@
 			require.Equal(t, TargetStatusLeaving, rt.state(0))
 		})
 	}
-	rt := newTestRuntime(t, 3, func(p *Policy) { p.Selection, p.Zone, p.InstanceCount = SelectAsk, "a", 1 })
+	rt := newTestRuntime(t, 3, func(p *Policy) { p.Selection, p.Zone, p.InstanceCount, p.QueueLimit = SelectAsk, "a", 1, 0 })
 	rt.submit(ClassLookup, time.Second)
 	require.Equal(t, map[TargetID]bool{"t0": true}, rt.probing)
 	rt.order("a")
