discovery: log an undecodable entry once per revision

Cause: each complete read decodes entries again, and the new error made the same version of an entry appear again in the log. Change: versions are compared by their revision. Measured: not measured.

--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -278,13 +278,13 @@
 	return docs
 }
 
-// DecodeErrors returns the errors of entries that could not be decoded, by key.
-func (v *View) DecodeErrors() map[string]error {
-	errs := make(map[string]error)
-	for key, e := range v.entries {
+// DecodeErrors returns the items that could not be decoded, in no particular order.
+func (v *View) DecodeErrors() []Item {
+	var list []Item
+	for _, e := range v.entries {
 		if e.DecodeErr != nil {
-			errs[key] = e.DecodeErr
+			list = append(list, e.Item)
 		}
 	}
-	return errs
+	return list
 }
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -72,7 +72,7 @@
 
 	mu         sync.Mutex // held while the view changes and is published
 	view       *View
-	decodeErrs map[string]error  // decode errors of the last published view, by key
+	undecoded  map[string]uint64 // revisions of the entries of the last published view that could not be decoded, by key
 	offered    map[string]uint64 // revisions of the documents that were passed to the sink, by key
 	changed    chan struct{}     // closed when the view changes or is confirmed
 	// confirmedAt is the latest time at which the view is known to have matched the source.
@@ -324,14 +324,15 @@
 
 // logDecodeErrors logs and counts the entries that could not be decoded, once for each version of an entry.
 func (w *Watcher) logDecodeErrors() {
-	decodeErrs := w.view.DecodeErrors()
-	for key, err := range decodeErrs {
-		if w.decodeErrs[key] != err {
+	before := w.undecoded
+	w.undecoded = make(map[string]uint64)
+	for _, item := range w.view.DecodeErrors() {
+		w.undecoded[item.Key] = item.Revision
+		if revision, known := before[item.Key]; !known || revision != item.Revision {
 			w.metrics.undecodable.Inc()
-			w.log.Info("ignoring store entry that cannot be decoded", "key", key, "error", err.Error())
+			w.log.Info("ignoring store entry that cannot be decoded", "key", item.Key, "error", item.DecodeErr.Error())
 		}
 	}
-	w.decodeErrs = decodeErrs
 }
 
 // expireMissing removes missing entries at the end of each grace period, until ctx ends.
