--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -70,11 +70,11 @@
 	nextBypassAt time.Duration
 	staleParent  string
 
-	mu         sync.Mutex // held while the view changes and is published
-	view       *View
-	undecoded  map[string]uint64 // revisions of the entries of the last published view that could not be decoded, by key
-	offered    map[string]uint64 // revisions of the documents that were passed to the sink, by key
-	changed    chan struct{}     // closed when the view changes or is confirmed
+	mu        sync.Mutex // held while the view changes and is published
+	view      *View
+	undecoded map[string]uint64 // revisions of the entries of the last published view that could not be decoded, by key
+	offered   map[string]uint64 // revisions of the documents that were passed to the sink, by key
+	changed   chan struct{}     // closed when the view changes or is confirmed
 	// confirmedAt is the latest time at which the view is known to have matched the source.
 	confirmedAt time.Duration
 	failures    int    // consecutive failed calls of the source
