core: attempts in evacuated zones do not count against the other zones

Cause: the limit of the service is the sum over usable targets. Attempts that hang in an evacuated zone used it up, so that requests were queued although other zones had free capacity, until the deadlines passed. Change: these attempts count neither against the limit nor as departures to be expected.

--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -56,7 +56,7 @@
 	if s.completions.queueBusy && now-s.completions.queueBusySince >= completionWindow && s.completions.total > 0 {
 		return float64(s.completions.total) / completionWindow.Seconds()
 	}
-	return float64(max(s.inFlight, 1)) / latency.Seconds()
+	return float64(max(s.inFlightOutsideEvacuation(), 1)) / latency.Seconds()
 }
 
 // expectedQueueWait returns how long a new request of the class would wait in the queue.
--- a/pkg/core/evacuation.go
+++ b/pkg/core/evacuation.go
@@ -84,6 +84,21 @@
 	}
 }
 
+// inFlightOutsideEvacuation returns the number of attempts in flight, apart from those that are left to complete in
+// evacuated zones. They may hang there until their deadlines, and must not take the capacity of the other zones.
+func (s *Service) inFlightOutsideEvacuation() int {
+	n := s.inFlight
+	if len(s.evacuatedZones) == 0 {
+		return n
+	}
+	for _, t := range s.listedTargets {
+		if t.evacuated {
+			n -= t.inFlight
+		}
+	}
+	return n
+}
+
 // noTargetReason returns the reason to refuse a request while no target is usable.
 func (s *Service) noTargetReason() Reason {
 	if slices.ContainsFunc(s.listedTargets, func(t *targetState) bool { return t.evacuated && !t.leaving }) {
--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -197,6 +197,23 @@
 	require.Equal(t, ReasonEvacuated, rt.refusal().Reason)
 }
 
+// TestHangingAttemptsDoNotTakeOtherZones guards against attempts that hang in an evacuated zone and count against the
+// limit of the service, which is the sum over the other targets.
+func TestHangingAttemptsDoNotTakeOtherZones(t *testing.T) {
+	rt := newTestRuntime(t, 6, func(p *Policy) { p.InstanceCount = 1 })
+	rt.submitProbed(24, 0)
+	rt.order("a")
+	inOtherZones := func() []*sentAttempt {
+		return slices.DeleteFunc(slices.Clone(rt.inFlight), func(a *sentAttempt) bool { return rt.zones[a.target] == "a" })
+	}
+	for _, a := range inOtherZones() {
+		rt.answer(a)
+	}
+	require.Len(t, rt.inFlight, 8)
+	rt.submitProbed(16, 0)
+	require.Len(t, inOtherZones(), 16)
+}
+
 // TestEndOfEvacuation guards against attempts of before the order whose end rates the targets that return, and against
 // targets that stay unused. The runtime fails on attempts to targets that have not answered a probe since then.
 func TestEndOfEvacuation(t *testing.T) {
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -127,8 +127,8 @@
 }
 
 // nextProbeAt returns the earliest time for a probe of t. A target with attempts in flight is not probed, because their
-// responses give more information than a probe, unless it gets no requests before it is probed. A target that sheds load is spared the cost of a probe until its
-// backoff ends.
+// responses give more information than a probe, unless it gets no requests before it is probed. A target that sheds
+// load is spared the cost of a probe until its backoff ends.
 func (s *Service) nextProbeAt(now Instant, t *targetState) Instant {
 	if t.probing || t.inFlight > 0 && !t.awaitsProbe(now) {
 		return now + probeAfterIdle
--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -50,7 +50,7 @@
 // chooseTarget returns the target for the next attempt of r, or nil if no target has capacity. Targets that r has tried
 // are avoided; a hedge is never sent to one.
 func (s *Service) chooseTarget(now Instant, r *request, hedge bool) *targetState {
-	if s.inFlight >= s.serviceLimit() {
+	if s.inFlightOutsideEvacuation() >= s.serviceLimit() {
 		// The service limit keeps the target freed in this step unused. With allFull cleared, the next choice below the
 		// limit scans all targets and finds it.
 		s.allFull = s.allFull && s.freedTarget == nil
