--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -21,6 +21,18 @@
 	return n
 }
 
+// checkProbed checks that a target whose zone was evacuated has answered a probe, if the service sends any, before it
+// gets an attempt.
+func (rt *testRuntime) checkProbed(id TargetID) {
+	since, unprobed := rt.unprobedSince[id]
+	p := rt.s.policy
+	switch {
+	case !unprobed, p.Selection != SelectAsk && (p.ProbeShare == 0 || p.Selection.isBaseline()):
+	case p.Selection == SelectAsk, rt.now < since+maxTrialWait:
+		rt.Fatalf("attempt to %s before it has answered a probe since the end of the evacuation", id)
+	}
+}
+
 // endProbes ends all probes in flight. The targets have the given requests in use.
 func (rt *testRuntime) endProbes(inUse int) {
 	for i := range rt.maxTargets {
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -248,18 +248,6 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
-// checkProbed checks that a target whose zone was evacuated has answered a probe, if the service sends any, before it
-// gets an attempt.
-func (rt *testRuntime) checkProbed(id TargetID) {
-	since, unprobed := rt.unprobedSince[id]
-	p := rt.s.policy
-	switch {
-	case !unprobed, p.Selection != SelectAsk && (p.ProbeShare == 0 || p.Selection.isBaseline()):
-	case p.Selection == SelectAsk, rt.now < since+maxTrialWait:
-		rt.Fatalf("attempt to %s before it has answered a probe since the end of the evacuation", id)
-	}
-}
-
 // checkRelay checks that a request may be relayed to another instance.
 func (rt *testRuntime) checkRelay(e Effect) {
 	r := rt.submitted(e.Request)
