--- a/pkg/core/evacuation_test.go
+++ b/pkg/core/evacuation_test.go
@@ -21,6 +21,18 @@
 	return n
 }
 
+// checkProbed checks that a target whose zone was evacuated has answered a probe, if the service sends any, before it
+// gets an attempt.
+func (rt *testRuntime) checkProbed(id TargetID) {
+	since, unprobed := rt.unprobedSince[id]
+	p := rt.s.policy
+	switch {
+	case !unprobed, p.Selection != SelectAsk && (p.ProbeShare == 0 || p.Selection.isBaseline()):
+	case p.Selection == SelectAsk, rt.now < since+maxTrialWait:
+		rt.Fatalf("attempt to %s before it has answered a probe since the end of the evacuation", id)
+	}
+}
+
 // endProbes ends all probes in flight. The targets have the given requests in use.
 func (rt *testRuntime) endProbes(inUse int) {
 	for i := range rt.maxTargets {
@@ -197,6 +209,23 @@
 	require.Equal(t, ReasonEvacuated, rt.refusal().Reason)
 }
 
+// TestHangingAttemptsDoNotTakeOtherZones guards against attempts that hang in an evacuated zone and count against the
+// limit of the service, which is the sum over the other targets.
+func TestHangingAttemptsDoNotTakeOtherZones(t *testing.T) {
+	rt := newTestRuntime(t, 6, func(p *Policy) { p.InstanceCount = 1 })
+	rt.submitProbed(24, 0)
+	rt.order("a")
+	inOtherZones := func() []*sentAttempt {
+		return slices.DeleteFunc(slices.Clone(rt.inFlight), func(a *sentAttempt) bool { return rt.zones[a.target] == "a" })
+	}
+	for _, a := range inOtherZones() {
+		rt.answer(a)
+	}
+	require.Len(t, rt.inFlight, 8)
+	rt.submitProbed(16, 0)
+	require.Len(t, inOtherZones(), 16)
+}
+
 // TestEndOfEvacuation guards against attempts of before the order whose end rates the targets that return, and against
 // targets that stay unused. The runtime fails on attempts to targets that have not answered a probe since then.
 func TestEndOfEvacuation(t *testing.T) {
