--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -10,9 +10,6 @@
 	// waitMarginFactor multiplies the expected queue wait in the check that the deadline leaves enough time for it. The
 	// margin avoids queueing requests that expire: a request refused at once costs its caller less.
 	waitMarginFactor = 1.5
-	// retryAfterMin and retryAfterMax bound Retry-After.
-	retryAfterMin = 100 * time.Millisecond
-	retryAfterMax = 30 * time.Second
 )
 
 // completionRate counts ended attempts over completionWindow.
@@ -86,20 +83,6 @@
 	return ReasonInfeasible
 }
 
-// retryAfter returns how long the caller of a refused request should wait before it retries. With SelectAsk it adds up
-// to half of the wait as jitter: a burst leads to many refusals at the same time, whose retries would arrive together.
-func (s *Service) retryAfter(now Instant, r *request) time.Duration {
-	wait := s.expectedQueueWait(now, r.class)
-	if s.probesLoad() {
-		wait = s.expectedBacklogWait(now, r)
-		wait += time.Duration(s.randIntN(int(wait/2) + 1))
-	}
-	if wait >= maxStatedWait {
-		wait = rateLimitCheckInterval // this instance may send to no target, but others may
-	}
-	return min(max(wait, retryAfterMin), retryAfterMax)
-}
-
 // enqueueOrRefuse puts a request that cannot be sent now into its queue, or refuses it.
 func (s *Service) enqueueOrRefuse(now Instant, r *request, out []Effect) []Effect {
 	if s.stopping && r.attemptsStarted == 0 {
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -214,6 +214,7 @@
 		r.mayHaveRun = true
 	}
 	r.unconnected = r.unconnected || ev.Unreachable
+	r.shed = ev.Outcome == OutcomeRefused && ev.Reason == ReasonShed
 	if r.phase == phaseInFlight && !dropped && r.pendingAttempt() == nil {
 		if relayed {
 			out = s.relayEnded(now, r, ev, out)
--- a/pkg/core/backlog_test.go
+++ b/pkg/core/backlog_test.go
@@ -39,7 +39,7 @@
 			s.backlog.add(newWaitingRequest(RequestID(n + 1)))
 		}
 		s.rng.Seed(rng.Uint64(), 0)
-		return s.retryAfter(now, newWaitingRequest(RequestID(waiting+1)))
+		return s.retryAfter(now, newWaitingRequest(RequestID(waiting+1)), ReasonDeadline)
 	}
 	run := &s.latencyStatsOf(0, requestKind{class: ClassLookup}).run
 	for range minRunSamples {
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -11,9 +11,6 @@
 	// decisionGrace is the time after the deadline during which the end of an attempt may still prove that the request
 	// did not run.
 	decisionGrace = 10 * time.Millisecond
-	// quarantineRetryAfter is how long the caller of a quarantined request should wait. The same request is likely to be
-	// refused then too.
-	quarantineRetryAfter = time.Minute
 )
 
 // phase tells what a request waits for.
@@ -60,6 +57,8 @@
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	callerLeft bool
+	// shed is set while the latest attempt that ended was shed.
+	shed bool
 	// quarantined is set for a non-idempotent request whose attempt in flight is awaited although it must not be retried.
 	quarantined bool
 
@@ -254,14 +253,10 @@
 }
 
 func (s *Service) refuse(now Instant, r *request, reason Reason, out []Effect) []Effect {
-	retryAfter := s.retryAfter(now, r)
-	if reason == ReasonCrashesTargets {
-		retryAfter = quarantineRetryAfter
-	}
 	r.notAdmitted = r.notAdmitted || reason == ReasonWarmup
 	out = countNotAdmitted(r, out)
 	out = append(out, Effect{
-		Kind: Refuse, Request: r.id, Reason: reason, NotRun: r.provedNotRun(), RetryAfter: retryAfter,
+		Kind: Refuse, Request: r.id, Reason: reason, NotRun: r.provedNotRun(), RetryAfter: s.retryAfter(now, r, reason),
 		DecisionInfo: s.requestInfo(now, r),
 	})
 	s.markDecided(r)
