core: test the bound on requests to cold targets

Cause: nothing checked that every way in which an attempt starts respects the warm-up, nor how observations of it combine.

Change: a check of the share in the test runtime, so that the random events of all selection methods cover it, a random test with load probes, and tables of the ways to send and of the observations.

Trials: leaving out the admission in isAvailable, hasCapacity, chooseTrialTarget, the token, the check for known instances, the version of the entry, the probe despite a fresh report, the refusal of queued requests or the rule for failed responses fails at least one test each.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -112,7 +112,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.triedTargets = append(r.triedTargets, t)
-	if t.rateLimit.active || t.warmup.reportedCold {
+	if t.rateLimit.active || s.boundsWarmup() {
 		s.scheduleTarget(now, t)
 	}
 	return a
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -67,13 +67,14 @@
 	deniedProbes  int // CountDenied effects for probes
 	listed        map[TargetID]bool
 	limitedSends  map[TargetID][]Instant // since the target last changed its request rate
-	maxTargets    int                    // length of the longest list
+	cold          *coldRecord
+	maxTargets    int // length of the longest list
 }
 
 func newEmptyTestRuntime(t fataler, p Policy) *testRuntime {
 	return &testRuntime{
 		fataler: t, s: NewService(p), timerAt: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
-		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant),
+		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant), cold: newColdRecord(),
 	}
 }
 
@@ -102,6 +103,7 @@
 
 // recordEvent records what the checks need of an event.
 func (rt *testRuntime) recordEvent(ev Event) {
+	rt.cold.record(rt.now, &rt.s.policy, ev)
 	switch ev := ev.(type) {
 	case TimerFired:
 		rt.timerAt = never
@@ -204,6 +206,7 @@
 		rt.Fatalf("attempt to the leaving target %s", e.Target)
 	}
 	rt.checkRequestRate(e.Target)
+	rt.checkWarmup(e.Target)
 	r.attempts++
 	r.inFlight++
 	if r.attempts > rt.s.policy.MaxAttempts {
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -38,13 +38,16 @@
 	*testRuntime
 	currentStarts []int  // start number of each target's process
 	inList        []bool // whether discovery lists the target
+	warmups       []time.Duration
+	revisions     []uint64 // of the entries
+	revision      uint64   // highest of revisions
 }
 
 func targetID(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
 
 // TestRandomEvents guards against orders of events that break the outcome accounting, the budgets, the decision by the
-// deadline, the bound on ejections, the cost of probes, the request rates of targets or the exclusion of leaving ones.
-// The checks are in testRuntime.
+// deadline, the bound on ejections, the cost of probes, the request rates of targets and of cold ones, or the exclusion of
+// leaving ones. The checks are in testRuntime.
 func TestRandomEvents(t *testing.T) {
 	setRapidDefaults(t)
 	rapid.Check(t, func(rapidT *rapid.T) {
@@ -66,6 +69,7 @@
 			"sign":       sc.drawLeavingSignal,
 			"probe":      sc.drawProbe,
 			"rate":       sc.drawRequestRate,
+			"warmup":     sc.drawWarmup,
 			"stop":       sc.drawStop,
 		})
 		sc.endAll()
@@ -83,6 +87,8 @@
 	p.InstanceCount = rapid.IntRange(1, 14).Draw(t, "instances")
 	p.ProbeShare = rapid.SampledFrom([]float64{0, 0.001, 0.005, 0.1}).Draw(t, "probeShare")
 	p.HedgeFloor = rapid.IntRange(0, 3).Draw(t, "hedgeFloor")
+	p.WarmupRate = rapid.SampledFrom([]float64{0, 0.5, 3}).Draw(t, "warmupRate")
+	p.Warmup = rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(t, "warmup")
 	hasPeer := rapid.Bool().Draw(t, "hasPeer")
 	if hasPeer {
 		p.InstanceCount = 2
@@ -93,6 +99,7 @@
 	}
 	n := rapid.IntRange(1, 9).Draw(t, "targets")
 	sc.currentStarts, sc.inList = make([]int, n), make([]bool, n)
+	sc.warmups, sc.revisions = make([]time.Duration, n), make([]uint64, n)
 	for i := range sc.inList {
 		sc.inList[i] = true
 	}
@@ -220,6 +227,7 @@
 			sc.knownStarts[targetID(i)] = sc.currentStarts[i]
 			list = append(list, Target{
 				ID: targetID(i), Zone: Zone("abc"[i%3 : i%3+1]), Start: startID(targetID(i), sc.currentStarts[i]),
+				Warmup: sc.warmups[i], Revision: sc.revisions[i],
 			})
 		}
 	}
--- a/pkg/core/target.go
+++ b/pkg/core/target.go
@@ -125,7 +125,7 @@
 	t.consecutiveSheds, t.backoffUntil, t.retryAfterUntil = 0, 0, 0
 	t.ejection = ejection{}
 	t.rateLimit = rateLimit{}
-	t.warmup.markUnknown()
+	t.warmup.stated, t.warmup.unknown = false, false
 	s.startWarmup(now, t)
 	s.setLimit(t, float64(s.slots(t)))
 	s.startSlowStart(now, t)
@@ -178,12 +178,7 @@
 	if wait := t.rateLimit.wait(now); wait > 0 && wait != never {
 		at = min(at, now+wait)
 	}
-	if s.warmthOf(t, now) == cold {
-		if wait := s.warmupWait(t, now); wait > 0 {
-			at = min(at, now+wait)
-		}
-		at = min(at, t.warmup.coldUntil)
-	}
+	at = min(at, s.nextWarmupTime(now, t))
 	if now < t.slowStartUntil {
 		at = min(at, now+slowStartRecheckInterval, t.slowStartUntil)
 	}
--- a/pkg/core/warmup.go
+++ b/pkg/core/warmup.go
@@ -182,10 +182,30 @@
 	if !s.boundsWarmup() || !st.HasWarmup || !ev.OK && st.Warmup == 0 {
 		return
 	}
-	w := &t.warmup
+	w, wasUnknown := &t.warmup, s.warmthOf(t, now) == unknownWarmth
 	w.coldUntil, w.stated, w.statedAt, w.unknown = now+st.Warmup, true, sentAt, false
 	s.reviewWarmup(now, t)
 	s.scheduleTarget(now, t)
+	if wasUnknown {
+		s.schedule(&t.timer, now) // dispatches waiting requests in this step
+	}
+}
+
+// nextWarmupTime returns the next time at which the warm-up of t may admit a request or ends; never if there is none. A
+// target in unknown state is probed when a request arrives, and needs no time with load probes.
+func (s *Service) nextWarmupTime(now Instant, t *targetState) Instant {
+	state := s.warmthOf(t, now)
+	if state == warm || state == unknownWarmth && s.probesLoad() {
+		return never
+	}
+	at := never
+	if wait := s.warmupWait(t, now); wait > 0 && wait != never {
+		at = now + wait
+	}
+	if state == cold {
+		at = min(at, t.warmup.coldUntil)
+	}
+	return at
 }
 
 // reviewWarmup records whether t has become cold or warm.
