--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -55,11 +55,19 @@
 		}
 		for _, t := range s.Targets {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n",
-				s.Service, t.ID, t.Zone, t.Status, dashIfEmpty(string(t.Reason)), t.InFlight, t.Limit, t.Latency.Round(10*time.Microsecond))
+				s.Service, t.ID, t.Zone, t.Status, dashIfEmpty(reasonText(t)), t.InFlight, t.Limit, t.Latency.Round(10*time.Microsecond))
 		}
 	}
 }
 
+// reasonText returns the reason of a target's state, and for a cold target how long it stays cold.
+func reasonText(t core.TargetView) string {
+	if t.Status != core.TargetStatusCold {
+		return string(t.Reason)
+	}
+	return fmt.Sprintf("%s %s", t.Reason, t.ColdFor.Round(100*time.Millisecond))
+}
+
 func writeInstances(w io.Writer, list []admin.Instance) {
 	fmt.Fprintf(w, "\nINSTANCE\tZONE\tSTATE\tIN CONTACT\n")
 	for _, i := range list {
