core: send nothing to cold targets while an instance learns of others

Cause: instances that restart together know few others at first and all count themselves as senders.

Change: an instance whose settings name others and that has known one for less than 30 s is no sender until it has learned of no further one for 2 s. Simulation: fault kind restart, and a pattern that fails without the change.

--- a/internal/simulation/cold.go
+++ b/internal/simulation/cold.go
@@ -33,6 +33,7 @@
 
 // applyTo sets the policy of the instances.
 func (w Warmup) applyTo(policy *core.Policy) {
+	policy.HasPeers = w.PerSecond > 0
 	policy.Warmup, policy.WarmupRate, policy.WarmupOvershoot, policy.WarmupSlack = w.Time.Std(), w.PerSecond, w.Overshoot, w.Slack
 }
 
@@ -52,6 +53,44 @@
 	}
 }
 
+// restart replaces instances by new processes. Each learns of some others after its first exchange, and of all later. Their
+// requests in progress are lost.
+func (f *fleet) restart(instances []*instance) {
+	for _, i := range instances {
+		i.startService()
+		for _, step := range []struct {
+			after time.Duration
+			known int
+		}{{400 * time.Millisecond, 3}, {1400 * time.Millisecond, len(i.view) / 4}, {2800 * time.Millisecond, len(i.view)}} {
+			service := i.service
+			i.schedule(step.after+f.randomTime(200*time.Millisecond), func() {
+				if i.service == service {
+					i.apply(core.FleetChanged{Instances: i.some(step.known)})
+				}
+			})
+		}
+	}
+}
+
+// some returns a number of the instances in the view of i, itself included.
+func (i *instance) some(count int) []string {
+	known := []string{i.policy.InstanceID}
+	for _, n := range i.rng.Perm(len(i.view)) {
+		if id := i.view[n]; id != i.policy.InstanceID && len(known) < count {
+			known = append(known, id)
+		}
+	}
+	return known
+}
+
+// startService starts the process of i.
+func (i *instance) startService() {
+	i.service, i.startedAt = core.NewService(i.policy), i.now
+	i.timerNumber++ // ignores the timer of the former process
+	i.list = append([]core.Target(nil), i.fleet.list...)
+	i.apply(core.TargetsChanged{Targets: append([]core.Target(nil), i.list...)})
+}
+
 func (f *fleet) randomTime(limit time.Duration) time.Duration {
 	return time.Duration(f.rng.Float64() * float64(limit))
 }
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -7,7 +7,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -105,6 +104,9 @@
 type instance struct {
 	*fleet
 	service     *core.Service
+	policy      core.Policy
+	view        []string // instances that it knows
+	startedAt   core.Instant
 	list        []core.Target // as received
 	callsByID   map[core.RequestID]*call
 	timerNumber int // number of the latest timer; earlier ones are ignored
@@ -125,10 +127,10 @@
 	for n, id := range instanceIDs {
 		policy := o.policy(p)
 		policy.InstanceID, policy.Zone = id, p.zone(n)
-		i := &instance{fleet: f, service: core.NewService(policy), callsByID: make(map[core.RequestID]*call), list: slices.Clone(f.list)}
+		i := &instance{fleet: f, policy: policy, view: p.view(instanceIDs, n), callsByID: make(map[core.RequestID]*call)}
 		f.instances = append(f.instances, i)
-		i.apply(core.FleetChanged{Instances: p.view(instanceIDs, n)})
-		i.apply(core.TargetsChanged{Targets: slices.Clone(f.list)})
+		i.startService()
+		i.apply(core.FleetChanged{Instances: i.view})
 	}
 	f.changeSlowdowns()
 	for i := range p.Loads {
@@ -161,6 +163,12 @@
 		f.hiddenSlowdown = max(value, 1)
 		return
 	}
+	if fault.Kind == FaultRestart {
+		if active {
+			f.restart(f.instances[:int(fault.Strength*float64(len(f.instances))+0.5)])
+		}
+		return
+	}
 	first := int(fault.Skip*float64(f.pattern.Targets) + 0.5)
 	affected := f.targetIDs[first:][:f.pattern.affectedTargets(*fault)]
 	if fault.Kind == FaultCold {
@@ -263,7 +271,11 @@
 		sentAt := i.now
 		i.schedule(oneWayDelay, func() { i.serve(e, sentAt) })
 	case core.SendProbe:
+		sentAt := i.now
 		i.schedule(2*oneWayDelay, func() {
+			if sentAt < i.startedAt {
+				return
+			}
 			t := i.targets[e.Target]
 			i.apply(core.ProbeEnded{Target: e.Target, OK: !t.unhealthy, Load: t.report(), Statement: t.warmupStatement(i.now, t.statement())})
 		})
@@ -287,6 +299,9 @@
 	end := func(outcome core.AttemptOutcome, reason core.Reason) {
 		load, statement := t.report(), t.statement()
 		i.schedule(oneWayDelay, func() {
+			if sentAt < i.startedAt {
+				return // the instance has restarted
+			}
 			if outcome == core.OutcomeAnswered {
 				i.apply(core.AttemptCommitted{Request: e.Request, Attempt: e.Attempt, Statement: statement})
 				if c := i.callsByID[e.Request]; c.refusedAt == 0 && c.answeredAt == 0 {
--- a/pkg/core/rate_limit.go
+++ b/pkg/core/rate_limit.go
@@ -87,13 +87,9 @@
 
 // setFleet replaces the IDs of the instances and the shares of this one that depend on them.
 func (s *Service) setFleet(now Instant, instances []string) {
+	before := s.fleet
 	s.fleet = slices.Clone(instances)
-	s.shareVersion++
-	for _, t := range s.coldTargets {
-		if t.listed {
-			s.scheduleTarget(now, t)
-		}
-	}
+	s.learnFleet(now, before)
 	for _, t := range s.targets {
 		if t.rateLimit.active {
 			s.updateRateShare(now, t)
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -55,7 +55,10 @@
 	coldTargets         []*targetState // all targets in warm-up, and possibly others
 	changedWarmups      []*targetState // targets that have become cold or warm in this step
 	warmthAge           time.Duration  // age of a statement about the warm-up above which a target's state is unknown
-	shareVersion        int            // counts the changes on which the shares in the rates of cold targets depend
+	fleetJoinedAt       Instant        // time at which the first other instance was known
+	fleetUnsettled      bool           // the instance is still learning of others, until fleetSettlesAt
+	fleetSettlesAt      Instant
+	shareVersion        int // counts the changes on which the shares in the rates of cold targets depend
 	usableCount         int
 	inFlight            int
 	limitSum            float64      // sum of the limits of the usable targets
@@ -101,7 +104,7 @@
 // Reduce applies one event and appends its effects to out, so that a step need not allocate.
 func (s *Service) Reduce(in Input, out []Effect) []Effect {
 	s.rng.Seed(in.Rand, uint64(in.Now))
-	s.updateWarmthAge(in.Now)
+	s.updateWarmup(in.Now)
 	out = s.apply(in.Now, in.Event, out)
 	out = s.runDueTimers(in.Now, out)
 	out = s.reportWarmups(in.Now, out)
--- a/pkg/core/warmup.go
+++ b/pkg/core/warmup.go
@@ -23,6 +23,14 @@
 	unnoticedShare = 0.7
 )
 
+// An instance that has known other instances for less than joinTime learns of the others step by step, because all may
+// have been replaced together. It sends nothing to cold targets until it has learned of no further one for settleTime,
+// which is longer than two rounds of the exchange between instances.
+const (
+	joinTime   = 30 * time.Second
+	settleTime = 2 * time.Second
+)
+
 // warmth is the warm-up state of a target as far as this instance knows.
 type warmth uint8
 
@@ -70,14 +78,45 @@
 	return warm
 }
 
+// updateWarmup prepares a step of a service whose requests to cold targets are bounded.
+func (s *Service) updateWarmup(now Instant) {
+	if !s.boundsWarmup() {
+		return
+	}
+	s.updateWarmthAge(now)
+	if s.fleetUnsettled && now >= s.fleetSettlesAt {
+		s.fleetUnsettled = false
+		s.updateWarmupShares(now)
+	}
+}
+
+// learnFleet notes a change of the known instances.
+func (s *Service) learnFleet(now Instant, before []string) {
+	if len(before) <= 1 && len(s.fleet) > 1 {
+		s.fleetJoinedAt = now
+	}
+	hasNew := slices.ContainsFunc(s.fleet, func(id string) bool { return !slices.Contains(before, id) })
+	if s.policy.HasPeers && hasNew && len(s.fleet) > 1 && now-s.fleetJoinedAt < joinTime {
+		s.fleetUnsettled, s.fleetSettlesAt = true, now+settleTime
+	}
+	s.updateWarmupShares(now)
+}
+
+// updateWarmupShares makes the shares in the rates of cold targets be computed again.
+func (s *Service) updateWarmupShares(now Instant) {
+	s.shareVersion++
+	for _, t := range s.coldTargets {
+		if t.listed {
+			s.scheduleTarget(now, t)
+		}
+	}
+}
+
 // updateWarmthAge sets the age above which the state of a target is unknown. It is below maxWarmthAge if instances that
 // have not noticed that a target is cold would otherwise exceed the bound: with maxWarmthAge and targets that complete 57
 // requests per second, 19 reached a cold one within a second where 10 are allowed (simulation). A shorter age costs load
 // probes, and throughput when their budget is used up.
 func (s *Service) updateWarmthAge(now Instant) {
-	if !s.boundsWarmup() {
-		return
-	}
 	p := &s.policy
 	spare := unnoticedShare * (p.WarmupRate*(p.WarmupOvershoot-1) + p.WarmupSlack - float64(p.warmupSenders()))
 	s.completions.advance(now)
@@ -122,7 +161,7 @@
 func (s *Service) warmupShare(id TargetID) float64 {
 	p := &s.policy
 	switch {
-	case p.HasPeers && len(s.fleet) <= 1:
+	case p.HasPeers && len(s.fleet) <= 1, s.fleetUnsettled:
 		return 0
 	case len(s.fleet) == 0:
 		return p.WarmupRate / float64(max(p.InstanceCount, 1))
