--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -56,7 +56,7 @@
 	if s.completions.queueBusy && now-s.completions.queueBusySince >= completionWindow && s.completions.total > 0 {
 		return float64(s.completions.total) / completionWindow.Seconds()
 	}
-	return float64(max(s.inFlight, 1)) / latency.Seconds()
+	return float64(max(s.inFlightOutsideEvacuation(), 1)) / latency.Seconds()
 }
 
 // expectedQueueWait returns how long a new request of the class would wait in the queue.
@@ -142,7 +142,7 @@
 		}
 		if s.usableCount == 0 {
 			s.removeFromQueue(now, r)
-			out = s.refuse(now, r, ReasonNoTarget, out)
+			out = s.refuse(now, r, s.noTargetReason(), out)
 			continue
 		}
 		t := s.chooseTarget(now, r, false)
--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -102,8 +102,8 @@
 	return s.probeColdOutsideSubset(now, r, out)
 }
 
-// isWorthProbing reports whether a load probe of t can help a request: t may receive one now, or its rate limit or
-// warm-up may have ended.
+// isWorthProbing reports whether a load probe of t can help a request: t may receive one now or once it has answered, or
+// its rate limit or warm-up may have ended.
 func (s *Service) isWorthProbing(t *targetState, now Instant) bool {
 	return !t.ejection.active && now >= t.backoffEnd() && (t.rateLimit.admits(now) || t.rateLimit.isCheckDue(now)) &&
 		s.isWarmupWorthProbing(t, now)
@@ -139,9 +139,9 @@
 	return out
 }
 
-// probesEnded reports whether no probe that r waits for is still in flight.
+// probesEnded reports whether no probe that r waits for is still in flight. The load of evacuated targets is not needed.
 func (r *request) probesEnded() bool {
-	return !slices.ContainsFunc(r.probedTargets, func(t *targetState) bool { return t.probing })
+	return !slices.ContainsFunc(r.probedTargets, func(t *targetState) bool { return t.probing && !t.evacuated })
 }
 
 // reviewProbingRequests decides again on all requests that wait for load probes, after a probe has ended.
@@ -226,6 +226,7 @@
 func (s *Service) loadProbeEnded(now Instant, t *targetState, ev ProbeEnded, out []Effect) []Effect {
 	sentAt := t.probeSentAt(now)
 	t.probing = false
+	s.recordProbeAnswer(now, t, ev)
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
 	s.recordWarmup(now, t, ev, sentAt)
 	t.unhealthy = !ev.OK
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -47,7 +47,7 @@
 
 // TestRandomEvents guards against orders of events that break the outcome accounting, the budgets, the decision by the
 // deadline, the bound on ejections, the cost of probes, the request rates of targets and of cold ones, or the exclusion of
-// leaving ones. The checks are in testRuntime.
+// leaving and evacuated ones. The checks are in testRuntime.
 func TestRandomEvents(t *testing.T) {
 	setRapidDefaults(t)
 	rapid.Check(t, func(rapidT *rapid.T) {
@@ -68,6 +68,7 @@
 			"restart":    sc.drawRestart,
 			"sign":       sc.drawLeavingSignal,
 			"probe":      sc.drawProbe,
+			"evacuate":   sc.drawEvacuation,
 			"rate":       sc.drawRequestRate,
 			"warmup":     sc.drawWarmup,
 			"stop":       sc.drawStop,
@@ -78,7 +79,7 @@
 
 func newRandomScenario(t *rapid.T) *randomScenario {
 	p := DefaultPolicy()
-	methods := []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices, SelectRoundRobin, SelectRandom}
+	methods := []Selection{SelectLoad, SelectLoadLatency, SelectTwoChoices, SelectRoundRobin, SelectRandom, SelectAsk}
 	p.Selection = rapid.SampledFrom(methods).Draw(t, "selection")
 	p.Zone = "a"
 	p.QueueLimit = rapid.IntRange(0, 8).Draw(t, "queueLimit")
@@ -265,6 +266,11 @@
 	sc.step(LoadReported{Target: id, Load: LoadReport{InUse: 3, Slots: 4}, Age: 5 * time.Millisecond})
 }
 
+// drawEvacuation replaces the evacuated zones.
+func (sc *randomScenario) drawEvacuation(t *rapid.T) {
+	sc.step(EvacuationChanged{Zones: rapid.SliceOfNDistinct(rapid.SampledFrom([]Zone{"a", "b", "c"}), 0, 3, rapid.ID).Draw(t, "zones")})
+}
+
 // drawRequestRate makes a target state a request rate, or withdraw it.
 func (sc *randomScenario) drawRequestRate(t *rapid.T) {
 	_, id := sc.drawTarget(t)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -78,7 +78,7 @@
 		n.log.Error(err, "cannot register peer service")
 		return
 	}
-	c := newCodec(conn, maxRequestSize)
+	c := n.newCountedCodec(conn, maxRequestSize)
 	for {
 		if err := conn.SetDeadline(time.Now().Add(n.cfg.IdleTimeout + maxFollowWait)); err != nil {
 			return
@@ -147,7 +147,7 @@
 	feed := s.node.feed
 	s.node.mu.Unlock()
 	if feed == nil {
-		reply.Gone = true
+		reply.Gone, reply.FeedVersion = true, feedVersion
 		return nil
 	}
 	return s.node.answerFollow(s.ctx, feed, request, reply)
