core: failed health responses also tell whether a target is cold

Cause: a failed response to a probe without a warm-up time left the state unknown, so a target that serves with a failing health check got only the rate of a cold one. The design counts every health response.

Change: failed responses set the state like others.

--- a/pkg/core/load_probe.go
+++ b/pkg/core/load_probe.go
@@ -228,7 +228,7 @@
 	t.probing = false
 	s.recordProbeAnswer(now, t, ev)
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
-	s.recordWarmup(now, t, ev, sentAt)
+	s.recordWarmup(now, t, ev.Statement, sentAt)
 	t.unhealthy = !ev.OK
 	switch {
 	case ev.OK:
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -163,7 +163,7 @@
 	t.probing = false
 	t.observedAt = now
 	out = s.recordStatement(now, t, t.starts.current, ev.Statement, ReasonProbe, out)
-	s.recordWarmup(now, t, ev, sentAt)
+	s.recordWarmup(now, t, ev.Statement, sentAt)
 	if !ev.OK {
 		if outdated {
 			return out // newer traffic, or a pause of this process, outweighs the probe
--- a/pkg/core/warmup.go
+++ b/pkg/core/warmup.go
@@ -214,11 +214,10 @@
 	s.reviewWarmup(now, t)
 }
 
-// recordWarmup applies what t states about its warm-up on the response to a probe that was sent at sentAt. A failed
-// response without a warm-up time does not prove that t is warm.
-func (s *Service) recordWarmup(now Instant, t *targetState, ev ProbeEnded, sentAt Instant) {
-	st := ev.Statement
-	if !s.boundsWarmup() || !st.HasWarmup || !ev.OK && st.Warmup == 0 {
+// recordWarmup applies what t states about its warm-up on the response to a probe that was sent at sentAt. A response
+// that reports a failure counts as well: targets with a failing health check may serve all the same.
+func (s *Service) recordWarmup(now Instant, t *targetState, st Statement, sentAt Instant) {
+	if !s.boundsWarmup() || !st.HasWarmup {
 		return
 	}
 	w, wasUnknown := &t.warmup, s.warmthOf(t, now) == unknownWarmth
