--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -67,8 +67,9 @@
 	deniedProbes  int // CountDenied effects for probes
 	listed        map[TargetID]bool
 	limitedSends  map[TargetID][]Instant // since the target last changed its request rate
-	maxTargets    int                    // length of the longest list
-	zones         map[TargetID]Zone      // of the latest list
+	cold          *coldRecord
+	maxTargets    int               // length of the longest list
+	zones         map[TargetID]Zone // of the latest list
 	evacuated     map[Zone]bool
 	contacts      []TargetID // targets of attempts, probes and connection checks
 	// unprobedSince holds, for each target that has not answered a probe since its zone was last evacuated, the end of
@@ -80,6 +81,7 @@
 	return &testRuntime{
 		fataler: t, s: NewService(p), timerAt: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
 		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant), unprobedSince: make(map[TargetID]Instant),
+		cold: newColdRecord(),
 	}
 }
 
@@ -108,6 +110,7 @@
 
 // recordEvent records what the checks need of an event.
 func (rt *testRuntime) recordEvent(ev Event) {
+	rt.cold.record(rt.now, &rt.s.policy, ev)
 	switch ev := ev.(type) {
 	case TimerFired:
 		rt.timerAt = never
@@ -240,6 +243,7 @@
 	}
 	rt.checkProbed(e.Target)
 	rt.checkRequestRate(e.Target)
+	rt.checkWarmup(e.Target)
 	r.attempts++
 	r.inFlight++
 	if r.attempts > rt.s.policy.MaxAttempts {
