settings: memory limit of the process and the share for bodies

Cause: an instance does not know the size at which its platform kills it, so that it cannot bound the bodies it holds.

Change: memory.process and memory.body_share with ranges and findings. The body limits of rules are capped at the largest body that the bound can hold, because a larger one would be refused as often as it comes.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -64,7 +64,7 @@
 	s settings.Settings, a Adapter, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
 ) *discovery.ConfigStore {
 	return discovery.NewConfigStore(a.ParseDocument, log, m, func(docs []*rules.Document) {
-		g.SetDocuments(rules.WithLimits(docs, s.Deadline.Max.Std(), int64(s.Limits.Body)))
+		g.SetDocuments(rules.WithLimits(docs, s.Deadline.Max.Std(), s.MaxBody()))
 	})
 }
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -58,6 +58,8 @@
 	{"watch.backoff_limit", float64(time.Millisecond), float64(time.Minute), "from 1ms to 1m"},
 	{"memory.limit", 0, float64(1 << 40), "from 0B to 1TiB"},
 	{"memory.gc_percent", 1, 10_000, "from 1 to 10000"},
+	{"memory.process", 0, float64(1 << 40), "from 0B to 1TiB"},
+	{"memory.body_share", 0.01, 0.9, "a share from 0.01 to 0.9"},
 	{"queue.limit", 1, 100_000, "from 1 to 100000"},
 	{"queue.first_share", 0, 1, "a share from 0 to 1"},
 	{"limits.body", 1, rules.MaxBodyBytes, "from 1B to 64MiB"},
@@ -118,6 +120,20 @@
 	c.require(s.Retry.MaxAttempts > 1 || s.Hedge.Ratio == 0 && s.Hedge.Floor == 0 && s.Retry.Ratio == 0 && s.Retry.Floor == 0,
 		"ratios and floors of 0 with one attempt, or more attempts",
 		"retries or hedges are allowed, but retry.max_attempts allows one attempt", "retry.max_attempts", "hedge.ratio", "hedge.floor", "retry.ratio", "retry.floor")
+	c.checkMemory()
+}
+
+// minProcessBytes is less than any instance runs in. A smaller size is a mistaken unit and would refuse nearly every body.
+const minProcessBytes = 16 << 20
+
+func (c *checker) checkMemory() {
+	m := c.settings.Memory
+	c.require(m.Process == 0 || m.Process >= minProcessBytes, "0B, or at least 16MiB", "memory.process is too small for an instance", "memory.process")
+	c.require(m.Process == 0 || m.Limit <= m.Process, "a limit of at most memory.process",
+		"memory.limit is larger than memory.process, at which the process is killed", "memory.limit", "memory.process")
+	_, shareGiven := c.valuePositions["memory.body_share"]
+	c.require(m.Process > 0 || !shareGiven, "memory.process with memory.body_share",
+		"memory.body_share has no effect without memory.process", "memory.body_share", "memory.process")
 }
 
 // require reports a condition that does not hold, at the position of the first of its keys that the text contains. It
@@ -231,10 +247,10 @@
 				Message: fmt.Sprintf("rule %q: the settings lower its deadline %s to %s", r.Name, r.Deadline, s.Deadline.Max.Std()),
 				Want:    "a deadline of at most deadline.max of the settings"})
 		}
-		if r.BodyLimit > int64(s.Limits.Body) {
+		if limit := s.MaxBody(); r.BodyLimit > limit {
 			found = append(found, findings.Finding{File: file, Line: r.Line, Column: 1,
-				Message: fmt.Sprintf("rule %q: the settings lower its body limit of %d bytes to %d", r.Name, r.BodyLimit, s.Limits.Body),
-				Want:    "a body limit of at most limits.body of the settings"})
+				Message: fmt.Sprintf("rule %q: the settings lower its body limit of %d bytes to %d", r.Name, r.BodyLimit, limit),
+				Want:    "a body limit of at most limits.body of the settings, and half of memory.process times memory.body_share"})
 		}
 	}
 	return found
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockpitch/burdockpitch/pkg/bodymemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
@@ -222,6 +223,10 @@
 	Limit Size `toml:"limit"`
 	// GCPercent is the growth of the heap, in percent, at which the garbage collector runs. Default 100.
 	GCPercent int `toml:"gc_percent"`
+	// Process is the size at which the platform kills the process. Default 0B: unknown, without a bound on bodies.
+	Process Size `toml:"process"`
+	// BodyShare is the share of Process that request bodies and buffered responses may take together. Default 0.25.
+	BodyShare float64 `toml:"body_share"`
 }
 
 // Queue configures the queue of requests that wait for a target.
@@ -277,7 +282,7 @@
 			Share: true, Timeout: Duration(500 * time.Millisecond), MaxBatchDelay: Duration(300 * time.Millisecond),
 			BackoffInitial: Duration(50 * time.Millisecond), BackoffMax: Duration(800 * time.Millisecond),
 		},
-		Memory:   Memory{GCPercent: 100},
+		Memory:   Memory{GCPercent: 100, BodyShare: 0.25},
 		Queue:    Queue{Limit: p.QueueLimit},
 		Limits:   Limits{Body: rules.MaxBodyBytes, Header: 64 << 10, HeaderTimeout: Duration(10 * time.Second)},
 		Deadline: Deadline{Max: Duration(rules.MaxDeadline)},
@@ -327,6 +332,18 @@
 	return p
 }
 
+// BodyMemory returns the bound on the bytes of bodies in memory, or 0 if there is none.
+func (s Settings) BodyMemory() int64 { return int64(float64(s.Memory.Process) * s.Memory.BodyShare) }
+
+// MaxBody returns the cap on the body limits of rules: Limits.Body, or the largest body that BodyMemory can hold if that
+// is less.
+func (s Settings) MaxBody() int64 {
+	if bound := s.BodyMemory(); bound > 0 {
+		return min(int64(s.Limits.Body), bodymemory.MaxBody(bound))
+	}
+	return int64(s.Limits.Body)
+}
+
 // TargetConfig returns the configuration of the connections to one target. An instance opens its share of
 // Connections.PerTarget, at least one connection.
 func (s Settings) TargetConfig() target.Config {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -58,6 +58,11 @@
 		{`peer_listen = "10.0.0.1:0"`, `4:15: bad address "10.0.0.1:0" for peer_listen`},
 		{`peer_listen = "10.0.0.1:8080"`, `4:15: listen and peer_listen take the same port`},
 		{`peer_listen = ":9900"`, `4:15: admin_listen and peer_listen take the same port`},
+		{`memory.process = "413KiB"`, `4:18: memory.process is too small for an instance`},
+		{`memory.process = 413`, `4:18: bad value for memory.process`},
+		{`memory.body_share = 25`, `4:21: memory.body_share is out of range`},
+		{`memory.body_share = 0.5`, `4:21: memory.body_share has no effect without memory.process`},
+		{"[memory]\nprocess = \"64MiB\"\nlimit = \"65MiB\"", `6:9: memory.limit is larger than memory.process, at which the process is killed`},
 		{`peers = ["10.0.0.2"]`, `4:10: bad address "10.0.0.2" in peers`},
 		{`peers = ["10.0.0.2:1", "10.0.0.2:1"]`, `4:24: peer 10.0.0.2:1 is repeated`},
 	}
@@ -145,6 +150,14 @@
 	require.Len(t, list, 2)
 	require.Equal(t, `r:6:1: rule "long": the settings lower its deadline 2s to 1s (want a deadline of at most deadline.max of the settings)`, list[0].String())
 	require.Equal(t, 7, list[1].Line)
+
+	s.Limits.Body, s.Memory.Process = 1<<20, 64<<20
+	require.EqualValues(t, 16<<20, s.BodyMemory())
+	require.EqualValues(t, 1<<20, s.MaxBody())
+	s.Limits.Body = 64 << 20
+	require.EqualValues(t, 8<<20, s.MaxBody(), "a larger body could never be held")
+	doc.Rules[2].BodyLimit = 8<<20 + 1
+	require.Len(t, s.CheckRules("r", doc), 2)
 }
 
 // Guards against input that makes the parser panic or return different results each time.
