gateway: bound the memory of request bodies and buffered responses

Cause: each body is bounded by itself only. Many uploads, or callers that upload or read slowly, can exceed the memory limit of the process, which is then killed.

Change: memory is reserved before a body is read, in steps for bodies without a length, and before a response is buffered. A body without room is refused with 503 and the reason body-memory; a response without room is passed on as it is read, because the target has run the request. A reservation is held by the caller's goroutine and by the pending request; that of a response by its attempt, or by the goroutine that delivers it. Ends of requests that left state behind after a panic (delivery, start of an attempt, check of the quarantine) now clean up. A relay to an instance without memory goes to another one. A streamed response is copied through the memory of its prefix.

Measured: without discarding, TestRefusalReachesCallerThatIsSending fails with a broken pipe; without Connection: close, its 180 KB cases get no response while they send. TestBodyMemoryIsReleased fails without each release.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -81,7 +81,7 @@
 func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
 	return gateway.Config{
 		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect, HeaderLimits: headerLimits(s),
-		PeerAddress:     s.PeerListen,
+		PeerAddress: s.PeerListen, BodyMemory: s.BodyMemory(),
 		HoldUntilSynced: s.Adapter == "", // the project's own platform may be behind the other instances
 	}
 }
--- /dev/null
+++ b/pkg/gateway/body_test.go
@@ -0,0 +1,414 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/textproto"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
+	"github.com/burdockpitch/burdockpitch/pkg/wire"
+)
+
+const uploadRules = `service = "registry"
+epoch = 1
+revision = 2
+[rules]
+lookup = { path = "/r/*", class = "lookup", deadline = "10s", body = "1MiB" } # asked by the test
+upload = { path = "/u/*", class = "once", deadline = "10s", body = "1MiB" } # asked by the test
+quick = { path = "/q/*", class = "once", deadline = "500ms", body = "1MiB" } # asked by the test
+small = { path = "/s/*", class = "once", deadline = "10s", body = "1KiB" } # asked by the test
+`
+
+// newUploadFixture starts a gateway with uploadRules and a bound on bodies.
+func newUploadFixture(t *testing.T, bodyMemory int64, cfg Config, targets ...string) *fixture {
+	cfg.BodyMemory = bodyMemory
+	f := newFixture(t, logr.Discard(), cfg, targets...)
+	doc, err := rules.Parse("test", []byte(uploadRules))
+	require.NoError(t, err)
+	f.SetDocuments([]*rules.Document{doc})
+	return f
+}
+
+func (f *fixture) heldBytes() float64 { return testutil.ToFloat64(f.metrics.bodyBytes) }
+
+// requireNoBytesHeld waits until no request is in progress and requires that nothing is reserved.
+func (f *fixture) requireNoBytesHeld(t *testing.T) {
+	t.Helper()
+	idle := func() bool { return f.Active() == 0 && f.bodyMemory.budget.Used() == 0 }
+	require.Eventually(t, idle, 10*time.Second, time.Millisecond, "%d bytes", f.bodyMemory.budget.Used())
+	require.Zero(t, f.heldBytes())
+	for _, e := range f.engines {
+		require.Empty(t, e.pending)
+	}
+}
+
+// dialFrom connects from a loopback address, by which the instance tells callers apart.
+func (f *fixture) dialFrom(t *testing.T, ip string) net.Conn {
+	t.Helper()
+	c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", f.addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// upload returns a request whose body has a length, or chunks if length is negative, without its body.
+func upload(path string, length int) string {
+	framing := fmt.Sprintf("Content-Length: %d", length)
+	if length < 0 {
+		framing = "Transfer-Encoding: chunked"
+	}
+	return "POST " + path + " HTTP/1.1\r\nHost: registry\r\n" + framing + "\r\n\r\n"
+}
+
+func chunk(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
+
+const lastChunk = "0\r\n\r\n"
+
+// panickingResponseDialect panics while a response is delivered.
+type panickingResponseDialect struct{ wire.Native }
+
+func (panickingResponseDialect) RewriteResponseHeaders(http.Header, string, wire.Outcome) {
+	panic("unexpected")
+}
+
+// Guards against memory that stays reserved after some way in which a request ends: the instance would refuse every body
+// in the end.
+func TestBodyMemoryIsReleased(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	const truncated = "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\nok"
+	const large = 300 << 10
+	largeResponse := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, strings.Repeat("x", large))
+	body := strings.Repeat("x", 9000)
+	cases := map[string]struct {
+		request  string
+		response string // of the target; none: it keeps the connection open and silent
+		bound    int64
+		dialect  wire.Dialect
+		before   func(*fixture)
+		leaves   bool // the caller closes its connection once the request is in progress
+		during   func(*fixture)
+		aborted  bool        // the instance closes the connection without a response
+		reason   core.Reason // of the refusal
+	}{
+		"answered":              {request: upload("/u/1", 9000) + body, response: ok},
+		"chunked":               {request: upload("/u/1", -1) + chunk(9000) + lastChunk, response: ok},
+		"streamed":              {request: upload("/u/1", 9000) + body, response: largeResponse},
+		"chunked response":      {request: get("/r/1"), response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(9000) + lastChunk},
+		"truncated":             {request: upload("/u/1", 9000) + body, response: truncated, reason: core.ReasonMayHaveRun},
+		"truncated, retried":    {request: upload("/r/1", 9000) + body, response: truncated, reason: core.ReasonAttemptsExhausted},
+		"deadline":              {request: upload("/q/1", 9000) + body, reason: core.ReasonMayHaveRun},
+		"caller leaves":         {request: upload("/u/1", 9000) + body, leaves: true},
+		"caller leaves, lookup": {request: upload("/r/1", 9000) + body, leaves: true},
+		"leaves during upload":  {request: upload("/u/1", 9000) + body[:10], leaves: true},
+		"leaves during chunks":  {request: upload("/u/1", -1) + chunk(9000), leaves: true},
+		"slow body":             {request: upload("/q/1", 9000) + body[:10], reason: ReasonBodySlow},
+		"broken chunk":          {request: upload("/u/1", -1) + chunk(9000) + "zz\r\n", reason: ReasonBodyBroken},
+		"too large":             {request: upload("/s/1", -1) + chunk(9000) + lastChunk, reason: ReasonBodyTooLarge},
+		"no memory":             {request: upload("/u/1", 9000) + body, bound: 10000, reason: ReasonBodyMemory},
+		"no memory for chunks":  {request: upload("/u/1", -1) + chunk(9000) + lastChunk, bound: 10000, reason: ReasonBodyMemory},
+		"no memory to buffer":   {request: upload("/u/1", 900) + body[:900], response: largeResponse, bound: 10000},
+		"panic of the attempt":  {request: upload("/u/1", 9000) + body, response: ok, dialect: panickingDialect{}, reason: core.ReasonMayHaveRun},
+		"panic of the delivery": {request: upload("/u/1", 9000) + body, response: largeResponse, dialect: panickingResponseDialect{}, aborted: true},
+		"panic of the start": {request: upload("/u/1", 9000) + body, reason: core.ReasonInternal, before: func(f *fixture) {
+			f.engine("registry").clients = nil
+		}},
+		"panic before the decision": {request: upload("/u/1", 9000) + body, aborted: true, before: func(f *fixture) {
+			f.quarantine.empty.Store(false)
+			f.quarantine.state = nil
+		}},
+		"panic of the decision": {request: upload("/u/1", 9000) + body, reason: core.ReasonInternal, during: func(f *fixture) {
+			e := f.engine("registry")
+			e.mu.Lock()
+			e.service.Reduce(core.Input{Now: e.clock.now(), Event: core.RequestArrived{Request: 1 << 40, Class: core.ClassLookup, Deadline: e.clock.now() + time.Hour}}, nil)
+			e.mu.Unlock()
+			e.dispatch(core.CallerLeft{Request: 1 << 40})
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			inProgress, end := make(chan struct{}, 16), make(chan struct{})
+			addr := acceptAll(t, func(c net.Conn) {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				inProgress <- struct{}{}
+				if _, _ = io.WriteString(c, tc.response); tc.response == "" {
+					<-end
+				}
+			})
+			f := newUploadFixture(t, tc.bound, Config{Dialect: tc.dialect}, addr)
+			if tc.before != nil {
+				tc.before(f)
+			}
+			c := f.dialFrom(t, "127.0.0.1")
+			_, err := io.WriteString(c, tc.request)
+			require.NoError(t, err)
+			if tc.during != nil {
+				<-inProgress
+				require.EqualValues(t, 9000, f.heldBytes())
+				tc.during(f)
+			}
+			if tc.leaves {
+				require.Eventually(t, func() bool { return f.heldBytes() > 0 }, 10*time.Second, time.Millisecond)
+				c.Close()
+				time.AfterFunc(20*time.Millisecond, func() { close(end) }) // an attempt of class "once" goes on until then
+			} else {
+				defer close(end)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.Equal(t, tc.aborted, err != nil, "%v", err)
+				if tc.aborted {
+					f.requireNoBytesHeld(t)
+					return
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, string(tc.reason), resp.Header.Get(wire.HeaderReason))
+			}
+			f.requireNoBytesHeld(t)
+		})
+	}
+}
+
+// Guards against memory that is free for others while a target still receives the body, after the caller has left or the
+// caller's goroutine has ended.
+func TestBodyMemoryIsHeldWhileAttemptGoesOn(t *testing.T) {
+	began, end := make(chan struct{}), make(chan struct{}, 1)
+	f := newUploadFixture(t, 1<<20, Config{}, newHandlerTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		began <- struct{}{}
+		<-end
+		panic(http.ErrAbortHandler)
+	}))
+	defer close(end)
+	c := f.dialFrom(t, "127.0.0.1")
+	_, err := io.WriteString(c, upload("/u/1", 9000)+strings.Repeat("x", 9000))
+	require.NoError(t, err)
+	<-began
+	c.Close()
+	time.Sleep(50 * time.Millisecond)
+	require.EqualValues(t, 9000, f.heldBytes())
+	end <- struct{}{}
+	f.requireNoBytesHeld(t)
+
+	memory, r := f.bodyMemory.open("127.0.0.1"), httptest.NewRequest(http.MethodPost, "/u/1", nil)
+	require.NoError(t, memory.grow(9000))
+	f.engine("registry").submit(core.RequestArrived{Class: core.ClassOnce}, target.Attempt{
+		Method: r.Method, URL: r.URL, Deadline: time.Now().Add(10 * time.Second),
+	}, &fingerprinter{request: r}, memory)
+	memory.release()
+	<-began
+	require.EqualValues(t, 9000, f.heldBytes())
+	end <- struct{}{}
+	f.requireNoBytesHeld(t)
+}
+
+// Guards against a refusal that a caller cannot read because it is still sending its body: it would have to count its
+// request as one that may have run. net/http alone closes the connection 0.5 s after the response, and delays the response
+// until a body of up to 256 KB has arrived.
+func TestRefusalReachesCallerThatIsSending(t *testing.T) {
+	const part = 30 << 10
+	for name, tc := range map[string]struct {
+		parts           int
+		chunked         bool
+		readsWhileSends bool
+	}{
+		"360 KB, reads afterwards":            {parts: 12},
+		"360 KB in chunks, reads afterwards":  {parts: 12, chunked: true},
+		"180 KB, reads while it sends":        {parts: 6, readsWhileSends: true},
+		"180 KB in chunks, reads as it sends": {parts: 6, chunked: true, readsWhileSends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newUploadFixture(t, 64<<10, Config{})
+			c := f.dialFrom(t, "127.0.0.1")
+			var resp *http.Response
+			read := func() {
+				_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+				var err error
+				resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+			}
+			length, data, end := tc.parts*part, strings.Repeat("x", part), ""
+			if tc.chunked {
+				length, data, end = -1, chunk(part), lastChunk
+			}
+			text := upload("/u/1", length)
+			for i := range tc.parts {
+				_, err := io.WriteString(c, text+data)
+				require.NoError(t, err)
+				text = ""
+				if tc.readsWhileSends && i == 3 {
+					read()
+				}
+				time.Sleep(60 * time.Millisecond)
+			}
+			_, err := io.WriteString(c, end)
+			require.NoError(t, err)
+			if !tc.readsWhileSends {
+				read()
+			}
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Equal(t, string(ReasonBodyMemory), resp.Header.Get(wire.HeaderReason))
+			require.Equal(t, string(wire.OutcomeNotRun), resp.Header.Get(wire.HeaderOutcome))
+			require.Equal(t, "25", resp.Header.Get("Retry-After"), "nothing was released")
+			require.True(t, resp.Close)
+			f.requireNoBytesHeld(t)
+		})
+	}
+}
+
+// Guards against a refused body that is read all the same: its caller waits for 100 Continue, which it must not get.
+func TestRefusedBodyIsNotRequested(t *testing.T) {
+	f := newUploadFixture(t, 1<<10, Config{})
+	c := f.dialFrom(t, "127.0.0.1")
+	_, err := io.WriteString(c, strings.Replace(upload("/u/1", 9000), "\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n", 1))
+	require.NoError(t, err)
+	line, err := textproto.NewReader(bufio.NewReader(c)).ReadLine()
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 503 Service Unavailable", line)
+}
+
+// Guards against one caller with many slow uploads, with and without lengths, that takes the memory from other callers.
+func TestSlowUploadsDoNotBlockOtherCallers(t *testing.T) {
+	const bound, length = 1 << 20, 60 << 10
+	f := newUploadFixture(t, bound, Config{}, newHandlerTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}))
+	refused := f.metrics.refusals.WithLabelValues("registry", string(ReasonBodyMemory))
+	for i := range 30 {
+		c := f.dialFrom(t, "127.0.0.1")
+		text := upload("/u/slow", length)
+		if i%2 == 1 {
+			text = upload("/u/slow", -1) + chunk(40<<10)
+		}
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return testutil.ToFloat64(refused) > 0 }, 10*time.Second, time.Millisecond)
+	var others sync.WaitGroup
+	var answered atomic.Int64
+	for i := range 4 {
+		others.Go(func() {
+			c := f.dialFrom(t, fmt.Sprintf("127.0.0.%d", i+2))
+			reader := bufio.NewReader(c)
+			for range 10 {
+				_, _ = io.WriteString(c, upload("/u/fast", length)+strings.Repeat("x", length))
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					return
+				}
+				if n, err := io.Copy(io.Discard, resp.Body); err == nil && n == length {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	others.Wait()
+	require.EqualValues(t, 40, answered.Load())
+	require.LessOrEqual(t, f.heldBytes(), float64(bound/2), "of the slow caller")
+	f.server.Close() // ends the slow uploads
+	f.requireNoBytesHeld(t)
+}
+
+// Guards against bodies without a length that together take more than the bound while they grow, or that all fail.
+func TestGrowingBodiesStayWithinBound(t *testing.T) {
+	const bound, callers = 1 << 20, 12
+	f := newUploadFixture(t, bound, Config{}, newHandlerTarget(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	var statuses [callers]int
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			c := f.dialFrom(t, fmt.Sprintf("127.0.0.%d", i+1))
+			_, _ = io.WriteString(c, upload("/u/1", -1))
+			for range 20 {
+				_, _ = io.WriteString(c, chunk(10<<10))
+				time.Sleep(time.Millisecond)
+			}
+			_, _ = io.WriteString(c, lastChunk)
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+				statuses[i] = resp.StatusCode
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { group.Wait(); close(done) }()
+	for open := true; open; {
+		require.LessOrEqual(t, f.bodyMemory.budget.Used(), int64(bound))
+		select {
+		case <-done:
+			open = false
+		case <-time.After(100 * time.Microsecond):
+		}
+	}
+	require.Contains(t, statuses, http.StatusOK)
+	for _, status := range statuses {
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, status)
+	}
+	f.requireNoBytesHeld(t)
+}
+
+// Guards against responses that are lost or altered when slow callers hold the memory of the buffers: the target has run
+// the request.
+func TestResponsesAreStreamedWithoutMemory(t *testing.T) {
+	const length = 40 << 10
+	var runs atomic.Int64
+	f := newUploadFixture(t, 4<<10, Config{}, newHandlerTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Trailer", "Sum")
+		if r.URL.Path == "/r/length" {
+			w.Header().Set("Content-Length", fmt.Sprint(length))
+		}
+		_, _ = w.Write(make([]byte, length))
+		w.Header().Set("Sum", "7")
+	}))
+	for n, path := range []string{"/r/length", "/r/chunks", "/r/chunks"} {
+		resp, err := http.Get("http://" + f.addr + path)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Len(t, body, length)
+		require.Equal(t, string(wire.OutcomeAnswered), resp.Header.Get(wire.HeaderOutcome))
+		if path == "/r/chunks" {
+			require.Equal(t, "7", resp.Trailer.Get("Sum"))
+		}
+		require.EqualValues(t, n+1, runs.Load())
+	}
+	require.EqualValues(t, 3, testutil.ToFloat64(f.metrics.unbuffered.WithLabelValues("registry")))
+	f.requireNoBytesHeld(t)
+}
+
+// Guards against a request that is lost because the instance to which it is relayed has no memory for its body, although
+// another one has.
+func TestRelayWithoutMemoryGoesElsewhere(t *testing.T) {
+	server := newHandlerTarget(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	full, fullAddress := startRelayTest(t, server)
+	full.bodyMemory.budget, full.bodyMemory.held = newBodyMemory(full.clock, 1, full.metrics).budget, full.metrics.bodyBytes
+	_, other := startRelayTest(t, server)
+	g := startCutOff(t, fullAddress, other)
+	for range 8 {
+		w := serveOnce(g, "content")
+		require.Equal(t, http.StatusOK, w.Code)
+	}
+	require.Positive(t, testutil.ToFloat64(full.metrics.refusals.WithLabelValues("s", string(ReasonBodyMemory))))
+	for _, instance := range []*Gateway{g, full} {
+		require.Eventually(t, func() bool { return instance.bodyMemory.budget.Used() == 0 }, 10*time.Second, time.Millisecond)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/bodymemory.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/bodymemory"
+)
+
+// errNoMemory is returned if there is no memory for a body.
+var errNoMemory = eris.New("no memory is available for the body")
+
+// bodyMemory hands out the memory for request bodies and buffered response bodies. It is safe for concurrent use.
+type bodyMemory struct {
+	clock  clock
+	budget *bodymemory.Budget
+	held   prometheus.Gauge
+}
+
+func newBodyMemory(ck clock, bytes int64, m *Metrics) *bodyMemory {
+	return &bodyMemory{clock: ck, budget: bodymemory.New(bytes), held: m.bodyBytes}
+}
+
+// open returns a reservation of no bytes for a caller, with one holder.
+func (m *bodyMemory) open(caller string) *heldMemory {
+	r, _ := m.budget.Reserve(caller, 0)
+	return &heldMemory{memory: m, caller: caller, reservation: r}
+}
+
+// heldMemory is memory that is reserved for a body of one caller. A nil heldMemory reserves nothing and grants
+// everything.
+type heldMemory struct {
+	memory      *bodyMemory
+	caller      string
+	reservation *bodymemory.Reservation
+	// lack says what was refused last. It belongs to the goroutine that grows the reservation.
+	lack struct {
+		bytes  int64
+		reason bodymemory.Reason
+	}
+}
+
+// grow reserves n more bytes, or returns errNoMemory.
+func (h *heldMemory) grow(n int64) error {
+	if h == nil {
+		return nil
+	}
+	if reason := h.reservation.Grow(n); reason != bodymemory.Granted {
+		h.lack.bytes, h.lack.reason = n, reason
+		return errNoMemory
+	}
+	h.memory.held.Add(float64(n))
+	return nil
+}
+
+// retain adds a holder, which has to release the memory too.
+func (h *heldMemory) retain() *heldMemory {
+	if h != nil {
+		h.reservation.Retain()
+	}
+	return h
+}
+
+// release ends the use by one holder. The memory is free after the last one.
+func (h *heldMemory) release() {
+	if h != nil {
+		h.memory.held.Sub(float64(h.reservation.Release(h.memory.clock.now())))
+	}
+}
+
+// rejection returns the rejection of a request after grow has returned errNoMemory.
+func (h *heldMemory) rejection() *rejection {
+	m := h.memory
+	rejected := rejectBodyMemory
+	rejected.retryAfter = m.budget.RetryAfter(m.clock.now(), h.caller, h.lack.bytes, h.lack.reason)
+	return &rejected
+}
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -11,7 +11,6 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
-	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
 // crashCheckTimeout bounds the connection that tells whether a target still accepts any. A crashed one refuses it within
@@ -21,9 +20,9 @@
 // fingerprinter computes the fingerprint of a request when it is needed for the first time, because the cost is that of
 // hashing the body. It is safe for concurrent use.
 type fingerprinter struct {
-	request *http.Request
-	body    []byte
-	relayed *wire.RelayedRequest // set if another instance relayed the request
+	request  *http.Request
+	body     []byte
+	callerIP string
 
 	once  sync.Once
 	value quarantine.Fingerprint
@@ -31,24 +30,25 @@
 
 func (f *fingerprinter) get() quarantine.Fingerprint {
 	f.once.Do(func() {
-		f.value = quarantine.NewFingerprint(f.request.Method, f.request.Host, f.request.URL.RequestURI(), f.body, f.callerIP())
+		f.value = quarantine.NewFingerprint(f.request.Method, f.request.Host, f.request.URL.RequestURI(), f.body, f.callerIP)
 	})
 	return f.value
 }
 
-func (f *fingerprinter) callerIP() string {
-	if f.relayed != nil {
-		return f.relayed.CallerIP
+// callerIP returns the address of the caller, also if another instance relayed the request.
+func (c *call) callerIP() string {
+	if c.relayed != nil {
+		return c.relayed.CallerIP
 	}
-	ip, _, err := net.SplitHostPort(f.request.RemoteAddr)
+	ip, _, err := net.SplitHostPort(c.r.RemoteAddr)
 	if err != nil {
-		return f.request.RemoteAddr
+		return c.r.RemoteAddr
 	}
 	return ip
 }
 
 func (c *call) newFingerprinter(body []byte) *fingerprinter {
-	return &fingerprinter{request: c.r, body: body, relayed: c.relayed}
+	return &fingerprinter{request: c.r, body: body, callerIP: c.callerIP()}
 }
 
 // checkCrash reports a crash of the target if it broke off an attempt and refuses connections since.
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -12,8 +12,9 @@
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
-// copyBufferBytes is the buffer size for streaming a response body.
-const copyBufferBytes = 32 << 10
+// minCopyBytes is the smallest buffer for streaming a response body. Like the buffers of a connection, it is not counted
+// as memory for bodies.
+const minCopyBytes = 4 << 10
 
 // deliveryResult is how forwarding a response to the caller ended.
 type deliveryResult uint8
@@ -80,18 +81,18 @@
 // target.
 func (c *callerWriter) writeResponse(resp *bufferedResponse) deliveryResult {
 	c.writeHeaders(resp)
-	// Without a flush, net/http sets a length on a short body and drops the trailers.
-	if len(resp.Trailer) > 0 && c.control.Flush() != nil {
-		return callerFailed
-	}
 	if _, err := c.Write(resp.prefix); err != nil {
 		return callerFailed
 	}
 	if !resp.complete {
-		if end := c.streamBody(resp.Body); end != delivered {
+		if end := c.streamBody(resp.Body, resp.prefix); end != delivered {
 			return end
 		}
 	}
+	// Without a flush, net/http sets a length on a short body and drops the trailers.
+	if len(resp.Trailer) > 0 && c.control.Flush() != nil {
+		return callerFailed
+	}
 	wire.SanitizeResponse(resp.Trailer)
 	for name, values := range resp.Trailer {
 		c.Header()[http.TrailerPrefix+name] = values
@@ -99,9 +100,13 @@
 	return delivered
 }
 
-// streamBody forwards a body and flushes after each read, because the caller may wait for partial content.
-func (c *callerWriter) streamBody(body io.Reader) deliveryResult {
-	buffer := make([]byte, copyBufferBytes)
+// streamBody forwards a body and flushes after each read, because the caller may wait for partial content. It copies
+// through the memory of the prefix, which has been written before.
+func (c *callerWriter) streamBody(body io.Reader, prefix []byte) deliveryResult {
+	buffer := prefix[:cap(prefix)]
+	if len(buffer) < minCopyBytes {
+		buffer = make([]byte, minCopyBytes)
+	}
 	for {
 		n, err := body.Read(buffer)
 		if _, writeErr := c.Write(buffer[:n]); writeErr != nil {
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -25,6 +25,7 @@
 	clients    *clients
 	quarantine *Quarantine
 	relays     *relays
+	bodyMemory *bodyMemory
 	metrics    *Metrics
 	log        logr.Logger
 	probePath  atomicString
@@ -45,6 +46,7 @@
 	id              core.RequestID
 	attemptTemplate target.Attempt // copied for each attempt
 	fingerprint     *fingerprinter
+	memory          *heldMemory   // of the body; nil if there is none
 	decisionCh      chan decision // has a buffer of one, because it receives exactly one decision
 	attempts        map[core.AttemptID]*attemptState
 	decided         bool // the decision has been sent
@@ -58,7 +60,10 @@
 	start    time.Time
 	cancel   context.CancelFunc
 	response *bufferedResponse
-	// claimed is set once the response belongs to the caller's goroutine, which then ends the attempt.
+	memory   *heldMemory // of the response
+	started  bool        // a goroutine runs the attempt and ends it
+	// claimed is set once the response belongs to the caller's goroutine, which then ends the attempt and releases its
+	// memory.
 	claimed bool
 }
 
@@ -71,9 +76,10 @@
 	attemptsStarted int
 }
 
-func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, r *relays, m *Metrics, log logr.Logger) *engine {
+func newEngine(name string, cfg Config, p *pauseDetector, cl *clients, q *Quarantine, r *relays, b *bodyMemory, m *Metrics, log logr.Logger) *engine {
 	e := &engine{
-		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, relays: r, metrics: m, log: log.WithValues("service", name),
+		name: name, clock: p.clock, pauses: p, clients: cl, quarantine: q, relays: r, bodyMemory: b, metrics: m,
+		log:     log.WithValues("service", name),
 		service: core.NewService(cfg.Policy), pending: make(map[core.RequestID]*pendingRequest),
 	}
 	e.probePath.Store(cfg.ProbePath)
@@ -102,19 +108,28 @@
 }
 
 // submit starts a request. It sets the event's request ID and deadline, and whether the request is quarantined. The
-// request is pending before it is checked, so that refuseQuarantined finds it if it is quarantined after the check.
-func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter) *pendingRequest {
+// request is pending before it is checked, so that refuseQuarantined finds it if it is quarantined after the check. Until
+// it is no longer pending, it is a holder of the memory of its body.
+func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter, memory *heldMemory) *pendingRequest {
 	e.quarantine.prepare(f)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastID++
 	p := &pendingRequest{
-		id: e.lastID, attemptTemplate: a, fingerprint: f, decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
+		id: e.lastID, attemptTemplate: a, fingerprint: f, memory: memory.retain(), decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
 	}
 	e.pending[p.id] = p
+	submitted := false
+	defer func() {
+		if !submitted { // a panic before the reducer knows the request
+			p.decided = true
+			e.removeIfFinished(p)
+		}
+	}()
 	ev.Quarantined = e.quarantine.blocks(f)
 	ev.Request, ev.Deadline = p.id, e.clock.offset(a.Deadline)
 	e.apply(ev)
+	submitted = true
 	return p
 }
 
@@ -158,7 +173,9 @@
 func (e *engine) newAttempt(effect core.Effect) (ctx context.Context, p *pendingRequest, state *attemptState, a target.Attempt) {
 	p = e.pending[effect.Request]
 	ctx, cancel := context.WithCancel(context.Background())
-	state = &attemptState{target: effect.Target, start: time.Now(), cancel: cancel}
+	state = &attemptState{
+		target: effect.Target, start: time.Now(), cancel: cancel, memory: e.bodyMemory.open(p.fingerprint.callerIP),
+	}
 	p.attempts[effect.Attempt] = state
 	p.attemptsStarted++
 	p.lastTarget = effect.Target
@@ -177,6 +194,7 @@
 	client, identity := e.clients.get(effect.Target)
 	a.TargetIdentity = identity
 	e.logAttemptSent(p, effect)
+	state.started = true
 	go e.runAttempt(ctx, client, p, effect.Attempt, state, a)
 }
 
@@ -229,8 +247,9 @@
 // removeIfFinished removes a request that is decided and has no attempts left. An undecided request without attempts
 // stays, because it may wait for a retry.
 func (e *engine) removeIfFinished(p *pendingRequest) {
-	if p.decided && len(p.attempts) == 0 {
+	if p.decided && len(p.attempts) == 0 && e.pending[p.id] == p {
 		delete(e.pending, p.id)
+		p.memory.release()
 	}
 }
 
@@ -243,7 +262,7 @@
 		e.pauses.awaitRefresh(ctx) // so that the reducer selects again from the refreshed targets
 	}
 	if err == nil {
-		buffered := bufferResponse(response)
+		buffered := e.bufferResponse(response, state)
 		err = buffered.err
 		if err == nil {
 			e.offerResponse(p, id, state, buffered)
@@ -259,6 +278,15 @@
 	e.endAttempt(p, id, ev)
 }
 
+// bufferResponse reads the first bytes of a response into memory of the attempt.
+func (e *engine) bufferResponse(response *target.Response, state *attemptState) *bufferedResponse {
+	buffered := bufferResponse(response, state.memory)
+	if buffered.unbuffered {
+		e.metrics.unbuffered.WithLabelValues(e.name).Inc()
+	}
+	return buffered
+}
+
 // offerResponse offers a response to the reducer. If the reducer does not deliver it, the response is dropped and the
 // attempt ends.
 func (e *engine) offerResponse(p *pendingRequest, id core.AttemptID, state *attemptState, response *bufferedResponse) {
@@ -292,6 +320,9 @@
 		return // ended by recoverAttempt
 	}
 	state.cancel()
+	if !state.claimed {
+		state.memory.release()
+	}
 	delete(p.attempts, id)
 	e.logAttemptEnded(p, state, ev)
 	e.metrics.attemptSeconds.WithLabelValues(e.name, ev.Outcome.String()).Observe(time.Since(state.start).Seconds())
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,6 +38,8 @@
 	HeaderLimits HeaderLimits
 	// PeerAddress is the address at which other instances know this one, "ip:port". Connections to them come from its IP.
 	PeerAddress string
+	// BodyMemory bounds the bytes of request bodies and buffered responses that are held at a time; zero means no bound.
+	BodyMemory int64
 	// HoldUntilSynced makes requests wait until MarkSynced, or until their deadlines. Without it, an instance that has
 	// just started may send requests to targets of which only the other instances know that they are leaving.
 	HoldUntilSynced bool
@@ -72,6 +74,7 @@
 	clients        *clients
 	quarantine     *Quarantine
 	relays         *relays
+	bodyMemory     *bodyMemory
 	metrics        *Metrics
 	log            logr.Logger
 	ruleTable      atomic.Pointer[rules.Table]
@@ -107,6 +110,7 @@
 		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), synced: make(chan struct{}),
 	}
 	g.relays = newRelays(ck, cfg)
+	g.bodyMemory = newBodyMemory(ck, cfg.BodyMemory, m)
 	g.quarantine = newQuarantine(ck, m, log, g.refuseQuarantined)
 	if !cfg.HoldUntilSynced {
 		g.MarkSynced()
@@ -197,7 +201,7 @@
 func (g *Gateway) engineLocked(name string) *engine {
 	e := g.engines[name]
 	if e == nil {
-		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.relays, g.metrics, g.log)
+		e = newEngine(name, g.cfg, g.pauses, g.clients, g.quarantine, g.relays, g.bodyMemory, g.metrics, g.log)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		g.engines[name] = e
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -38,7 +38,8 @@
 
 type fixture struct {
 	*Gateway
-	addr string
+	addr   string
+	server *Server
 }
 
 // newFixture starts a gateway with the test rules and the given targets.
@@ -62,7 +63,7 @@
 	s := g.NewServer()
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
-	return &fixture{Gateway: g, addr: l.Addr().String()}
+	return &fixture{Gateway: g, addr: l.Addr().String(), server: s}
 }
 
 // newRawTarget starts a target that sends fixed bytes for the first request on each connection and closes it.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -21,6 +21,8 @@
 	crashes      *prometheus.CounterVec
 	relays       *prometheus.CounterVec
 	quarantined  prometheus.Gauge
+	bodyBytes    prometheus.Gauge
+	unbuffered   *prometheus.CounterVec
 	unreachable  *prometheus.GaugeVec
 	unconnected  *prometheus.CounterVec
 	aborted      prometheus.Counter
@@ -55,6 +57,7 @@
 		relays:       counter("relays_total", "Requests relayed to other instances by what became of them.", "service", "result"),
 		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
+		unbuffered:   counter("unbuffered_responses_total", "Responses passed on without a buffer for lack of memory.", "service"),
 		rateLimits:   counter("rate_limit_changes_total", "Changes of the request rate that a target accepts.", "service"),
 		budgetDenied: counter("budget_denied_total", "Retries, hedges and probes denied by their budget.", "service", "reason"),
 	}
@@ -73,10 +76,13 @@
 	m.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: "burdockpitch", Name: "quarantined_requests", Help: "Requests that are withheld because targets crash when they run them.",
 	})
+	m.bodyBytes = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "burdockpitch", Name: "body_memory_bytes", Help: "Memory reserved for request bodies and buffered responses.",
+	})
 	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: "burdockpitch", Name: "targets_unreachable", Help: "1 while this instance can connect to no target of the service.",
 	}, []string{"service"})
-	reg.MustRegister(m.aborted, m.quarantined, m.unreachable)
+	reg.MustRegister(m.aborted, m.quarantined, m.bodyBytes, m.unreachable)
 	for _, r := range rejections {
 		m.refusals.WithLabelValues("", string(r.reason))
 	}
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -76,7 +76,7 @@
 	var failure *target.Error
 	switch {
 	case err == nil:
-		buffered := bufferResponse(response)
+		buffered := bufferResponse(response, nil)
 		buffered.close()
 		ev.OK = buffered.err == nil && response.Status < http.StatusInternalServerError
 		ev.Load, ev.Statement = loadReport(response.Metadata), statement(response.Metadata)
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -15,6 +15,7 @@
 	ReasonBodyTooLarge    core.Reason = "body-too-large"
 	ReasonBodyBroken      core.Reason = "body-broken"
 	ReasonBodySlow        core.Reason = "body-slow"
+	ReasonBodyMemory      core.Reason = "body-memory" // no memory is available for the body
 	ReasonUpgrade         core.Reason = "upgrade"
 	ReasonConnect         core.Reason = "connect"
 	ReasonRelayLimit      core.Reason = "relay-limit" // too many requests of other instances are in progress
@@ -27,6 +28,8 @@
 	// retryAfter is short if the same request may succeed later, such as with a new configuration, and long if only a
 	// changed request can succeed.
 	retryAfter time.Duration
+	// bodyUnread is set if the caller may still be sending the body.
+	bodyUnread bool
 }
 
 const (
@@ -35,19 +38,20 @@
 )
 
 var (
-	rejectNoConfiguration = rejection{ReasonNoConfiguration, http.StatusServiceUnavailable, retryAfterShort}
-	rejectNoRule          = rejection{ReasonNoRule, http.StatusNotFound, retryAfterShort}
-	rejectBodyTooLarge    = rejection{ReasonBodyTooLarge, http.StatusRequestEntityTooLarge, retryAfterLong}
-	rejectBodyBroken      = rejection{ReasonBodyBroken, http.StatusBadRequest, retryAfterLong}
-	rejectBodySlow        = rejection{ReasonBodySlow, http.StatusRequestTimeout, retryAfterShort}
-	rejectUpgrade         = rejection{ReasonUpgrade, http.StatusNotImplemented, retryAfterLong}
-	rejectConnect         = rejection{ReasonConnect, http.StatusNotImplemented, retryAfterLong}
-	rejectRelayLimit      = rejection{ReasonRelayLimit, http.StatusServiceUnavailable, retryAfterShort}
+	rejectNoConfiguration = rejection{reason: ReasonNoConfiguration, status: http.StatusServiceUnavailable, retryAfter: retryAfterShort}
+	rejectNoRule          = rejection{reason: ReasonNoRule, status: http.StatusNotFound, retryAfter: retryAfterShort}
+	rejectBodyTooLarge    = rejection{reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, retryAfter: retryAfterLong}
+	rejectBodyBroken      = rejection{reason: ReasonBodyBroken, status: http.StatusBadRequest, retryAfter: retryAfterLong}
+	rejectBodySlow        = rejection{reason: ReasonBodySlow, status: http.StatusRequestTimeout, retryAfter: retryAfterShort}
+	rejectBodyMemory      = rejection{reason: ReasonBodyMemory, status: http.StatusServiceUnavailable, bodyUnread: true} // retryAfter is calculated
+	rejectUpgrade         = rejection{reason: ReasonUpgrade, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
+	rejectConnect         = rejection{reason: ReasonConnect, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
+	rejectRelayLimit      = rejection{reason: ReasonRelayLimit, status: http.StatusServiceUnavailable, retryAfter: retryAfterShort}
 )
 
 var rejections = []rejection{
-	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectUpgrade, rejectConnect,
-	rejectRelayLimit,
+	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectBodyMemory,
+	rejectUpgrade, rejectConnect, rejectRelayLimit,
 }
 
 // refusalStatus returns the HTTP status for a refusal by the reducer. A request that may have run gets 502 or 504.
--- a/pkg/gateway/recover.go
+++ b/pkg/gateway/recover.go
@@ -23,10 +23,14 @@
 	e.logPanic("decision", cause)
 	e.service = e.service.Successor()
 	for _, p := range e.pending {
-		for _, state := range p.attempts {
+		for id, state := range p.attempts {
 			if !state.claimed {
 				state.cancel()
 			}
+			if !state.started { // nothing else would end it
+				state.memory.release()
+				delete(p.attempts, id)
+			}
 		}
 		if !p.decided {
 			e.refuse(core.Effect{Kind: core.Refuse, Request: p.id, Reason: core.ReasonInternal, NotRun: p.attemptsStarted == 0})
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -97,8 +97,9 @@
 	ctx, p, state, a := e.newAttempt(effect)
 	a.Header = a.Header.Clone()
 	wire.SetRelayHeaders(a.Header, wire.RelayedRequest{
-		CallerIP: p.fingerprint.callerIP(), Service: e.name, Attempts: effect.MaxAttempts,
+		CallerIP: p.fingerprint.callerIP, Service: e.name, Attempts: effect.MaxAttempts,
 	})
+	state.started = true
 	go e.runRelay(ctx, p, effect.Attempt, state, a)
 }
 
@@ -124,7 +125,7 @@
 	if relayed.LeavingTarget != "" {
 		e.dispatch(core.TargetLeaving{Target: core.TargetID(relayed.LeavingTarget), Start: relayed.Start})
 	}
-	buffered := bufferResponse(response)
+	buffered := e.bufferResponse(response, state)
 	if buffered.err != nil {
 		buffered.close()
 		e.endRelay(p, id, peer, resultOfFailure(buffered.err), newRelayFailedEvent(p.id, id, buffered.err))
@@ -143,6 +144,7 @@
 	ReasonNoConfiguration:  relay.Unreachable,
 	ReasonNoRule:           relay.Unreachable,
 	ReasonRelayLimit:       relay.Busy,
+	ReasonBodyMemory:       relay.Busy,
 }
 
 // resultOfFailure returns what a relay without a response says about the other instance.
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"io"
+	"errors"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -22,27 +22,42 @@
 type bufferedResponse struct {
 	*target.Response
 	prefix   []byte
+	memory   *heldMemory
 	complete bool // prefix holds the whole body
-	gaveUp   bool // the target relays that an instance gave up on a nested call
-	err      error
+	// unbuffered is set if the buffer ended early for lack of memory.
+	unbuffered bool
+	gaveUp     bool // the target relays that an instance gave up on a nested call
+	err        error
 	// relayedOutcome is set on the response of another instance to which the request was relayed. Its status can be that
 	// of a refusal, which is final all the same.
 	relayedOutcome wire.Outcome
 }
 
-// bufferResponse reads up to maxBufferedBytes of the body, and closes the body if it is complete.
-func bufferResponse(resp *target.Response) *bufferedResponse {
-	b := &bufferedResponse{Response: resp, gaveUp: resp.Metadata.GaveUp}
+// bufferResponse reads up to maxBufferedBytes of the body into memory that it reserves, and closes the body if it is
+// complete. If there is no memory, the response is not refused, because the target has run the request: what was read
+// remains the prefix, and the rest is passed on as it is read.
+func bufferResponse(resp *target.Response, memory *heldMemory) *bufferedResponse {
+	b := &bufferedResponse{Response: resp, gaveUp: resp.Metadata.GaveUp, memory: memory}
 	if resp.CloseDelimited {
 		b.err = errCloseDelimited
 		return b
 	}
-	if resp.ContentLength >= 0 && !resp.NoBody {
-		// One extra byte lets readPrefix see the end of the body without growing the buffer.
-		b.prefix = make([]byte, 0, min(resp.ContentLength, maxBufferedBytes-1)+1)
+	// One extra byte lets readGrowing see the end of the body without growing the buffer. It alone is not reserved.
+	if resp.NoBody || resp.ContentLength == 0 {
+		b.prefix = make([]byte, 0, 1)
+	} else if resp.ContentLength > 0 {
+		size := min(resp.ContentLength, maxBufferedBytes-1) + 1
+		if memory.grow(size) != nil {
+			b.unbuffered = true
+			return b
+		}
+		b.prefix = make([]byte, 0, size)
+	}
+	b.prefix, b.err = readGrowing(b.prefix, resp.Body, maxBufferedBytes, memory)
+	if errors.Is(b.err, errNoMemory) {
+		b.err, b.unbuffered = nil, true
 	}
-	b.prefix, b.err = readPrefix(b.prefix, resp.Body)
-	if b.err != nil || len(b.prefix) == maxBufferedBytes {
+	if b.err != nil || b.unbuffered || len(b.prefix) == maxBufferedBytes {
 		return b
 	}
 	b.complete = true
@@ -50,24 +65,6 @@
 	return b
 }
 
-// readPrefix appends to b from r until b holds maxBufferedBytes or r ends.
-func readPrefix(b []byte, r io.Reader) ([]byte, error) {
-	for len(b) < maxBufferedBytes {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		n, err := r.Read(b[len(b):min(cap(b), maxBufferedBytes)])
-		b = b[:len(b)+n]
-		if err == io.EOF {
-			return b, nil
-		}
-		if err != nil {
-			return b, err
-		}
-	}
-	return b, nil
-}
-
 func (b *bufferedResponse) close() { _ = b.Body.Close() }
 
 // isServerError reports whether the status is 5xx, which leaves open whether the request was executed.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -42,6 +39,7 @@
 	rule     *rules.Rule
 	service  string               // selected from the rule's traffic split
 	relayed  *wire.RelayedRequest // set if another instance relayed the request
+	memory   *heldMemory          // of the body; nil if there is none
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) { g.serveCall(g.newCall(w, r)) }
@@ -61,13 +59,14 @@
 	if g.draining.Load() {
 		c.Header().Set("Connection", "close")
 	}
+	defer c.releaseBody()
 	body, rejected := g.acceptOnCurrentView(c)
 	if rejected != nil {
 		g.reject(c, *rejected)
 		return
 	}
 	e := g.engine(c.service)
-	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), c.newFingerprinter(body))
+	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), c.newFingerprinter(body), c.memory)
 	g.respond(c, e, p)
 }
 
@@ -180,34 +179,7 @@
 	if c.r.ContentLength == 0 {
 		return nil, nil
 	}
-	return c.readBody()
-}
-
-// readBody reads the body within the rule's deadline and body limit.
-func (c *call) readBody() ([]byte, *rejection) {
-	_ = c.control.SetReadDeadline(c.arrived.Add(c.rule.Deadline))
-	limited := http.MaxBytesReader(c.ResponseWriter, c.r.Body, c.rule.BodyLimit)
-	var body []byte
-	var err error
-	if n := c.r.ContentLength; n > 0 {
-		body = make([]byte, n)
-		_, err = io.ReadFull(limited, body)
-	} else {
-		body, err = io.ReadAll(limited)
-	}
-	if err == nil {
-		// An expired read deadline would cancel the request's context as if the caller had disconnected.
-		_ = c.control.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &rejectBodyTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &rejectBodySlow
-	}
-	return nil, &rejectBodyBroken
+	return g.readBody(c)
 }
 
 // newAttemptTemplate returns the request as it is sent to targets. The deadline is the earlier of the rule's and the
@@ -231,20 +203,12 @@
 		g.refuse(c, d)
 		return
 	}
-	if d.response.complete {
-		// The attempt ends before the response is written, so that a slow caller does not occupy the target's slot.
-		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, delivered))
-	}
 	relayed := wire.RelayedResponse{Outcome: d.response.outcome()}
 	if d.response.Metadata.Leaving {
 		relayed.LeavingTarget, relayed.Start = string(d.target), d.response.Metadata.StartID
 	}
 	c.setRelayHeaders(relayed)
-	end := c.writeResponse(d.response)
-	if !d.response.complete {
-		d.response.close()
-		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, end))
-	}
+	end := c.deliver(e, p, d)
 	outcome := d.response.outcome()
 	if end != delivered {
 		outcome = wire.OutcomeUnknown
@@ -258,6 +222,22 @@
 	}
 }
 
+// deliver writes a response, ends its attempt and releases its memory, also if it panics.
+func (c *call) deliver(e *engine, p *pendingRequest, d decision) (end deliveryResult) {
+	defer d.response.memory.release()
+	if d.response.complete {
+		// The attempt ends before the response is written, so that a slow caller does not occupy the target's slot.
+		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, delivered))
+		return c.writeResponse(d.response)
+	}
+	end = callerFailed // if the write panics
+	defer func() {
+		d.response.close()
+		e.endAttempt(p, d.attempt, newDeliveredEvent(p.id, d.attempt, d.response, end))
+	}()
+	return c.writeResponse(d.response)
+}
+
 // waitForDecision returns the decision on a request. If the caller disconnects first, it informs the reducer, which may
 // still let a non-idempotent attempt in progress end before it decides.
 func waitForDecision(ctx context.Context, e *engine, p *pendingRequest) decision {
@@ -285,9 +265,16 @@
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
+	c.releaseBody()
 	c.setRelayHeaders(wire.RelayedResponse{Outcome: wire.OutcomeNotRun, Reason: string(rejected.reason)})
+	if rejected.bodyUnread {
+		c.Header().Set("Connection", "close") // or net/http would read the body before it sends the refusal
+	}
 	c.writeRefusal(rejected.status, wire.OutcomeNotRun, rejected.reason, rejected.retryAfter)
 	g.recordResult(c, result{outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status})
+	if rejected.bodyUnread {
+		c.discardBody()
+	}
 }
 
 // setRelayHeaders informs the instance that relayed the request, if any.
