docs: bound on bodies in memory

Cause: the setting, the reason body-memory and the gauge are not explained.

Measured: not measured.

--- a/pkg/settings/docs_test.go
+++ b/pkg/settings/docs_test.go
@@ -65,7 +65,7 @@
 	require.NoError(t, err)
 	for _, r := range []core.Reason{
 		core.ReasonNoTarget, core.ReasonQueueFull, core.ReasonDeadline, core.ReasonInfeasible, core.ReasonRetryBudget, core.ReasonAttemptsExhausted,
-		core.ReasonMayHaveRun, core.ReasonStopping, core.ReasonLoop, core.ReasonNestedGiveUp, core.ReasonCallerLeft, "no-rule", "body-too-large", "body-broken",
+		core.ReasonMayHaveRun, core.ReasonStopping, core.ReasonLoop, core.ReasonNestedGiveUp, core.ReasonCallerLeft, "no-rule", "body-too-large", "body-broken", "body-memory",
 	} {
 		require.Contains(t, string(page), "| `"+string(r)+"` |")
 	}
