gateway: one function sends refusals of the reducer and rejections

Cause: both wrote the relay headers, the refusal and the record by themselves, and the log line of a rejection stated a Retry-After of 0.

Change: sendRefusal does it for both. The log line of a rejection states its Retry-After, otherwise the behaviour is unchanged.

Measured: tests of pkg/gateway pass.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -258,19 +258,24 @@
 		target: d.target, attempts: d.attemptsStarted, outcome: outcome, reason: d.refusal.Reason, status: refusalStatus(d.refusal),
 		decisionInfo: d.refusal.DecisionInfo, retryAfter: d.refusal.RetryAfter,
 	}
-	c.setRelayHeaders(wire.RelayedResponse{Outcome: outcome, Reason: string(res.reason)})
-	c.writeRefusal(res.status, outcome, res.reason, d.refusal.RetryAfter)
+	g.sendRefusal(c, res)
+}
+
+// sendRefusal writes and records a refusal.
+func (g *Gateway) sendRefusal(c *call, res result) {
+	c.setRelayHeaders(wire.RelayedResponse{Outcome: res.outcome, Reason: string(res.reason)})
+	c.writeRefusal(res.status, res.outcome, res.reason, res.retryAfter)
 	g.recordResult(c, res)
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
 	c.releaseBody()
-	c.setRelayHeaders(wire.RelayedResponse{Outcome: wire.OutcomeNotRun, Reason: string(rejected.reason)})
 	if rejected.immediate {
 		c.Header().Set("Connection", "close") // or net/http would read the body before it sends the refusal
 	}
-	c.writeRefusal(rejected.status, wire.OutcomeNotRun, rejected.reason, rejected.retryAfter)
-	g.recordResult(c, result{outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status})
+	g.sendRefusal(c, result{
+		outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status, retryAfter: rejected.retryAfter,
+	})
 	if rejected.bodyUnread {
 		c.discardBody()
 	}
@@ -288,11 +293,11 @@
 	target   core.TargetID
 	attempts int
 	outcome  wire.Outcome
-	reason   core.Reason // set for refusals
 	status   int
-	// decisionInfo and retryAfter are set for refusals by the reducer.
-	decisionInfo core.DecisionInfo
+	// reason and retryAfter are set for refusals, decisionInfo for those by the reducer.
+	reason       core.Reason
 	retryAfter   time.Duration
+	decisionInfo core.DecisionInfo
 }
 
 // recordResult updates the metrics and logs the request. Answered requests are logged at verbosity 1 only.
