gateway: close refused connections of callers that wait for 100 Continue

Cause: such a caller sends no body after a refusal, so that its connection and request stayed open for 5 s unless it closed the connection itself.

Change: nothing is discarded if the body was not requested.

Measured: tests of pkg/gateway pass; the time was not measured.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -80,6 +80,13 @@
 	c.memory = nil
 }
 
+// awaitsContinue reports whether the caller waits for 100 Continue, which the first read of the body sends, and therefore
+// sends nothing after a refusal.
+func (c *call) awaitsContinue() bool {
+	requested := c.memory != nil && c.memory.granted
+	return len(c.r.Header["Expect"]) > 0 && !requested
+}
+
 // discardBody sends the refusal to the caller and reads what the caller still sends of its body, without keeping it.
 // Closing a connection with unread bytes resets it, and a caller that sends its whole request before it reads would then
 // not see the refusal.
--- a/pkg/gateway/bodymemory.go
+++ b/pkg/gateway/bodymemory.go
@@ -33,6 +33,7 @@
 	memory      *bodyMemory
 	caller      string
 	reservation *bodymemory.Reservation
+	granted     bool // bytes have been reserved
 	// lack says what was refused last. It belongs to the goroutine that grows the reservation.
 	lack struct {
 		bytes  int64
@@ -49,6 +50,7 @@
 		h.lack.bytes, h.lack.reason = n, reason
 		return errNoMemory
 	}
+	h.granted = true
 	h.memory.held.Add(float64(n))
 	return nil
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -269,6 +269,7 @@
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
+	discards := rejected.bodyUnread && !c.awaitsContinue()
 	c.releaseBody()
 	if rejected.immediate {
 		c.Header().Set("Connection", "close") // or net/http would read the body before it sends the refusal
@@ -276,7 +277,7 @@
 	g.sendRefusal(c, result{
 		outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status, retryAfter: rejected.retryAfter,
 	})
-	if rejected.bodyUnread {
+	if discards {
 		c.discardBody()
 	}
 }
