gateway: do not count answered requests as aborted by a stop

Cause: a refused request counts as active while the rest of its body is discarded, for up to 5 s. A stop that reaches its limit meanwhile counted it as aborted, although its response was sent.

Change: it no longer counts as active from then on.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -278,6 +278,8 @@
 		outcome: wire.OutcomeNotRun, reason: rejected.reason, status: rejected.status, retryAfter: rejected.retryAfter,
 	})
 	if discards {
+		g.activeRequests.Add(-1) // it is answered, so that a stop that reaches its limit does not count it as aborted
+		defer g.activeRequests.Add(1)
 		c.discardBody()
 	}
 }
