peer: send only the fields of a message that are set

Cause: each frame is a complete gob stream and describes all types that its message refers to, also those of empty lists.

Change: header and body are encoded as copies whose types have only the fields that are set. gob matches fields by name, so that older builds decode them as before.

--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -87,10 +87,10 @@
 	var buf bytes.Buffer
 	buf.Write(make([]byte, frameLengthSize))
 	enc := gob.NewEncoder(&buf)
-	if err := enc.Encode(header); err != nil {
+	if err := enc.Encode(withoutEmptyFields(header)); err != nil {
 		return nil, eris.Wrap(err, "encode header of peer message")
 	}
-	if err := enc.Encode(body); err != nil {
+	if err := enc.Encode(withoutEmptyFields(body)); err != nil {
 		return nil, eris.Wrap(err, "encode body of peer message")
 	}
 	frame := buf.Bytes()
