quarantine, peer: send suspicions to two collectors and only verdicts to all

Cause: every change of a crash record went to all instances, and each reply carried all records while any changed, although one crashed target is not a verdict for any instance.

Change: a suspicion goes to the two instances with the highest rendezvous hash of its content by Peer.ReportCrashes, once its request has ended without a response, or immediately with a second crashed target. Verdicts go to two instances of each zone and from there along a tree within the zone; the rounds compare and repair verdicts only. Instances without the method get records by Exchange. Since instances no longer have the records of suspicions, they remember which requests they answered and acquit verdicts of crashes that came before. package distribution decides who gets what.

Tests: TestCrashRecordsReachAllInstances now lets instances observe crashes instead of merging records, which stand for records of others and are not passed on, and compares all records as before. TestEffects names the new effects. TestRecordsAreBounded fills the list of recent records with verdicts, since suspicions are no longer in it.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -65,5 +65,6 @@
 	e.metrics.crashes.WithLabelValues(e.name).Inc()
 	e.log.Info("target crashed during a request", "request", p.attemptTemplate.RequestID, "fingerprint", p.fingerprint.get().String(), "target", id,
 		"error", err.Error())
-	e.quarantine.recordCrash(p.fingerprint, string(id))
+	p.crashed.Store(true)
+	e.quarantine.RecordCrash(p.fingerprint.get(), string(id))
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -47,7 +47,8 @@
 	fingerprint     *fingerprinter
 	decisionCh      chan decision // has a buffer of one, because it receives exactly one decision
 	attempts        map[core.AttemptID]*attemptState
-	decided         bool // the decision has been sent
+	decided         bool        // the decision has been sent
+	crashed         atomic.Bool // a target has crashed during an attempt
 	attemptsStarted int
 	lastTarget      core.TargetID // target of the most recent attempt
 }
@@ -229,8 +230,12 @@
 // removeIfFinished removes a request that is decided and has no attempts left. An undecided request without attempts
 // stays, because it may wait for a retry.
 func (e *engine) removeIfFinished(p *pendingRequest) {
-	if p.decided && len(p.attempts) == 0 {
-		delete(e.pending, p.id)
+	if !p.decided || len(p.attempts) > 0 || e.pending[p.id] == nil {
+		return
+	}
+	delete(e.pending, p.id)
+	if p.crashed.Load() {
+		e.quarantine.RecordEnd(p.fingerprint.get())
 	}
 }
 
@@ -283,7 +288,7 @@
 // endAttempt reports the end of an attempt and frees its resources.
 func (e *engine) endAttempt(p *pendingRequest, id core.AttemptID, ev core.AttemptEnded) {
 	if ev.Outcome == core.OutcomeAnswered {
-		e.quarantine.prepare(p.fingerprint)
+		p.fingerprint.get() // which may hash a long body, before the lock of the service
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -296,9 +301,9 @@
 	e.logAttemptEnded(p, state, ev)
 	e.metrics.attemptSeconds.WithLabelValues(e.name, ev.Outcome.String()).Observe(time.Since(state.start).Seconds())
 	e.metrics.attempts.WithLabelValues(e.name, ev.Outcome.String(), string(ev.Reason)).Inc()
-	e.apply(ev)
-	e.removeIfFinished(p)
 	if ev.Outcome == core.OutcomeAnswered {
-		e.quarantine.recordResponse(p.fingerprint)
+		e.quarantine.recordResponse(p.fingerprint) // before the request ends, so that its crashes are not reported
 	}
+	e.apply(ev)
+	e.removeIfFinished(p)
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -21,10 +21,14 @@
 	changed       chan struct{} // has a buffer of one
 	empty         atomic.Bool   // there are no records, so that no request needs a fingerprint
 
-	mu    sync.Mutex
-	state *quarantine.State
+	mu      sync.Mutex
+	state   *quarantine.State
+	changes []quarantine.Effect // at most maxChanges, until TakeChanges
 }
 
+// maxChanges bounds the changes that wait for TakeChanges. Verdicts beyond it reach other instances with the rounds.
+const maxChanges = 4096
+
 // Quarantine returns the records of requests that crash targets, which instances exchange.
 func (g *Gateway) Quarantine() *Quarantine { return g.quarantine }
 
@@ -36,8 +40,7 @@
 	return q
 }
 
-// prepare computes the fingerprint of a request if blocks or recordResponse needs it, so that this is not done under the
-// lock of a service.
+// prepare computes the fingerprint of a request if blocks needs it, so that this is not done under the lock of a service.
 func (q *Quarantine) prepare(f *fingerprinter) {
 	if !q.empty.Load() {
 		f.get()
@@ -59,14 +62,18 @@
 	return blocked
 }
 
-func (q *Quarantine) recordCrash(f *fingerprinter, target string) {
-	q.dispatch(quarantine.CrashObserved{Fingerprint: f.get(), Target: target})
+// RecordCrash records that a target, with its start, has crashed during a request.
+func (q *Quarantine) RecordCrash(f quarantine.Fingerprint, target string) {
+	q.dispatch(quarantine.CrashObserved{Fingerprint: f, Target: target})
+}
+
+// RecordEnd records the end of a request during which a target has crashed.
+func (q *Quarantine) RecordEnd(f quarantine.Fingerprint) {
+	q.dispatch(quarantine.RequestEnded{Fingerprint: f})
 }
 
 func (q *Quarantine) recordResponse(f *fingerprinter) {
-	if !q.empty.Load() {
-		q.dispatch(quarantine.ResponseReceived{Fingerprint: f.get()})
-	}
+	q.dispatch(quarantine.ResponseReceived{Fingerprint: f.get()})
 }
 
 func (q *Quarantine) dispatch(ev quarantine.Event) {
@@ -76,6 +83,7 @@
 	if len(effects) > 0 {
 		q.metrics.quarantined.Set(float64(q.state.Quarantined()))
 	}
+	q.addChanges(effects)
 	q.mu.Unlock()
 	for _, effect := range effects {
 		content := quarantine.FormatContent(effect.Content)
@@ -85,7 +93,7 @@
 			q.onQuarantined(effect.Content)
 		case quarantine.Released:
 			q.log.Info("request no longer quarantined", "content", content)
-		case quarantine.RecordsChanged:
+		case quarantine.SuspicionDue, quarantine.VerdictChanged:
 			select {
 			case q.changed <- struct{}{}:
 			default:
@@ -94,25 +102,64 @@
 	}
 }
 
-// Digest implements peer.CrashRecords.
-func (q *Quarantine) Digest() uint64 {
+// addChanges keeps the effects that concern other instances for TakeChanges.
+func (q *Quarantine) addChanges(effects []quarantine.Effect) {
+	for _, e := range effects {
+		if (e.Kind == quarantine.SuspicionDue || e.Kind == quarantine.VerdictChanged) && len(q.changes) < maxChanges {
+			q.changes = append(q.changes, e)
+		}
+	}
+}
+
+// TakeChanges implements peer.CrashRecords.
+func (q *Quarantine) TakeChanges() []quarantine.Effect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changes := q.changes
+	q.changes = nil
+	return changes
+}
+
+// VerdictDigest implements peer.CrashRecords.
+func (q *Quarantine) VerdictDigest() uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.state.Digest()
+	return q.state.VerdictDigest()
 }
 
-// Records implements peer.CrashRecords.
+// Records returns the records of suspicions and verdicts.
 func (q *Quarantine) Records() []quarantine.Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.state.Records(q.clock.now())
 }
 
-// RecentRecords implements peer.CrashRecords.
-func (q *Quarantine) RecentRecords() []quarantine.Record {
+// VerdictRecords implements peer.CrashRecords.
+func (q *Quarantine) VerdictRecords() []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.VerdictRecords(q.clock.now())
+}
+
+// RecentVerdicts implements peer.CrashRecords.
+func (q *Quarantine) RecentVerdicts() []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.RecentVerdicts(q.clock.now())
+}
+
+// RecordsOf implements peer.CrashRecords.
+func (q *Quarantine) RecordsOf(contents []uint64) []quarantine.Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.RecordsOf(q.clock.now(), contents)
+}
+
+// MissingFrom implements peer.CrashRecords.
+func (q *Quarantine) MissingFrom(others []quarantine.Record) []quarantine.Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.state.RecentRecords(q.clock.now())
+	return q.state.MissingFrom(q.clock.now(), others)
 }
 
 // Quarantined returns the records of requests that are withheld.
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 )
 
 // contactPeer exchanges state with another instance and pulls its newer documents. A failure is reported to the
@@ -30,6 +31,11 @@
 }
 
 func (n *Node) exchangeAndPull(ctx context.Context, address string) error {
+	return n.exchangeRecords(ctx, address, n.crashes.RecentVerdicts())
+}
+
+// exchangeRecords exchanges state with another instance, which also gets crash records, and pulls its newer documents.
+func (n *Node) exchangeRecords(ctx context.Context, address string, records []quarantine.Record) error {
 	conn, err := n.dial(ctx, address)
 	if err != nil {
 		return eris.Wrap(err, "dial")
@@ -41,7 +47,7 @@
 	defer client.Close()
 
 	local, remote := n.localState(), &Exchange{}
-	local.Crashes = n.crashes.RecentRecords()
+	local.Crashes = records
 	if err := n.call(conn, client, "Peer.Exchange", &local, remote); err != nil {
 		return err
 	}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,13 +69,27 @@
 	Known []membership.Known
 	// Leaving lists the leaving signals of targets and instances that the sender knows.
 	Leaving []membership.Sign
-	// CrashDigest is a hash of the sender's records of requests that crash targets.
+	// CrashDigest is a hash of the sender's records of requests that have been quarantined.
 	CrashDigest uint64
-	// Crashes lists, in a request, the records that changed recently; in a reply all of them, but only if the digests
-	// differ.
+	// Crashes lists, in a request, those of these records that changed recently; in a reply all of them, but only if the
+	// digests differ. Builds without CrashReport list suspicions too.
 	Crashes []quarantine.Record
 }
 
+// CrashReport is the request of the Peer.ReportCrashes method: records that its receiver collects, or that all instances
+// have to get.
+type CrashReport struct {
+	// Self, Start and Zone are those of Exchange.
+	Self    string
+	Start   string
+	Zone    string
+	Records []quarantine.Record
+}
+
+// CrashReply is the reply to a CrashReport: the merged records of the receiver that differ from the reported ones, so that
+// the sender learns of a verdict in the same round trip.
+type CrashReply struct{ Records []quarantine.Record }
+
 // Pull requests the document of a service.
 type Pull struct {
 	Service string
@@ -133,11 +148,8 @@
 type message interface{ validate() error }
 
 func (x *Exchange) validate() error {
-	if _, err := netip.ParseAddrPort(x.Self); err != nil {
-		return eris.Wrap(err, "invalid address of sender")
-	}
-	if x.Start == "" || len(x.Start) > maxNameLength || len(x.Zone) > maxNameLength {
-		return eris.New("start ID of sender is empty or too long, or its zone is too long")
+	if err := validateSender(x.Self, x.Start, x.Zone); err != nil {
+		return err
 	}
 	if len(x.Known) > membership.MaxMembers || len(x.Digest) > maxDigestEntries ||
 		len(x.Leaving) > membership.MaxLeavingSignals {
@@ -167,14 +179,36 @@
 	return nil
 }
 
+func validateSender(self, start, zone string) error {
+	if _, err := netip.ParseAddrPort(self); err != nil {
+		return eris.Wrap(err, "invalid address of sender")
+	}
+	if start == "" || len(start) > maxNameLength || len(zone) > maxNameLength {
+		return eris.New("start ID of sender is empty or too long, or its zone is too long")
+	}
+	return nil
+}
+
+func (r *CrashReport) validate() error {
+	if err := validateSender(r.Self, r.Start, r.Zone); err != nil {
+		return err
+	}
+	return validateCrashes(r.Records)
+}
+
+func (r *CrashReply) validate() error { return validateCrashes(r.Records) }
+
 func validateCrashes(records []quarantine.Record) error {
 	if len(records) > quarantine.MaxRecords {
-		return eris.New("exchange has too many crash records")
+		return eris.New("message has too many crash records")
 	}
 	for _, r := range records {
 		if len(r.Crashes) > quarantine.MaxCrashes || r.Age < 0 {
 			return eris.New("crash record has too many crashes or a negative age")
 		}
+		if slices.ContainsFunc(r.Crashes, func(c quarantine.Crash) bool { return c.Age < 0 }) {
+			return eris.New("crash has a negative age")
+		}
 	}
 	return nil
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -15,6 +15,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
+	"github.com/burdockpitch/burdockpitch/pkg/quarantine/distribution"
 )
 
 // Config configures a Node.
@@ -63,15 +64,20 @@
 
 // CrashRecords holds what is known of requests that crash targets. Implementations are safe for concurrent use.
 type CrashRecords interface {
-	// Digest is a hash of all records.
-	Digest() uint64
-	// Records returns all records, RecentRecords those that changed within the last seconds.
-	Records() []quarantine.Record
-	RecentRecords() []quarantine.Record
+	// VerdictDigest is a hash of the verdict records: those of requests that have been quarantined.
+	VerdictDigest() uint64
+	// VerdictRecords returns these records, RecentVerdicts those of them that changed within the last seconds.
+	VerdictRecords() []quarantine.Record
+	RecentVerdicts() []quarantine.Record
+	// RecordsOf returns the records of contents, MissingFrom those that differ from other records.
+	RecordsOf(contents []uint64) []quarantine.Record
+	MissingFrom(others []quarantine.Record) []quarantine.Record
 	// Merge adds records of another instance.
 	Merge(records []quarantine.Record)
-	// Changed returns a channel that receives a value after records changed.
+	// Changed returns a channel that receives a value after TakeChanges got something to return.
 	Changed() <-chan struct{}
+	// TakeChanges returns the effects SuspicionDue and VerdictChanged since the last call.
+	TakeChanges() []quarantine.Effect
 }
 
 // Node exchanges documents, membership and leaving signals with the other instances. It is safe for concurrent use.
@@ -90,6 +96,7 @@
 	firstExchangeOnce sync.Once
 	compressor        documentCompressor
 	relays            *relayListener // nil until RelayListener
+	reports           *crashReports
 
 	mu            sync.Mutex
 	state         *membership.State
@@ -165,7 +172,7 @@
 			Self: cfg.Self, Start: startID, Zone: cfg.Zone, Seeds: cfg.Seeds, CrossZoneRounds: cfg.CrossZoneRounds,
 		}),
 		listedIPs: make(map[netip.Addr]bool), seedIPs: parseIPs(cfg.Seeds),
-		lastConflicts: make(map[string]Entry), contacting: make(map[string]bool),
+		lastConflicts: make(map[string]Entry), contacting: make(map[string]bool), reports: newCrashReports(cfg),
 	}
 	m.fleetSize.Set(float64(n.state.FleetSize()))
 	return n
@@ -190,19 +197,11 @@
 	group.Wait()
 }
 
-// minPushInterval is the time between two pushes of changed crash records. A server that crashes changes the records of
-// all requests that were in flight on it.
-const minPushInterval = 50 * time.Millisecond
-
-// runRounds passes rounds and changes of documents and crash records to the membership. The jitter keeps the rounds of
+// runRounds passes rounds and changes of documents to the membership, and those of crash records to their distribution. The jitter keeps the rounds of
 // instances that started together from coinciding.
 func (n *Node) runRounds(ctx context.Context) {
 	timer := time.NewTimer(rand.N(n.cfg.RoundInterval/4 + 1))
 	defer timer.Stop()
-	push := time.NewTimer(time.Hour) // reset when records change
-	defer push.Stop()
-	var lastPush time.Time
-	pushPending := false
 	for {
 		select {
 		case <-timer.C:
@@ -211,13 +210,9 @@
 		case <-n.docs.Changed():
 			n.dispatch(ctx, membership.LocalStateChanged{})
 		case <-n.crashes.Changed():
-			if !pushPending {
-				pushPending = true
-				push.Reset(max(minPushInterval-time.Since(lastPush), 0))
-			}
-		case <-push.C:
-			pushPending, lastPush = false, time.Now()
-			n.dispatch(ctx, membership.LocalStateChanged{})
+			n.distributeChanges(ctx)
+		case <-n.reports.timer.C:
+			n.distribute(ctx, distribution.TimerFired{})
 		case <-ctx.Done():
 			return
 		}
@@ -347,7 +342,7 @@
 // localState returns the message that describes this instance.
 func (n *Node) localState() Exchange {
 	x := Exchange{
-		Self: n.cfg.Self, Start: n.startID, Zone: n.cfg.Zone, Digest: n.docs.Digest(), CrashDigest: n.crashes.Digest(),
+		Self: n.cfg.Self, Start: n.startID, Zone: n.cfg.Zone, Digest: n.docs.Digest(), CrashDigest: n.crashes.VerdictDigest(),
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -364,6 +359,7 @@
 	if len(x.Crashes) > 0 {
 		n.crashes.Merge(x.Crashes)
 	}
+	n.reports.forgetOldBuild(x.Self, x.Start)
 	n.dispatch(ctx, membership.ExchangeCompleted{
 		Address: x.Self, Start: x.Start, Zone: x.Zone, Leaving: x.Leaving, Known: x.Known,
 	})
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -136,7 +136,7 @@
 		reply.Known = s.node.knownInstances()
 	}
 	if reply.CrashDigest != remote.CrashDigest {
-		reply.Crashes = s.node.crashes.Records()
+		reply.Crashes = s.node.crashes.VerdictRecords()
 	}
 	return nil
 }
--- a/pkg/peer/traffic.go
+++ b/pkg/peer/traffic.go
@@ -14,7 +14,9 @@
 
 // messageNames maps the methods of net/rpc to values of the label "message" of the traffic metrics. The method is chosen
 // by the peer, so that other ones share one value.
-var messageNames = map[string]string{"Peer.Exchange": "exchange", "Peer.Pull": "pull", "Peer.Follow": "follow"}
+var messageNames = map[string]string{
+	"Peer.Exchange": "exchange", "Peer.Pull": "pull", "Peer.Follow": "follow", reportCrashesMethod: "crashes",
+}
 
 // trafficMetrics counts the frames sent to and received from other instances.
 type trafficMetrics struct {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -37,6 +36,9 @@
 	// CallerAcquitted is set once the same request of the same caller has ended with a response, and ContentAcquitted
 	// once that of any caller has. The crash then no longer counts against this caller, or against all callers.
 	CallerAcquitted, ContentAcquitted bool
+	// Age is the time since the crash. Builds that do not know the field send none, which makes the crash seem to be later
+	// than it was, so that fewer responses acquit it.
+	Age time.Duration
 }
 
 func (c Crash) compare(other Crash) int {
@@ -51,6 +53,9 @@
 	Crashes []Crash
 	// Age is the time since the last crash or withheld repeat.
 	Age time.Duration
+	// Verdict is set once requests with Content have been quarantined, also if they have been released since. Such
+	// records go to all instances.
+	Verdict bool
 }
 
 // Targets returns the number of targets that crashed.
@@ -90,12 +95,17 @@
 // RequestWithheld reports that a repeat of a quarantined request was refused.
 type RequestWithheld struct{ Fingerprint Fingerprint }
 
+// RequestEnded reports the end of a request during which a target crashed. If it has not been answered, its crashes are
+// reported to other instances.
+type RequestEnded struct{ Fingerprint Fingerprint }
+
 // RecordsReceived delivers records of another instance.
 type RecordsReceived struct{ Records []Record }
 
 func (CrashObserved) event()    {}
 func (ResponseReceived) event() {}
 func (RequestWithheld) event()  {}
+func (RequestEnded) event()     {}
 func (RecordsReceived) event()  {}
 
 // EffectKind is the action that an Effect asks for.
@@ -107,8 +117,11 @@
 	Quarantined EffectKind = iota + 1
 	// Released: requests with Content are no longer withheld.
 	Released
-	// RecordsChanged: other instances have to get the records.
-	RecordsChanged
+	// SuspicionDue: the collectors of Content have to get its record, immediately if Urgent is set.
+	SuspicionDue
+	// VerdictChanged: all instances have to get the record of Content. Learned is set if it came from another instance as
+	// it is now.
+	VerdictChanged
 )
 
 // Effect is one action for the caller of Reduce, as plain data.
@@ -117,12 +130,21 @@
 	Content uint64
 	// Targets is the number of targets that crashed under the request.
 	Targets int
+	Urgent  bool
+	Learned bool
 }
 
 // record is what this instance knows of one request. Times are values of Input.Now.
 type record struct {
 	content uint64
-	crashes []Crash // sorted
+	crashes []Crash // sorted, with Age 0
+	// crashedAt are the times of the crashes.
+	crashedAt []time.Duration
+	// verdict is Record.Verdict; quarantined is set while requests of any caller are withheld.
+	verdict, quarantined bool
+	// unreported is set while the collectors lack a crash that this instance observed, reported once they or another
+	// instance have the record.
+	unreported, reported bool
 	// seenAt is the time of the last crash or withheld repeat, changedAt that of the last change of crashes.
 	seenAt, changedAt time.Duration
 }
@@ -131,6 +153,7 @@
 // result. It is not safe for concurrent use.
 type State struct {
 	records      map[uint64]*record
+	answers      answers
 	nextExpiryAt time.Duration
 }
 
@@ -142,40 +165,110 @@
 	out = s.removeExpired(in.Now, out)
 	switch ev := in.Event.(type) {
 	case CrashObserved:
-		crash := Crash{Target: xxhash.Sum64String(ev.Target), Caller: ev.Fingerprint.Caller}
-		out = s.merge(in.Now, Record{Content: ev.Fingerprint.Content, Crashes: []Crash{crash}}, out)
+		out = s.observeCrash(in.Now, ev, out)
 	case ResponseReceived:
+		s.answers.add(in.Now, ev.Fingerprint)
 		out = s.acquit(in.Now, ev.Fingerprint, out)
 	case RequestWithheld:
 		if r := s.records[ev.Fingerprint.Content]; r != nil {
 			r.seenAt = in.Now
 		}
+	case RequestEnded:
+		out = s.endRequest(ev.Fingerprint, out)
 	case RecordsReceived:
 		for _, remote := range ev.Records {
-			out = s.merge(in.Now, remote, out)
+			out = s.receive(in.Now, remote, out)
 		}
 	}
 	return out
 }
 
-// merge adds the crashes and acquittals of another record of a request to this one.
-func (s *State) merge(now time.Duration, remote Record, out []Effect) []Effect {
+// observeCrash adds a crash that this instance has seen. One with a second target is reported immediately, because the
+// caller may repeat the request at another instance within milliseconds.
+func (s *State) observeCrash(now time.Duration, ev CrashObserved, out []Effect) []Effect {
+	crash := Crash{Target: xxhash.Sum64String(ev.Target), Caller: ev.Fingerprint.Caller}
+	r, changed, out := s.merge(now, Record{Content: ev.Fingerprint.Content, Crashes: []Crash{crash}}, out)
+	if !changed {
+		return out
+	}
+	before := r.quarantined
+	out = r.changed(now, out)
+	if r.quarantined || before {
+		return append(out, Effect{Kind: VerdictChanged, Content: r.content})
+	}
+	r.unreported = true
+	if countTargets(r.liveCrashes()) > 1 {
+		out = r.report(true, out)
+	}
+	return out
+}
+
+// endRequest reports the crashes under a request that has ended without a response.
+func (s *State) endRequest(f Fingerprint, out []Effect) []Effect {
+	r := s.records[f.Content]
+	ofCaller := func(c Crash) bool { return c.Caller == f.Caller }
+	if r == nil || !r.unreported || !slices.ContainsFunc(r.liveCrashes(), ofCaller) {
+		return out
+	}
+	return r.report(false, out)
+}
+
+func (r *record) report(urgent bool, out []Effect) []Effect {
+	r.unreported, r.reported = false, true
+	return append(out, Effect{Kind: SuspicionDue, Content: r.content, Urgent: urgent})
+}
+
+// receive merges a record of another instance. A suspicion is not passed on, since its sender reports it.
+func (s *State) receive(now time.Duration, remote Record, out []Effect) []Effect {
+	r, changed, out := s.merge(now, remote, out)
+	if r == nil {
+		return out
+	}
+	r.verdict, r.reported = r.verdict || remote.Verdict, true
+	if !changed {
+		return out
+	}
+	other := record{}
+	other.mergeCrashes(now, remote.Crashes)
+	verdict := r.quarantined || other.isQuarantined()
+	out = r.changed(now, out)
+	if verdict || r.quarantined {
+		r.verdict = true
+		out = append(out, Effect{Kind: VerdictChanged, Content: r.content, Learned: slices.Equal(r.crashes, other.crashes)})
+	}
+	return out
+}
+
+// merge adds the crashes and acquittals of another record of a request to this one, which it adds if it is missing. It
+// returns nil if there is nothing to add, and whether the crashes of the record changed.
+func (s *State) merge(now time.Duration, remote Record, out []Effect) (*record, bool, []Effect) {
 	r := s.records[remote.Content]
 	if r == nil {
-		r = &record{content: remote.Content, crashes: remote.Crashes, seenAt: now - remote.Age}
+		r = &record{content: remote.Content, seenAt: now - remote.Age}
+		r.mergeCrashes(now, remote.Crashes)
+		r.quarantined = r.isQuarantined()
 		if len(r.crashes) == 0 || r.expired(now) {
-			return out
+			return nil, false, out
 		}
-		r.crashes = nil
+		r.crashes, r.crashedAt, r.quarantined = nil, nil, false
 		out = s.makeRoom(out)
 		s.records[r.content] = r
 	}
 	r.seenAt = max(r.seenAt, now-remote.Age)
-	before := r.quarantined()
-	if !r.mergeCrashes(remote.Crashes) {
-		return out
+	changed := r.mergeCrashes(now, remote.Crashes)
+	return r, s.applyAnswers(r) || changed, out
+}
+
+// applyAnswers acquits a request of the crashes after which this instance has answered it.
+func (s *State) applyAnswers(r *record) (changed bool) {
+	for i := range r.crashes {
+		c := &r.crashes[i]
+		old := *c
+		c.ContentAcquitted = c.ContentAcquitted || s.answers.since(r.content, r.crashedAt[i])
+		c.CallerAcquitted = c.CallerAcquitted || s.answers.since(callerKey(Fingerprint{Content: r.content, Caller: c.Caller}), r.crashedAt[i])
+		changed = changed || *c != old
 	}
-	return r.changed(now, before, out)
+	return changed
 }
 
 // acquit records that a target has responded to a request.
@@ -184,7 +277,7 @@
 	if r == nil {
 		return out
 	}
-	before, changed := r.quarantined(), false
+	changed := false
 	for i := range r.crashes {
 		c := &r.crashes[i]
 		old := *c
@@ -195,25 +288,43 @@
 	if !changed {
 		return out
 	}
-	return r.changed(now, before, out)
+	before := r.quarantined
+	out = r.changed(now, out)
+	switch {
+	case before:
+		out = append(out, Effect{Kind: VerdictChanged, Content: r.content})
+	case r.reported:
+		out = r.report(false, out)
+	}
+	return out
 }
 
-// changed appends the effects of a change of the crashes of r.
-func (r *record) changed(now time.Duration, quarantinedBefore bool, out []Effect) []Effect {
+// changed appends the effects of a change of the crashes of r for this instance.
+func (r *record) changed(now time.Duration, out []Effect) []Effect {
+	before := r.quarantined
+	r.quarantined = r.isQuarantined()
+	r.verdict = r.verdict || r.quarantined
 	r.changedAt = now
-	switch quarantined := r.quarantined(); {
-	case quarantined && !quarantinedBefore:
+	switch {
+	case r.quarantined && !before:
 		out = append(out, Effect{Kind: Quarantined, Content: r.content, Targets: countTargets(r.crashes)})
-	case !quarantined && quarantinedBefore:
+	case !r.quarantined && before:
 		out = append(out, Effect{Kind: Released, Content: r.content, Targets: countTargets(r.crashes)})
 	}
-	return append(out, Effect{Kind: RecordsChanged})
+	return out
+}
+
+// liveCrashes returns the crashes that still count against the caller under whose request they occurred.
+func (r *record) liveCrashes() []Crash {
+	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return c.CallerAcquitted })
 }
 
 // mergeCrashes adds crashes and reports whether anything was new. Beyond MaxCrashes it keeps the first in their order, so
 // that the result does not depend on the order of merges.
-func (r *record) mergeCrashes(crashes []Crash) (changed bool) {
+func (r *record) mergeCrashes(now time.Duration, crashes []Crash) (changed bool) {
 	for _, c := range crashes {
+		at := now - c.Age
+		c.Age = 0
 		i, found := slices.BinarySearchFunc(r.crashes, c, Crash.compare)
 		switch {
 		case found:
@@ -221,10 +332,11 @@
 			merged.CallerAcquitted = merged.CallerAcquitted || c.CallerAcquitted
 			merged.ContentAcquitted = merged.ContentAcquitted || c.ContentAcquitted
 			changed = changed || merged != r.crashes[i]
-			r.crashes[i] = merged
+			r.crashes[i], r.crashedAt[i] = merged, min(r.crashedAt[i], at)
 		case i < MaxCrashes:
-			r.crashes = slices.Insert(r.crashes, i, c)
-			r.crashes = r.crashes[:min(len(r.crashes), MaxCrashes)]
+			r.crashes, r.crashedAt = slices.Insert(r.crashes, i, c), slices.Insert(r.crashedAt, i, at)
+			kept := min(len(r.crashes), MaxCrashes)
+			r.crashes, r.crashedAt = r.crashes[:kept], r.crashedAt[:kept]
 			changed = true
 		}
 	}
@@ -248,14 +360,14 @@
 	return own >= crashLimit || ofSeveralCallers && countTargets(all) >= crashLimit
 }
 
-// quarantined reports whether requests of any caller are withheld.
-func (r *record) quarantined() bool {
+// isQuarantined reports whether requests of any caller are withheld.
+func (r *record) isQuarantined() bool {
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return r.blocks(c.Caller) })
 }
 
 func (r *record) expired(now time.Duration) bool {
 	age := now - r.seenAt
-	return age >= quarantineTTL || age >= suspectTTL && !r.quarantined()
+	return age >= quarantineTTL || age >= suspectTTL && !r.quarantined
 }
 
 // removeExpired removes the records that have expired, once per expiryInterval.
@@ -272,7 +384,7 @@
 	return out
 }
 
-// makeRoom removes a record if there are MaxRecords: the one seen longest ago, suspects first.
+// makeRoom removes a record if there are MaxRecords: the one seen longest ago, suspects first, then released requests.
 func (s *State) makeRoom(out []Effect) []Effect {
 	if len(s.records) < MaxRecords {
 		return out
@@ -288,7 +400,7 @@
 
 func (s *State) remove(r *record, out []Effect) []Effect {
 	delete(s.records, r.content)
-	if !r.quarantined() {
+	if !r.quarantined {
 		return out
 	}
 	return append(out, Effect{Kind: Released, Content: r.content, Targets: countTargets(r.crashes)})
@@ -296,90 +408,16 @@
 
 // compareRetention orders records by which of them is removed first.
 func compareRetention(a, b *record) int {
-	if qa, qb := a.quarantined(), b.quarantined(); qa != qb {
-		if qb {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.seenAt, b.seenAt), cmp.Compare(a.content, b.content))
-}
-
-// Empty reports whether there are no records, so that no request needs a fingerprint.
-func (s *State) Empty() bool { return len(s.records) == 0 }
-
-// Blocks reports whether a request is withheld.
-func (s *State) Blocks(f Fingerprint) bool {
-	r := s.records[f.Content]
-	return r != nil && r.blocks(f.Caller)
+	return cmp.Or(cmp.Compare(a.retention(), b.retention()), cmp.Compare(a.seenAt, b.seenAt), cmp.Compare(a.content, b.content))
 }
 
-// Quarantined returns the number of contents of which requests are withheld.
-func (s *State) Quarantined() int {
-	n := 0
-	for _, r := range s.records {
-		if r.quarantined() {
-			n++
-		}
-	}
-	return n
-}
-
-// QuarantinedRecords returns the records of the contents of which requests are withheld, in ascending order of content.
-func (s *State) QuarantinedRecords(now time.Duration) []Record {
-	list := s.list(now, (*record).quarantined)
-	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Content, b.Content) })
-	return list
-}
-
-// Digest is a hash of the records without their ages. Instances with equal digests need not exchange them.
-func (s *State) Digest() uint64 {
-	var sum uint64
-	for _, r := range s.records {
-		h := xxhash.NewWithSeed(r.content)
-		for _, c := range r.crashes {
-			_, _ = h.Write(c.appendBytes(nil))
-		}
-		sum += h.Sum64() // a sum does not depend on the order of records
-	}
-	return sum
-}
-
-// Records returns all records.
-func (s *State) Records(now time.Duration) []Record {
-	return s.list(now, func(*record) bool { return true })
-}
-
-// RecentRecords returns the records that changed within the last seconds, at most maxRecentRecords. Quarantined ones come
-// first.
-func (s *State) RecentRecords(now time.Duration) []Record {
-	recent := func(quarantined bool) []Record {
-		return s.list(now, func(r *record) bool { return now-r.changedAt < recentTime && r.quarantined() == quarantined })
-	}
-	list := append(recent(true), recent(false)...)
-	return list[:min(len(list), maxRecentRecords)]
-}
-
-func (s *State) list(now time.Duration, include func(*record) bool) []Record {
-	var list []Record
-	for _, r := range s.records {
-		if include(r) {
-			list = append(list, Record{Content: r.content, Crashes: slices.Clone(r.crashes), Age: now - r.seenAt})
-		}
-	}
-	return list
-}
-
-// appendBytes appends a fixed-length encoding of c to b.
-func (c Crash) appendBytes(b []byte) []byte {
-	b = binary.LittleEndian.AppendUint64(b, c.Target)
-	b = binary.LittleEndian.AppendUint64(b, c.Caller)
-	var flags byte
-	if c.CallerAcquitted {
-		flags |= 1
-	}
-	if c.ContentAcquitted {
-		flags |= 2
+// retention ranks suspects below requests that have been quarantined, and these below those that still are.
+func (r *record) retention() int {
+	switch {
+	case r.quarantined:
+		return 2
+	case r.verdict:
+		return 1
 	}
-	return append(b, flags)
+	return 0
 }
