--- a/pkg/quarantine/distribution/distribution.go
+++ b/pkg/quarantine/distribution/distribution.go
@@ -1,7 +1,7 @@
 // Package distribution decides which instances get which crash records.
 //
 // A suspicion goes to two collectors, which merge the reports of all instances. A verdict goes to all instances: to two of
-// each zone from the instance where it arose, and along a tree within each zone from there on.
+// each zone from the instance where it arose, and from there on along a tree and a ring within each zone.
 //
 // It is a reducer like package core: State.Reduce applies one event and returns effects as data, without clock, I/O or
 // randomness. A State is not safe for concurrent use.
@@ -27,9 +27,9 @@
 	collectorCount = 2
 	// entryCount is the number of instances of each zone that get a verdict from the instance where it arose.
 	entryCount = 2
-	// treeFanout is the number of instances to which a verdict is forwarded. With three, it reaches 100 instances of a zone
-	// in five steps.
-	treeFanout = 3
+	// treeFanout is the number of instances to which a verdict is forwarded along the tree. With two, it reaches 100
+	// instances of a zone in seven steps.
+	treeFanout = 2
 )
 
 // Member is another instance that can be reached.
@@ -215,7 +215,7 @@
 		return
 	}
 	for _, content := range verdicts {
-		for _, m := range s.children(withPeer, peer, content) {
+		for _, m := range s.successors(withPeer, peer, content) {
 			s.addVerdict(in.Now, m, content)
 		}
 	}
@@ -258,11 +258,11 @@
 	return slices.DeleteFunc(chosen, func(m Member) bool { return m == self })
 }
 
-// receivers returns the instances to which this one sends a changed verdict: its children in the tree of its zone, and, if
+// receivers returns the instances to which this one sends a changed verdict: its successors within its zone, and, if
 // the verdict arose here, the first instances of each zone.
 func (s *State) receivers(members []Member, ev VerdictChanged) []Member {
 	self := Member{s.cfg.Self, s.cfg.Zone}
-	list := s.children(members, self, ev.Content)
+	list := s.successors(members, self, ev.Content)
 	if ev.Learned {
 		return list
 	}
@@ -276,19 +276,24 @@
 	return list
 }
 
-// children returns the instances to which an instance forwards verdicts of a content. The instances of its zone, in the
-// order of their rendezvous hashes, form a heap with treeFanout children each.
-func (s *State) children(members []Member, parent Member, content uint64) []Member {
+// successors returns the instances to which an instance forwards verdicts of a content. The instances of its zone, in the
+// order of their rendezvous hashes, form a heap with treeFanout children each, and in another order a ring. An instance
+// that the tree misses, because views of the fleet differ or an instance has failed, gets the verdict along the ring.
+func (s *State) successors(members []Member, of Member, content uint64) []Member {
 	self := Member{s.cfg.Self, s.cfg.Zone}
-	zone := slices.DeleteFunc(append(slices.Clone(members), self), func(m Member) bool { return m.Zone != parent.Zone })
-	zone = rank(zone, content)
-	i := slices.Index(zone, parent)
+	zone := slices.DeleteFunc(append(slices.Clone(members), self), func(m Member) bool { return m.Zone != of.Zone })
+	heap := rank(zone, content)
+	i := slices.Index(heap, of)
 	if i < 0 {
 		return nil
 	}
-	first := min(treeFanout*i+1, len(zone))
-	list := slices.Clone(zone[first:min(first+treeFanout, len(zone))])
-	return slices.DeleteFunc(list, func(m Member) bool { return m == self })
+	first := min(treeFanout*i+1, len(heap))
+	list := slices.Clone(heap[first:min(first+treeFanout, len(heap))])
+	ring := rank(zone, ^content)
+	if next := ring[(slices.Index(ring, of)+1)%len(ring)]; !slices.Contains(list, next) {
+		list = append(list, next)
+	}
+	return slices.DeleteFunc(list, func(m Member) bool { return m == self || m == of })
 }
 
 // rank sorts members by their rendezvous hash, highest first.
