peer: keep members in contact by ages instead of lists of members

Cause: a contact counts for a minute, and newer ones are learned only from lists of members, which are sent when members have expired already. Instances then know different members, so that replies carry whole lists: at 1,100 instances 18 KB/s in a calm fleet.

Change: an instance with contacts older than 30 s asks for ages; a peer with the same members replies with one byte for each. If only some members differ, a reply has the latest ones and a sixteenth of the others instead of all.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -48,6 +48,7 @@
 
 	local, remote := n.localState(), &Exchange{}
 	local.Crashes = records
+	local.KnownCount, local.NeedsAges = n.contactSummary()
 	if err := n.call(conn, client, "Peer.Exchange", &local, remote); err != nil {
 		return err
 	}
--- a/pkg/peer/fleet_test.go
+++ b/pkg/peer/fleet_test.go
@@ -70,7 +70,7 @@
 	for i := range size {
 		p := membership.Process{Address: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250+1), Zone: fmt.Sprint("zone-", i%simZones), Start: fmt.Sprint("start", i)}
 		list.Instances = append(list.Instances, p)
-		known = append(known, membership.Known{Address: p.Address, Zone: p.Zone, Start: p.Start, Age: time.Duration(f.rng.Int64N(int64(10 * time.Second)))})
+		known = append(known, membership.Known{Address: p.Address, Zone: p.Zone, Start: p.Start, Age: time.Duration(f.rng.Int64N(int64(30 * time.Second)))})
 	}
 	for _, p := range list.Instances {
 		in := &simInstance{
@@ -183,12 +183,15 @@
 	in.countContact(peer)
 	request := in.localState()
 	request.Crashes = in.crashes.RecentVerdicts(in.fleet.now)
+	request.KnownCount, request.NeedsAges = in.members.KnownCount(in.fleet.now), in.members.NeedsAges(in.fleet.now)
 	in.send(peer, &rpc.Request{ServiceMethod: "Peer.Exchange"}, &request, 2*simLatency, func() { // after connecting
 		peer.apply(&request)
 		reply := peer.localState()
 		reply.Digest = withoutEntries(reply.Digest, request.Digest)
 		if reply.Fingerprint != request.Fingerprint {
-			reply.Known = peer.members.Known(in.fleet.now)
+			reply.Known = peer.members.KnownFor(in.fleet.now, request.KnownCount, in.fleet.rng.Uint64())
+		} else if request.NeedsAges {
+			reply.Ages = peer.members.Ages(in.fleet.now)
 		}
 		if reply.CrashDigest != request.CrashDigest {
 			reply.Crashes = peer.crashes.VerdictRecords(in.fleet.now)
@@ -201,7 +204,12 @@
 	if len(x.Crashes) > 0 {
 		in.reduceCrashes(quarantine.RecordsReceived{Records: x.Crashes})
 	}
-	in.reduceMembers(membership.ExchangeCompleted{Address: x.Self, Start: in.fleet.byAddress[x.Self].start(), Zone: x.Zone, Known: x.Known})
+	in.reduceMembers(membership.ExchangeCompleted{
+		Address: x.Self, Start: in.fleet.byAddress[x.Self].start(), Zone: x.Zone, Known: x.Known,
+	})
+	if len(x.Ages) > 0 {
+		in.reduceMembers(membership.AgesReceived{Ages: x.Ages, Fingerprint: x.Fingerprint})
+	}
 }
 
 func (in *simInstance) start() string {
@@ -295,7 +303,11 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newFleet(size)
 			f.flap(22)
-			f.runUntil(3 * time.Second)
+			if size <= 300 {
+				f.runUntil(20 * time.Second)
+			} else {
+				f.runUntil(2 * time.Second) // a second takes half a minute under the race detector
+			}
 			got := f.traffic(f.now)
 			verdict := f.verdictTime(10 * time.Second)
 			t.Logf("%+v, verdict after %v", got, verdict)
--- a/pkg/peer/golden_test.go
+++ b/pkg/peer/golden_test.go
@@ -128,10 +128,13 @@
 	require.Equal(t, []quarantine.Record{{Content: 1, Age: time.Second, Crashes: []quarantine.Crash{
 		{Target: 2, Caller: 3, CallerAcquitted: true, ContentAcquitted: true}, {Target: 4, Caller: 3},
 	}}}, x.Crashes, "missing fields are zero")
+	require.Zero(t, x.KnownCount)
+	require.False(t, x.NeedsAges)
 }
 
 // addFields sets the fields that 359e21b does not have.
 func addFields(x *Exchange) {
+	x.KnownCount, x.NeedsAges, x.Ages = 5, true, []byte{1}
 	for i := range x.Crashes {
 		x.Crashes[i].Verdict = true
 		x.Crashes[i].Crashes[0].Age = time.Second
--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -89,6 +89,12 @@
 	Known []Known
 }
 
+// AgesReceived delivers State.Ages and State.Fingerprint of another instance.
+type AgesReceived struct {
+	Ages        []byte
+	Fingerprint uint64
+}
+
 // Known is an instance that a peer knows.
 type Known struct {
 	Address string
@@ -118,6 +124,7 @@
 
 func (InstanceListReceived) event() {}
 func (ExchangeCompleted) event()    {}
+func (AgesReceived) event()         {}
 func (ContactFailed) event()        {}
 func (SourceStale) event()          {}
 func (SeedsReplaced) event()        {}
@@ -156,6 +163,8 @@
 	failedUntil time.Duration
 	// staleUntil is the time until which a member whose data was old is left out of the tree.
 	staleUntil time.Duration
+	// learnedAt is the time at which the current start became known.
+	learnedAt time.Duration
 	// retryAt is the earliest time of the next contact, backoff the delay that led to it.
 	retryAt, backoff time.Duration
 }
@@ -207,6 +216,8 @@
 		out = s.applyInstanceList(in.Now, ev, out)
 	case ExchangeCompleted:
 		out = s.applyExchange(in.Now, ev, out)
+	case AgesReceived:
+		s.mergeAges(in.Now, ev)
 	case ContactFailed:
 		s.recordFailure(in.Now, ev)
 	case SourceStale:
@@ -277,7 +288,7 @@
 		if m.start != "" {
 			out = append(out, Effect{Kind: PeerRestarted, Address: m.address})
 		}
-		m.leaving, m.staleUntil = false, 0
+		m.leaving, m.staleUntil, m.learnedAt = false, 0, now
 	}
 	m.start, m.zone = ev.Start, ev.Zone
 	m.presentUntil = now + contactTTL
@@ -314,7 +325,7 @@
 			continue
 		}
 		if m.start != k.Start {
-			m.start, m.leaving, m.failedUntil, m.staleUntil = k.Start, false, 0, 0
+			m.start, m.leaving, m.failedUntil, m.staleUntil, m.learnedAt = k.Start, false, 0, 0, now
 		}
 		m.zone, m.presentUntil = k.Zone, presentUntil
 	}
--- a/pkg/peer/membership/membership_test.go
+++ b/pkg/peer/membership/membership_test.go
@@ -231,3 +231,50 @@
 		}
 	})
 }
+
+// Guards against members that expire although other instances have been in contact with them, so that instances disagree
+// on the fleet and send each other lists of members all the time.
+func TestAgesKeepMembersInContact(t *testing.T) {
+	s, other := newState(), New(Config{Self: "x1", Start: "1", Zone: "a"})
+	members := []Known{{Address: "x2", Start: "1"}, {Address: "x3", Start: "1"}}
+	s.apply(0, ExchangeCompleted{Address: "x1", Start: "1", Known: members})
+	other.apply(0, ExchangeCompleted{Address: "self", Start: "s0", Known: members})
+	require.False(t, s.NeedsAges(agingTime))
+	now := contactTTL - time.Second
+	require.True(t, s.NeedsAges(now))
+	other.apply(now-time.Second, ExchangeCompleted{Address: "x2", Start: "1"})
+	ages := AgesReceived{Ages: other.Ages(now), Fingerprint: other.Fingerprint(now)}
+	require.Equal(t, s.Fingerprint(now), ages.Fingerprint)
+	s.apply(now, ages)
+	require.Equal(t, []string{"x1", "x2"}, addresses(s.Known(now+contactTTL/2)))
+	s.apply(now, AgesReceived{Ages: make([]byte, 4), Fingerprint: ages.Fingerprint + 1})
+	s.apply(now, AgesReceived{Ages: make([]byte, 3), Fingerprint: ages.Fingerprint})
+	require.Equal(t, []string{"x1", "x2"}, addresses(s.Known(now+contactTTL/2)), "ages of other members are ignored")
+}
+
+// Guards against a list of all members in each reply while one instance restarts, and against an instance that learns of
+// the restart or of the fleet late.
+func TestListsOfKnownInstancesAreShort(t *testing.T) {
+	s := newState()
+	var known []Known
+	for i := range 1000 {
+		known = append(known, Known{Address: fmt.Sprint("x", i), Start: "1"})
+	}
+	s.apply(0, ExchangeCompleted{Address: "x0", Start: "1", Known: known})
+	now := newsTime + time.Second
+	s.apply(now, ExchangeCompleted{Address: "x500", Start: "2"})
+	require.Len(t, s.KnownFor(now, 0, 1), 1000, "a build that does not state the number")
+	require.Len(t, s.KnownFor(now, 800, 1), 1000, "an instance that has just started")
+	list := s.KnownFor(now, 999, 1)
+	require.Len(t, list, 1+1000/knownSampleShare)
+	require.Equal(t, "x500", list[0].Address)
+	require.NotEqual(t, list[1:], s.KnownFor(now, 999, 2)[1:])
+}
+
+func addresses(known []Known) []string {
+	var list []string
+	for _, k := range known {
+		list = append(list, k.Address)
+	}
+	return list
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -65,7 +65,15 @@
 	Digest []Entry
 	// Fingerprint is a hash of the set of instances that the sender knows.
 	Fingerprint uint64
-	// Known lists the instances that the sender knows. It is set only in a reply, and only if the fingerprints differ.
+	// KnownCount is the number of other instances that the sender knows, NeedsAges is set if it needs the ages of newer
+	// contacts with them. Both are set only in a request.
+	KnownCount int
+	NeedsAges  bool
+	// Ages is set only in a reply to a request with NeedsAges and an equal fingerprint: the ages of contacts with the
+	// instances that both know.
+	Ages []byte
+	// Known lists instances that the sender knows. It is set only in a reply, and only if the fingerprints differ: all of
+	// them if the receiver knows clearly fewer, otherwise the latest and some others.
 	Known []membership.Known
 	// Leaving lists the leaving signals of targets and instances that the sender knows.
 	Leaving []membership.Sign
@@ -151,7 +159,7 @@
 	if err := validateSender(x.Self, x.Start, x.Zone); err != nil {
 		return err
 	}
-	if len(x.Known) > membership.MaxMembers || len(x.Digest) > maxDigestEntries ||
+	if max(len(x.Known), len(x.Ages)) > membership.MaxMembers+1 || len(x.Digest) > maxDigestEntries ||
 		len(x.Leaving) > membership.MaxLeavingSignals {
 		return eris.New("exchange has too many known instances, digest entries or leaving signals")
 	}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -363,12 +363,30 @@
 	n.dispatch(ctx, membership.ExchangeCompleted{
 		Address: x.Self, Start: x.Start, Zone: x.Zone, Leaving: x.Leaving, Known: x.Known,
 	})
+	if len(x.Ages) > 0 {
+		n.dispatch(ctx, membership.AgesReceived{Ages: x.Ages, Fingerprint: x.Fingerprint})
+	}
+}
+
+// knownFor returns the known instances for the reply to a peer that knows others.
+func (n *Node) knownFor(remote *Exchange) []membership.Known {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.KnownFor(time.Since(n.startTime), remote.KnownCount, rand.Uint64())
+}
+
+func (n *Node) ages() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Ages(time.Since(n.startTime))
 }
 
-func (n *Node) knownInstances() []membership.Known {
+// contactSummary returns the number of known instances and whether newer contacts with them are needed.
+func (n *Node) contactSummary() (known int, needsAges bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.Known(time.Since(n.startTime))
+	now := time.Since(n.startTime)
+	return n.state.KnownCount(now), n.state.NeedsAges(now)
 }
 
 // newerEntries returns the remote entries that are newer than the local ones.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -133,7 +133,9 @@
 	*reply = s.node.localState()
 	reply.Digest = withoutEntries(reply.Digest, remote.Digest)
 	if reply.Fingerprint != remote.Fingerprint {
-		reply.Known = s.node.knownInstances()
+		reply.Known = s.node.knownFor(remote)
+	} else if remote.NeedsAges {
+		reply.Ages = s.node.ages()
 	}
 	if reply.CrashDigest != remote.CrashDigest {
 		reply.Crashes = s.node.crashes.VerdictRecords()
