--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -24,7 +24,7 @@
 			Self: "127.0.0.1:1", Start: "1", Zone: "a", Digest: []Entry{{"s", 1, 2, 3}},
 			Leaving: []membership.Sign{{Target: "t", Start: "1"}},
 		},
-		&Pull{Service: "s"}, &Document{Text: []byte("text")},
+		&Pull{Service: "s"}, &Document{Text: []byte("text")}, &CrashReport{Self: "127.0.0.1:1", Start: "1"},
 	}
 	for _, seed := range seeds {
 		var b bytes.Buffer
@@ -34,7 +34,7 @@
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		for _, body := range []message{&Exchange{}, &Pull{}, &Document{}, nil} {
+		for _, body := range []message{&Exchange{}, &Pull{}, &Document{}, &CrashReport{}, nil} {
 			c := newCodec(&closableBuffer{*bytes.NewBuffer(data)}, maxRequestSize)
 			if c.ReadRequestHeader(&rpc.Request{}) != nil {
 				continue
--- a/pkg/peer/crash_test.go
+++ b/pkg/peer/crash_test.go
@@ -117,11 +117,14 @@
 // Guards against records of another instance that are too large or malformed.
 func TestInvalidCrashRecordsAreRejected(t *testing.T) {
 	for name, records := range map[string][]quarantine.Record{
-		"too many records": make([]quarantine.Record, quarantine.MaxRecords+1),
-		"too many crashes": {{Crashes: make([]quarantine.Crash, quarantine.MaxCrashes+1)}},
-		"negative age":     {{Age: -1}},
+		"too many records":        make([]quarantine.Record, quarantine.MaxRecords+1),
+		"too many crashes":        {{Crashes: make([]quarantine.Crash, quarantine.MaxCrashes+1)}},
+		"negative age":            {{Age: -1}},
+		"negative age of a crash": {{Crashes: []quarantine.Crash{{Age: -1}}}},
 	} {
 		x := Exchange{Self: "127.0.0.1:1", Start: "1", Crashes: records}
 		require.Error(t, x.validate(), name)
+		require.Error(t, (&CrashReport{Self: x.Self, Start: x.Start, Records: records}).validate(), name)
+		require.Error(t, (&CrashReply{Records: records}).validate(), name)
 	}
 }
