quarantine: let releases overtake verdicts on requests that were answered

Cause: collectors do not see responses of other instances. A request that is repeated all the time became a verdict with every third crash, which went to all instances before one that had answered it released it.

Change: a verdict waits 10 ms at each instance before it is forwarded, a release does not. An instance that has answered the request tells the collectors, which tell all. The rounds compare quarantined requests only, and replies have at most 32 released ones.

--- a/pkg/peer/crash_reports.go
+++ b/pkg/peer/crash_reports.go
@@ -57,7 +57,7 @@
 		case quarantine.SuspicionDue:
 			n.distribute(ctx, distribution.SuspicionDue{Content: e.Content, Urgent: e.Urgent})
 		case quarantine.VerdictChanged:
-			n.distribute(ctx, distribution.VerdictChanged{Content: e.Content, Learned: e.Learned})
+			n.distribute(ctx, distribution.VerdictChanged{Content: e.Content, Learned: e.Learned, Withheld: e.Withheld})
 		}
 	}
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -77,10 +77,10 @@
 	Known []membership.Known
 	// Leaving lists the leaving signals of targets and instances that the sender knows.
 	Leaving []membership.Sign
-	// CrashDigest is a hash of the sender's records of requests that have been quarantined.
+	// CrashDigest is a hash of the sender's records of quarantined requests.
 	CrashDigest uint64
-	// Crashes lists, in a request, those of these records that changed recently; in a reply all of them, but only if the
-	// digests differ. Builds without CrashReport list suspicions too.
+	// Crashes lists, in a request, those of these records that changed recently; in a reply, only if the digests differ, all
+	// of them and those of released requests. Builds without CrashReport list suspicions too.
 	Crashes []quarantine.Record
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -64,9 +64,9 @@
 
 // CrashRecords holds what is known of requests that crash targets. Implementations are safe for concurrent use.
 type CrashRecords interface {
-	// VerdictDigest is a hash of the verdict records: those of requests that have been quarantined.
+	// VerdictDigest is a hash of the records of quarantined requests, RecentVerdicts returns those of them that changed
+	// within the last seconds, and VerdictRecords returns all of them and those of released requests.
 	VerdictDigest() uint64
-	// VerdictRecords returns these records, RecentVerdicts those of them that changed within the last seconds.
 	VerdictRecords() []quarantine.Record
 	RecentVerdicts() []quarantine.Record
 	// RecordsOf returns the records of contents, MissingFrom those that differ from other records.
--- a/pkg/quarantine/distribution/distribution.go
+++ b/pkg/quarantine/distribution/distribution.go
@@ -30,6 +30,10 @@
 	// treeFanout is the number of instances to which a verdict is forwarded along the tree. With two, it reaches 100
 	// instances of a zone in seven steps.
 	treeFanout = 2
+	// forwardDelay is the time for which an instance holds back a verdict before it forwards it. A release is forwarded at
+	// once, so that it overtakes the verdict on a request that one of the first instances has answered. Verdicts take
+	// seven steps in a zone of 100 instances, so that they stay within 300 ms.
+	forwardDelay = 10 * time.Millisecond
 )
 
 // Member is another instance that can be reached.
@@ -58,6 +62,8 @@
 type VerdictChanged struct {
 	Content uint64
 	Learned bool
+	// Withheld is set if the request is withheld, not released.
+	Withheld bool
 }
 
 // Result is the end of a report.
@@ -142,9 +148,7 @@
 			s.addSuspicion(in.Now, m, ev.Content, ev.Urgent)
 		}
 	case VerdictChanged:
-		for _, m := range s.receivers(in.Members, ev) {
-			s.addVerdict(in.Now, m, ev.Content)
-		}
+		s.spread(in, ev)
 	case ReportEnded:
 		s.endReport(in, ev)
 	}
@@ -161,12 +165,48 @@
 	}
 }
 
-func (s *State) addVerdict(now time.Duration, m Member, content uint64) {
+// spread sends a changed verdict to the successors of this instance in its zone, and, if the verdict arose here or this
+// instance is a collector that learns of a release, to the first instances of each zone.
+func (s *State) spread(in Input, ev VerdictChanged) {
+	due := in.Now
+	if ev.Withheld {
+		due += forwardDelay
+	} else {
+		s.removeVerdict(ev.Content)
+	}
+	self := Member{s.cfg.Self, s.cfg.Zone}
+	for _, m := range s.successors(in.Members, self, ev.Content) {
+		s.addVerdict(in.Now, m, ev.Content, due)
+	}
+	// A collector learns of a release by a report, which goes to collectors only.
+	if ev.Learned && (ev.Withheld || !s.isCollector(in.Members, ev.Content)) {
+		return
+	}
+	entries := make(map[string]int) // by zone
+	for _, m := range rank(append(slices.Clone(in.Members), self), ev.Content) {
+		entries[m.Zone]++
+		if entries[m.Zone] <= entryCount && m != self {
+			s.addVerdict(in.Now, m, ev.Content, in.Now)
+		}
+	}
+}
+
+// removeVerdict removes a content from the verdicts that wait to be forwarded.
+func (s *State) removeVerdict(content uint64) {
+	for _, o := range s.outboxes {
+		o.verdicts = slices.DeleteFunc(o.verdicts, func(c uint64) bool { return c == content })
+	}
+}
+
+func (s *State) addVerdict(now time.Duration, m Member, content uint64, due time.Duration) {
 	o := s.outboxOf(now, m)
+	if len(o.suspicions)+len(o.verdicts) == 0 {
+		o.dueAt = due
+	}
 	if !slices.Contains(o.verdicts, content) && len(o.verdicts) < MaxContents/2 {
 		o.verdicts = append(o.verdicts, content)
 	}
-	o.dueAt = now
+	o.dueAt = min(o.dueAt, due)
 }
 
 // outboxOf returns the outbox of an instance. One with nothing to send becomes due once batchInterval has passed since
@@ -216,7 +256,7 @@
 	}
 	for _, content := range verdicts {
 		for _, m := range s.successors(withPeer, peer, content) {
-			s.addVerdict(in.Now, m, content)
+			s.addVerdict(in.Now, m, content, in.Now)
 		}
 	}
 }
@@ -258,22 +298,9 @@
 	return slices.DeleteFunc(chosen, func(m Member) bool { return m == self })
 }
 
-// receivers returns the instances to which this one sends a changed verdict: its successors within its zone, and, if
-// the verdict arose here, the first instances of each zone.
-func (s *State) receivers(members []Member, ev VerdictChanged) []Member {
-	self := Member{s.cfg.Self, s.cfg.Zone}
-	list := s.successors(members, self, ev.Content)
-	if ev.Learned {
-		return list
-	}
-	entries := make(map[string]int) // by zone
-	for _, m := range rank(append(slices.Clone(members), self), ev.Content) {
-		entries[m.Zone]++
-		if entries[m.Zone] <= entryCount && m != self && !slices.Contains(list, m) {
-			list = append(list, m)
-		}
-	}
-	return list
+func (s *State) isCollector(members []Member, content uint64) bool {
+	ranked := rank(append(slices.Clone(members), Member{s.cfg.Self, s.cfg.Zone}), content)
+	return slices.Contains(ranked[:min(collectorCount, len(ranked))], Member{s.cfg.Self, s.cfg.Zone})
 }
 
 // successors returns the instances to which an instance forwards verdicts of a content. The instances of its zone, in the
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -23,7 +23,9 @@
 	// MaxRecords and MaxCrashes bound the records and the crashes of each.
 	MaxRecords = 1024
 	MaxCrashes = 16
-	// maxRecentRecords bounds RecentRecords, which instances send to others with each contact.
+	// maxReleased bounds the records of released requests in VerdictRecords.
+	maxReleased = 32
+	// maxRecentRecords bounds RecentVerdicts, which instances send to others with each contact.
 	maxRecentRecords = 256
 )
 
@@ -53,8 +55,7 @@
 	Crashes []Crash
 	// Age is the time since the last crash or withheld repeat.
 	Age time.Duration
-	// Verdict is set once requests with Content have been quarantined, also if they have been released since. Such
-	// records go to all instances.
+	// Verdict is set once requests with Content have been quarantined, also if they have been released since.
 	Verdict bool
 }
 
@@ -119,8 +120,8 @@
 	Released
 	// SuspicionDue: the collectors of Content have to get its record, immediately if Urgent is set.
 	SuspicionDue
-	// VerdictChanged: all instances have to get the record of Content. Learned is set if it came from another instance as
-	// it is now.
+	// VerdictChanged: all instances have to get the record of Content. Learned is set if it came from another
+	// instance, so that it spreads already.
 	VerdictChanged
 )
 
@@ -132,6 +133,8 @@
 	Targets int
 	Urgent  bool
 	Learned bool
+	// Withheld is set in VerdictChanged if requests with Content are withheld, not released.
+	Withheld bool
 }
 
 // record is what this instance knows of one request. Times are values of Input.Now.
@@ -194,7 +197,7 @@
 	before := r.quarantined
 	out = r.changed(now, out)
 	if r.quarantined || before {
-		return append(out, Effect{Kind: VerdictChanged, Content: r.content})
+		return append(out, r.verdictChanged(false))
 	}
 	r.unreported = true
 	if countTargets(r.liveCrashes()) > 1 {
@@ -230,11 +233,17 @@
 	}
 	other := record{}
 	other.mergeCrashes(now, remote.Crashes)
-	verdict := r.quarantined || other.isQuarantined()
+	before, received := r.quarantined, other.isQuarantined()
 	out = r.changed(now, out)
-	if verdict || r.quarantined {
+	switch {
+	case r.quarantined:
+		return append(out, r.verdictChanged(received))
+	case received:
+		// This instance has answered the request, and others may have too. The collectors release it everywhere.
 		r.verdict = true
-		out = append(out, Effect{Kind: VerdictChanged, Content: r.content, Learned: slices.Equal(r.crashes, other.crashes)})
+		return r.report(true, out)
+	case before:
+		return append(out, r.verdictChanged(true))
 	}
 	return out
 }
@@ -292,7 +301,7 @@
 	out = r.changed(now, out)
 	switch {
 	case before:
-		out = append(out, Effect{Kind: VerdictChanged, Content: r.content})
+		out = append(out, r.verdictChanged(false))
 	case r.reported:
 		out = r.report(false, out)
 	}
@@ -314,6 +323,10 @@
 	return out
 }
 
+func (r *record) verdictChanged(learned bool) Effect {
+	return Effect{Kind: VerdictChanged, Content: r.content, Learned: learned, Withheld: r.quarantined}
+}
+
 // liveCrashes returns the crashes that still count against the caller under whose request they occurred.
 func (r *record) liveCrashes() []Crash {
 	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return c.CallerAcquitted })
--- a/pkg/quarantine/records.go
+++ b/pkg/quarantine/records.go
@@ -45,19 +45,20 @@
 	return sum
 }
 
-// VerdictDigest is a hash of the records that go to all instances. Instances with equal digests need not exchange them.
-// Of a request that has been released only the content counts: its further crashes are suspicions again.
+// VerdictDigest is a hash of the records of quarantined requests. Instances with equal digests need not exchange verdicts.
+// A request that has been released concerns only instances that still have it quarantined, whose digests differ. An
+// instance without any released request, as after a restart, has another digest than one with some.
 func (s *State) VerdictDigest() uint64 {
-	var sum uint64
+	var sum, released uint64
 	for _, r := range s.records {
 		switch {
 		case r.quarantined:
 			sum += r.hash()
 		case r.verdict:
-			sum += xxhash.NewWithSeed(^r.content).Sum64()
+			released = 1
 		}
 	}
-	return sum
+	return sum + released
 }
 
 func (r *record) hash() uint64 {
@@ -84,7 +85,8 @@
 	return list
 }
 
-// MissingFrom returns the records whose crashes differ from those of other records with the same contents.
+// MissingFrom returns the records whose crashes differ from those of other records with the same contents: complete ones of
+// quarantined requests, otherwise only with the crashes that differ.
 func (s *State) MissingFrom(now time.Duration, others []Record) []Record {
 	var list []Record
 	for _, other := range others {
@@ -95,26 +97,43 @@
 		o := record{}
 		o.mergeCrashes(now, other.Crashes)
 		if !slices.Equal(r.crashes, o.crashes) || r.verdict && !other.Verdict {
-			list = append(list, r.export(now))
+			missing := r.export(now)
+			if !r.quarantined {
+				missing.Crashes = slices.DeleteFunc(missing.Crashes, func(c Crash) bool {
+					c.Age = 0
+					return slices.Contains(o.crashes, c)
+				})
+			}
+			list = append(list, missing)
 		}
 	}
 	return list
 }
 
-// VerdictRecords returns the records that go to all instances.
+// VerdictRecords returns the records of quarantined requests and some of released ones: the latest and a few others. An
+// instance that has missed a release asks with each of its rounds until it gets the record.
 func (s *State) VerdictRecords(now time.Duration) []Record {
-	return s.list(now, func(r *record) bool { return r.verdict })
+	released := make([]*record, 0, len(s.records))
+	for _, r := range s.records { // in a different order each time
+		if r.verdict && !r.quarantined {
+			released = append(released, r)
+		}
+	}
+	if len(released) > maxReleased {
+		latest := released[maxReleased/2:]
+		slices.SortFunc(latest, func(a, b *record) int { return cmp.Compare(b.changedAt, a.changedAt) })
+		released = released[:maxReleased]
+	}
+	list := s.list(now, func(r *record) bool { return r.quarantined })
+	for _, r := range released {
+		list = append(list, r.export(now))
+	}
+	return list
 }
 
-// RecentVerdicts returns the verdict records that changed within the last seconds, at most maxRecentRecords. Quarantined
-// ones come first.
+// RecentVerdicts returns the records of quarantined requests that changed within the last seconds, at most maxRecentRecords.
 func (s *State) RecentVerdicts(now time.Duration) []Record {
-	recent := func(quarantined bool) []Record {
-		return s.list(now, func(r *record) bool {
-			return r.verdict && now-r.changedAt < recentTime && r.quarantined == quarantined
-		})
-	}
-	list := append(recent(true), recent(false)...)
+	list := s.list(now, func(r *record) bool { return r.quarantined && now-r.changedAt < recentTime })
 	return list[:min(len(list), maxRecentRecords)]
 }
 
