--- a/pkg/peer/fleet_repeats_test.go
+++ b/pkg/peer/fleet_repeats_test.go
@@ -14,13 +14,19 @@
 // other instances answer between the crashes: each third crash is a verdict until an instance that has answered the request
 // acquits it.
 func TestFleetTrafficOfRepeatedRequests(t *testing.T) {
+	for name, retriedShare := range map[string]float64{"answered": 0.8, "unanswered": 0} {
+		t.Run(name, func(t *testing.T) { testRepeatedRequests(t, retriedShare) })
+	}
+}
+
+// testRepeatedRequests plays requests of which retriedShare is answered by another target after a crash.
+func testRepeatedRequests(t *testing.T, retriedShare float64) {
 	const (
 		size             = 124
 		contents         = 200
 		callers          = 5
 		crashesPerSecond = 22
 		answersPerSecond = 500
-		retriedShare     = 0.8 // requests that another target answers after the crash
 		maxBytes         = 15000.0
 	)
 	f := newFleet(size)
