membership: push changes to other zones as rarely as rounds do

Change: pushes go to three instances of the own zone, and to one of another zone once in peer_cross_every pushes. With peer_cross_every = 1 nothing changes.

--- a/pkg/peer/membership/membership.go
+++ b/pkg/peer/membership/membership.go
@@ -46,8 +46,8 @@
 	Zone string
 	// Seeds are peer addresses from the settings.
 	Seeds []string
-	// CrossZoneRounds is the average number of rounds per contact to another zone; 0 means 1. Traffic between zones is
-	// expensive, and what one instance learns from another zone spreads within its own.
+	// CrossZoneRounds is the average number of rounds, or of pushed changes, per contact to another zone; 0 means 1. Traffic
+	// between zones is expensive, and what one instance learns from another zone spreads within its own.
 	CrossZoneRounds int
 }
 
@@ -230,7 +230,7 @@
 		s.removeExpired(in.Now)
 		out = s.contactRoundPeers(in.Now, out)
 	case LocalStateChanged:
-		out = s.contactRandom(in.Now, pushFanout, func(*member) bool { return true }, out)
+		out = s.contactPushPeers(in.Now, out)
 	case TargetsObserved:
 		out = s.observeTargets(in.Now, ev.Targets, out)
 	}
@@ -389,6 +389,24 @@
 	return out
 }
 
+// contactPushPeers chooses the members that are told about a change. If contacts to other zones are to be rare, they are
+// also rare here: after a change of the configuration each instance pushes, so that each zone hears of it many times.
+func (s *State) contactPushPeers(now time.Duration, out []Effect) []Effect {
+	every := s.cfg.CrossZoneRounds
+	if every <= 1 {
+		return s.contactRandom(now, pushFanout, func(*member) bool { return true }, out)
+	}
+	before := len(out)
+	out = s.contactRandom(now, pushFanout, func(m *member) bool { return m.zone == s.cfg.Zone }, out)
+	otherZones := 0
+	if len(out) == before {
+		otherZones = pushFanout
+	} else if rand.New(s.rng).IntN(every) == 0 {
+		otherZones = 1
+	}
+	return s.contactRandom(now, otherZones, func(m *member) bool { return m.zone != s.cfg.Zone }, out)
+}
+
 // contactRandom chooses up to n random members that are not leaving or in backoff and that pass accept.
 func (s *State) contactRandom(now time.Duration, n int, accept func(*member) bool, out []Effect) []Effect {
 	var candidates []string
--- a/pkg/peer/membership/membership_test.go
+++ b/pkg/peer/membership/membership_test.go
@@ -184,6 +184,32 @@
 	require.LessOrEqual(t, len(s.LeavingSignals()), MaxLeavingSignals)
 }
 
+// Guards against a change of the configuration that each instance pushes to other zones, which cost more traffic between
+// zones than all rounds, and against an instance that is alone in its zone and tells nobody.
+func TestPushesToOtherZonesAreAsRareAsRounds(t *testing.T) {
+	const pushes, every = 1000, 5
+	push := func(addresses ...string) (sameZone, otherZone int) {
+		s := New(Config{Self: "self", Start: "s0", Zone: "a", CrossZoneRounds: every})
+		s.apply(0, instanceList(addresses...))
+		for i := range pushes {
+			for _, address := range contacts(s.apply(time.Duration(i)*time.Second, LocalStateChanged{})) {
+				if address[0] == 'a' {
+					sameZone++
+				} else {
+					otherZone++
+				}
+			}
+		}
+		return sameZone, otherZone
+	}
+	sameZone, otherZone := push("a1", "b1", "c1", "a2", "b2", "c2", "a3", "b3", "c3", "a4", "b4", "c4")
+	require.Equal(t, pushes*pushFanout, sameZone)
+	require.InDelta(t, pushes/every, otherZone, pushes/every/4)
+	sameZone, otherZone = push("self", "b1", "c1", "self", "b2", "c2")
+	require.Zero(t, sameZone)
+	require.Equal(t, pushes*pushFanout, otherZone)
+}
+
 // Guards against events in an unexpected order that break an invariant: no contact to this instance itself, the same
 // effects for the same events, and a fleet size that is not below the number of instances present.
 func TestInvariantsUnderRandomEvents(t *testing.T) {
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -27,7 +27,7 @@
 	Zone string
 	// Seeds are peer addresses from the settings. Connections from their IPs are accepted.
 	Seeds []string
-	// CrossZoneRounds is the average number of rounds per contact to another zone; 0 means 1.
+	// CrossZoneRounds is that of membership.Config.
 	CrossZoneRounds int
 	// AcceptUnlisted accepts connections from any address, for platforms that do not list instances.
 	AcceptUnlisted bool
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -61,8 +61,8 @@
 	PeerListen string `toml:"peer_listen"`
 	// Peers are addresses of other instances, in addition to the instance list. Default none.
 	Peers []string `toml:"peers"`
-	// PeerCrossZoneRounds is the average number of exchange rounds, of one second each, per contact with an instance in
-	// another zone. Default 1.
+	// PeerCrossZoneRounds is the average number of exchange rounds, of one second each, and of pushed changes per contact
+	// with an instance in another zone. Default 1.
 	PeerCrossZoneRounds int `toml:"peer_cross_every"`
 	// Platform is the base URL of the configuration service and instance list. Required.
 	Platform string `toml:"platform"`
