--- a/cmd/standin/userplatform.go
+++ b/cmd/standin/userplatform.go
@@ -49,6 +49,8 @@
 	f.IntVar(&cfg.QueueSize, "queue", 8, "number of requests that can wait for a slot")
 	f.DurationVar(&cfg.MeanWorkTime, "work", 50*time.Millisecond, "mean service time of a request in a slot")
 	f.StringVar(&cfg.CrashOn, "crash-on", "", "exit while running a request whose path or body contains this text")
+	f.DurationVar(&cfg.ColdTime, "cold", 0, "time for which the server is cold after its start")
+	f.IntVar(&cfg.ColdLimit, "cold-limit", 0, "exit when more requests arrive within a second while the server is cold; 0 for no limit")
 	f.BoolVar(&cfg.ResetWhenFull, "reset-when-full", false, "reset connections of excess requests instead of declaring that they did not run")
 	return cmd
 }
