--- a/pkg/core/selection.go
+++ b/pkg/core/selection.go
@@ -50,7 +50,7 @@
 // chooseTarget returns the target for the next attempt of r, or nil if no target has capacity. Targets that r has tried
 // are avoided; a hedge is never sent to one.
 func (s *Service) chooseTarget(now Instant, r *request, hedge bool) *targetState {
-	if s.inFlight >= s.serviceLimit() {
+	if s.inFlightOutsideEvacuation() >= s.serviceLimit() {
 		// The service limit keeps the target freed in this step unused. With allFull cleared, the next choice below the
 		// limit scans all targets and finds it.
 		s.allFull = s.allFull && s.freedTarget == nil
@@ -131,9 +131,10 @@
 	return nil
 }
 
-// isAvailable reports whether t is not ejected or in backoff, and admits a request by the rate that it states.
+// isAvailable reports whether t is not ejected or in backoff, has answered a probe if it has to, and admits a request by
+// the rate that it states.
 func (s *Service) isAvailable(t *targetState, now Instant) bool {
-	return !t.ejection.active && now >= t.backoffEnd() && t.rateLimit.admits(now)
+	return !t.ejection.active && now >= t.backoffEnd() && !t.awaitsProbe(now) && t.rateLimit.admits(now)
 }
 
 // hasCapacity reports whether t may receive an attempt now: it is available and below its in-flight limit. Baselines
