peer: omit the leaving signals of the request from the reply

Change: a reply omits them, as it already omits documents; the called instance has applied the request before. Old builds merge the shorter list in the same way.

--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -65,7 +65,7 @@
 
 // unusableCauses are the statuses of targets that get no requests, or only a few. A target counts for one of them.
 var unusableCauses = []core.TargetStatus{
-	core.TargetStatusEvacuated, core.TargetStatusLeaving, core.TargetStatusEjected, "cold",
+	core.TargetStatusEvacuated, core.TargetStatusLeaving, core.TargetStatusEjected, core.TargetStatusCold,
 }
 
 var unusableDesc = prometheus.NewDesc("burdockpitch_targets_unusable",
--- a/pkg/peer/fleet_test.go
+++ b/pkg/peer/fleet_test.go
@@ -187,7 +187,7 @@
 	in.send(peer, &rpc.Request{ServiceMethod: "Peer.Exchange"}, &request, 2*simLatency, func() { // after connecting
 		peer.apply(&request)
 		reply := peer.localState()
-		reply.Digest = withoutEntries(reply.Digest, request.Digest)
+		reply.Digest = without(reply.Digest, request.Digest)
 		if reply.Fingerprint != request.Fingerprint {
 			reply.Known = peer.members.KnownFor(in.fleet.now, request.KnownCount, in.fleet.rng.Uint64())
 		} else if request.NeedsAges {
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -76,7 +76,8 @@
 	// Known lists instances that the sender knows. It is set only in a reply, and only if the fingerprints differ: all of
 	// them if the receiver knows clearly fewer, otherwise the latest and some others.
 	Known []membership.Known
-	// Leaving lists the leaving signals of targets and instances that the sender knows.
+	// Leaving lists the leaving signals of targets and instances that the sender knows. A reply omits those that the request
+	// lists.
 	Leaving []membership.Sign
 	// CrashDigest is a hash of the sender's records of quarantined requests.
 	CrashDigest uint64
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -294,6 +294,21 @@
 	})
 }
 
+// Guards against replies that repeat the leaving signals of the request, which are many while targets are replaced, and
+// against replies without the signals that only the called instance knows.
+func TestReplyOmitsLeavingSignalsOfTheRequest(t *testing.T) {
+	n := startNode(t, "127.0.0.1")
+	known, unknown := membership.Sign{Target: "known", Start: "1"}, membership.Sign{Target: "unknown", Start: "1"}
+	for _, sign := range []membership.Sign{known, unknown} {
+		n.ObserveTargets(context.Background(), []membership.Process{{Address: sign.Target, Start: sign.Start, Leaving: true}})
+	}
+	service := &peerService{node: n.Node, ctx: context.Background(), remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	var reply Exchange
+	request := &Exchange{Self: "127.0.0.2:7001", Start: "2", Zone: "a", Leaving: []membership.Sign{known}}
+	require.NoError(t, service.Exchange(request, &reply))
+	require.Equal(t, []membership.Sign{unknown}, reply.Leaving)
+}
+
 // Guards against a conflict that never reaches the store, and against pulling the conflicting document in each round.
 func TestConflictingDocumentIsPulledOnce(t *testing.T) {
 	n := startNode(t, "127.0.0.1", "127.0.0.2:1")
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -131,7 +131,8 @@
 		s.node.startContact(s.ctx, remote.Self)
 	}
 	*reply = s.node.localState()
-	reply.Digest = withoutEntries(reply.Digest, remote.Digest)
+	reply.Digest = without(reply.Digest, remote.Digest)
+	reply.Leaving = without(reply.Leaving, remote.Leaving)
 	if reply.Fingerprint != remote.Fingerprint {
 		reply.Known = s.node.knownFor(remote)
 	} else if remote.NeedsAges {
@@ -155,14 +156,14 @@
 	return s.node.answerFollow(s.ctx, feed, request, reply)
 }
 
-// withoutEntries returns the entries that are not in exclude. It modifies entries in place. Omitting from a reply what
-// the request already lists saves half of the traffic while no document changes.
-func withoutEntries(entries, exclude []Entry) []Entry {
-	excluded := make(map[Entry]bool, len(exclude))
+// without returns the elements of list that are not in exclude. It modifies list in place. Omitting from a reply what the
+// request already lists saves half of the traffic while nothing changes.
+func without[T comparable](list, exclude []T) []T {
+	excluded := make(map[T]bool, len(exclude))
 	for _, e := range exclude {
 		excluded[e] = true
 	}
-	return slices.DeleteFunc(entries, func(e Entry) bool { return excluded[e] })
+	return slices.DeleteFunc(list, func(e T) bool { return excluded[e] })
 }
 
 // Pull replies with the document of a service.
