--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -120,8 +120,8 @@
 	return out
 }
 
-// probeAdmitting probes t if its rate limit or warm-up admits a request again and requests wait. The rounds of onBacklogTimer would
-// reach it too late: until it is used, the share of this instance stays unused.
+// probeAdmitting probes t if its rate limit or warm-up admits a request again and requests wait. The rounds of
+// onBacklogTimer would reach it too late: until it is used, the share of this instance stays unused.
 func (s *Service) probeAdmitting(now Instant, t *targetState, out []Effect) []Effect {
 	if !s.probesLoad() || len(s.backlog.waiting) == 0 || !t.rateLimit.active && !s.boundsWarmup() || !t.usable() || s.isOutOfReach(t, now) {
 		return out
