--- a/internal/simulation/cold.go
+++ b/internal/simulation/cold.go
@@ -119,9 +119,13 @@
 	i.apply(core.TargetsChanged{Targets: append([]core.Target(nil), i.list...)})
 }
 
-// recordArrival records a request that reaches t while it is cold. A request that was sent before does not count.
+// recordArrival records a request that reaches t, also against an order to evacuate its zone or while it is cold. A request
+// that was sent before does not count.
 func (t *target) recordArrival(now, sentAt core.Instant) {
 	t.arrivals = append(t.arrivals, now)
+	if t.evacuated && sentAt > t.evacuatedFrom {
+		t.despiteOrder++
+	}
 	if now >= t.coldUntil || sentAt < t.coldFrom {
 		return
 	}
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -34,6 +34,9 @@
 	coldUntil         core.Instant   // warm from then on
 	coldArrivals      []core.Instant // since coldFrom
 	mostWhileCold     int            // most requests within coldWindow
+	evacuated         bool           // its zone is
+	evacuatedFrom     core.Instant   // all instances know the order from then on
+	despiteOrder      int            // requests that were sent after that time
 	served            int
 }
 
@@ -171,6 +174,10 @@
 	}
 	first := int(fault.Skip*float64(f.pattern.Targets) + 0.5)
 	affected := f.targetIDs[first:][:f.pattern.affectedTargets(*fault)]
+	if fault.Kind == FaultEvacuate {
+		f.evacuate(affected, active)
+		return
+	}
 	if fault.Kind == FaultCold {
 		if active {
 			f.setCold(affected, f.now+fault.For.Std())
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -97,6 +97,8 @@
 	FaultRateLimit = "rate-limit"
 	// FaultCold makes targets cold.
 	FaultCold = "cold"
+	// FaultEvacuate is an order to evacuate the zones of targets.
+	FaultEvacuate = "evacuate"
 	// FaultRestart restarts the share Strength of the instances at the beginning. They learn of each other in steps.
 	FaultRestart = "restart"
 )
@@ -276,7 +278,7 @@
 		c.checkLoad(i, &p.Loads[i])
 	}
 	for i, f := range p.Faults {
-		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit, FaultCold, FaultRestart}, f.Kind)
+		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit, FaultCold, FaultEvacuate, FaultRestart}, f.Kind)
 		c.report(known, "shed, unhealthy, hidden-slowdown, rate-limit, cold or restart", "fault %d: unknown kind %q", i+1, f.Kind)
 		c.report(f.Share >= 0 && f.Skip >= 0 && f.Skip+f.Share <= 1 && f.For > 0, "shares from 0 to 1 and a length above 0",
 			"fault %d: share %v after %v for %s", i+1, f.Share, f.Skip, f.For.Std())
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -18,6 +18,8 @@
 	// arrivalsByTarget holds the times at which requests reached each target.
 	arrivalsByTarget [][]core.Instant
 	mostWhileCold    int // most requests that reached a cold target within coldWindow
+	// arrivedDespiteOrder is the number of requests that were sent to a zone after all instances knew that it is evacuated.
+	arrivedDespiteOrder int
 }
 
 // Run plays a pattern with the given options. The same seed gives the same result.
@@ -29,13 +31,14 @@
 		r.servedByTarget = append(r.servedByTarget, f.targets[id].served)
 		r.arrivalsByTarget = append(r.arrivalsByTarget, f.targets[id].arrivals)
 		r.mostWhileCold = max(r.mostWhileCold, f.targets[id].mostWhileCold)
+		r.arrivedDespiteOrder += f.targets[id].despiteOrder
 	}
 	return r
 }
 
 // Check returns the expectations of a pattern that a run does not meet. The baseline is the run with p.Baseline, or nil.
 func Check(p *Pattern, r, baseline *Result) []string {
-	unmet := r.checkCold(p)
+	unmet := append(r.checkCold(p), r.checkEvacuation(p)...)
 	for _, e := range p.Expect {
 		report := func(ok bool, format string, args ...any) {
 			if !ok {
