peer: one function connects to another instance

Cause: crash reports and exchanges repeated the same steps to connect. Change: withConnection, behaviour unchanged. Not measured; tests of the package pass.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -36,16 +36,12 @@
 
 // exchangeRecords exchanges state with another instance, which also gets crash records, and pulls its newer documents.
 func (n *Node) exchangeRecords(ctx context.Context, address string, records []quarantine.Record) error {
-	conn, err := n.dial(ctx, address)
-	if err != nil {
-		return eris.Wrap(err, "dial")
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	client := rpc.NewClientWithCodec(n.newCountedCodec(conn, MaxMessageSize))
-	defer client.Close()
+	return n.withConnection(ctx, address, func(conn net.Conn, client *rpc.Client) error {
+		return n.exchangeOn(ctx, conn, client, address, records)
+	})
+}
 
+func (n *Node) exchangeOn(ctx context.Context, conn net.Conn, client *rpc.Client, address string, records []quarantine.Record) error {
 	local, remote := n.localState(), &Exchange{}
 	local.Crashes = records
 	local.KnownCount, local.NeedsAges = n.contactSummary()
@@ -73,6 +69,20 @@
 	return nil
 }
 
+// withConnection connects to another instance and calls use, during which the connection ends with ctx.
+func (n *Node) withConnection(ctx context.Context, address string, use func(net.Conn, *rpc.Client) error) error {
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return eris.Wrap(err, "dial")
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	client := rpc.NewClientWithCodec(n.newCountedCodec(conn, MaxMessageSize))
+	defer client.Close()
+	return use(conn, client)
+}
+
 func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: n.cfg.CallTimeout}
 	if self, err := netip.ParseAddrPort(n.cfg.Self); err == nil {
--- a/pkg/peer/crash_reports.go
+++ b/pkg/peer/crash_reports.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/rpc"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine/distribution"
@@ -146,17 +145,10 @@
 
 // reportCrashes calls Peer.ReportCrashes of another instance and merges the records in its reply.
 func (n *Node) reportCrashes(ctx context.Context, address string, records []quarantine.Record) error {
-	conn, err := n.dial(ctx, address)
-	if err != nil {
-		return eris.Wrap(err, "dial")
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	client := rpc.NewClientWithCodec(n.newCountedCodec(conn, MaxMessageSize))
-	defer client.Close()
 	request, reply := &CrashReport{Self: n.cfg.Self, Start: n.startID, Zone: n.cfg.Zone, Records: records}, &CrashReply{}
-	err = n.call(conn, client, reportCrashesMethod, request, reply)
+	err := n.withConnection(ctx, address, func(conn net.Conn, client *rpc.Client) error {
+		return n.call(conn, client, reportCrashesMethod, request, reply)
+	})
 	if isUnknownMethod(err) {
 		n.mu.Lock()
 		start := n.state.StartOf(address)
