--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -32,10 +32,9 @@
 	start    time.Time
 	record   *os.File
 
-	mu        sync.Mutex
-	arrivals  []*arrival
-	answers   []*answer
-	processes []*instance
+	mu       sync.Mutex
+	arrivals []*arrival
+	answers  []*answer
 
 	store       *store
 	storeAddr   string
@@ -52,8 +51,6 @@
 	status        int
 	err           string // why there is no complete answer
 	foreign       string // why a 2xx answer is not the server's own
-	signed        bool
-	retryAfter    string
 	closes        bool
 }
 
@@ -321,8 +318,7 @@
 		return l.finish(a, "no answer: "+err.Error())
 	}
 	text, err := io.ReadAll(resp.Body)
-	a.status, a.retryAfter, a.closes = resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close
-	a.signed = resp.Header.Get("Response-Signature") != ""
+	a.status, a.closes = resp.StatusCode, resp.Close
 	if err != nil {
 		return l.finish(a, "answer broke off: "+err.Error())
 	}
--- a/review/harness/standins.go
+++ b/review/harness/standins.go
@@ -118,13 +118,6 @@
 	s.wake()
 }
 
-func (s *store) has(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down, era := s.down, s.era
@@ -253,7 +246,6 @@
 
 	mu               sync.Mutex
 	running, waiting int
-	retryAfter       float64 // seconds; answers 503 with Retry-After while it is set
 	sem              chan struct{}
 	conns            map[net.Conn]bool
 }
@@ -335,16 +327,12 @@
 	}
 	a := s.lab.arrive(s, id, r.Method)
 	s.mu.Lock()
-	retryAfter := s.retryAfter
 	full := s.running+s.waiting >= s.slots+s.queue
-	if retryAfter == 0 && !full {
+	if !full {
 		s.waiting++
 	}
 	s.mu.Unlock()
-	if retryAfter > 0 || full {
-		if retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', -1, 64))
-		}
+	if full {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		s.lab.ended(a, "503 Not-Executed")
