--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/relay"
 )
 
 const (
@@ -112,7 +113,10 @@
 	startedAt   core.Instant
 	list        []core.Target // as received
 	callsByID   map[core.RequestID]*call
-	timerNumber int // number of the latest timer; earlier ones are ignored
+	timerNumber int                       // number of the latest timer; earlier ones are ignored
+	partitioned bool                      // from all targets
+	selector    *relay.Selector           // nil until a request is relayed
+	origins     map[core.RequestID]origin // of requests that other instances have relayed
 }
 
 func newFleet(p *Pattern, o Options, seed uint64) *fleet {
@@ -130,7 +134,7 @@
 	for n, id := range instanceIDs {
 		policy := o.policy(p)
 		policy.InstanceID, policy.Zone = id, p.zone(n)
-		i := &instance{fleet: f, policy: policy, view: p.view(instanceIDs, n), callsByID: make(map[core.RequestID]*call)}
+		i := &instance{fleet: f, policy: policy, view: p.view(instanceIDs, n), callsByID: make(map[core.RequestID]*call), origins: make(map[core.RequestID]origin)}
 		f.instances = append(f.instances, i)
 		i.startService()
 		i.apply(core.FleetChanged{Instances: i.view})
@@ -166,6 +170,10 @@
 		f.hiddenSlowdown = max(value, 1)
 		return
 	}
+	if fault.Kind == FaultPartition {
+		f.setPartition(fault, active)
+		return
+	}
 	if fault.Kind == FaultRestart {
 		if active {
 			f.restart(f.instances[:int(fault.Strength*float64(len(f.instances))+0.5)])
@@ -247,10 +255,17 @@
 	id := core.RequestID(f.sentRequests)
 	i.callsByID[id] = c
 	c.refusedAt = 0
-	i.apply(core.RequestArrived{
-		Request: id, Class: c.load.class, Rule: c.load.Rule, Priority: c.load.Priority,
-		Deadline: c.deadline, CallerTimeout: c.deadline - f.now, Objective: f.now + c.load.Objective.Std(),
-	})
+	ev := c.arrivedEvent(f.now)
+	ev.Request = id
+	i.apply(ev)
+}
+
+// arrivedEvent returns the event that submits a request of a caller to a reducer, without its ID.
+func (c *call) arrivedEvent(now core.Instant) core.RequestArrived {
+	return core.RequestArrived{
+		Class: c.load.class, Rule: c.load.Rule, Priority: c.load.Priority,
+		Deadline: c.deadline, CallerTimeout: c.deadline - now, Objective: now + c.load.Objective.Std(),
+	}
 }
 
 // handleRefusal ends a request of a caller. If the request did not run and the caller has retries left, the caller
@@ -273,6 +288,10 @@
 func (i *instance) performEffect(e core.Effect) {
 	switch e.Kind {
 	case core.SendAttempt:
+		if i.partitioned {
+			i.failToConnect(e)
+			return
+		}
 		i.attempts++
 		i.callsByID[e.Request].sent = true
 		sentAt := i.now
@@ -284,6 +303,10 @@
 				return
 			}
 			t := i.targets[e.Target]
+			if i.partitioned {
+				i.apply(core.ProbeEnded{Target: e.Target, Unreachable: true})
+				return
+			}
 			i.apply(core.ProbeEnded{Target: e.Target, OK: !t.unhealthy, Load: t.report(), Statement: t.warmupStatement(i.now, t.statement())})
 		})
 	case core.SetTimer:
@@ -294,8 +317,14 @@
 				i.apply(core.TimerFired{})
 			}
 		})
+	case core.CheckConnection:
+		i.schedule(2*oneWayDelay, func() {
+			i.apply(core.ConnectionChecked{Target: e.Target, OK: !i.partitioned, Unreachable: i.partitioned})
+		})
+	case core.RelayAttempt:
+		i.relay(e)
 	case core.Refuse:
-		i.handleRefusal(i.callsByID[e.Request], e)
+		i.refused(e)
 	}
 }
 
@@ -311,9 +340,7 @@
 			}
 			if outcome == core.OutcomeAnswered {
 				i.apply(core.AttemptCommitted{Request: e.Request, Attempt: e.Attempt, Statement: statement})
-				if c := i.callsByID[e.Request]; c.refusedAt == 0 && c.answeredAt == 0 {
-					c.answeredAt = i.now
-				}
+				i.answered(e.Request)
 			}
 			i.apply(core.AttemptEnded{
 				Request: e.Request, Attempt: e.Attempt, Outcome: outcome, Reason: reason, Load: load, Statement: statement,
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"path"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -101,8 +102,14 @@
 	FaultEvacuate = "evacuate"
 	// FaultRestart restarts the share Strength of the instances at the beginning. They learn of each other in steps.
 	FaultRestart = "restart"
+	// FaultPartition partitions instances from all targets, zone by zone. Share and Skip are shares of the instances.
+	FaultPartition = "partition"
 )
 
+var faultKinds = []string{
+	FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit, FaultCold, FaultEvacuate, FaultRestart, FaultPartition,
+}
+
 // Fault is a fault of some targets.
 type Fault struct {
 	// Kind is one of the Fault constants.
@@ -278,8 +285,7 @@
 		c.checkLoad(i, &p.Loads[i])
 	}
 	for i, f := range p.Faults {
-		known := slices.Contains([]string{FaultShed, FaultUnhealthy, FaultHiddenSlowdown, FaultRateLimit, FaultCold, FaultEvacuate, FaultRestart}, f.Kind)
-		c.report(known, "shed, unhealthy, hidden-slowdown, rate-limit, cold or restart", "fault %d: unknown kind %q", i+1, f.Kind)
+		c.report(slices.Contains(faultKinds, f.Kind), "one of "+strings.Join(faultKinds, ", "), "fault %d: unknown kind %q", i+1, f.Kind)
 		c.report(f.Share >= 0 && f.Skip >= 0 && f.Skip+f.Share <= 1 && f.For > 0, "shares from 0 to 1 and a length above 0",
 			"fault %d: share %v after %v for %s", i+1, f.Share, f.Skip, f.For.Std())
 	}
