gateway: tell in which zone a relay ends and when relays run out

Change: label zone of relays_total and of the line "request relayed"; relays_exhausted_total.

Result: tests of pkg/core and pkg/gateway pass.

--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -46,6 +46,9 @@
 	if ev.Outcome == OutcomeNotSent && ev.Reason == ReasonNoInstance {
 		s.relayPausedUntil = now + relayPause
 	}
+	if r.relays == maxRelays && ev.Outcome.ProvesNotRun() {
+		out = append(out, Effect{Kind: CountDenied, Reason: ReasonRelaysExhausted})
+	}
 	switch {
 	case r.callerLeft:
 		return s.refuse(now, r, ReasonCallerLeft, out)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -128,6 +128,10 @@
 // ReasonNoInstance is the reason of OutcomeNotSent for a relay: no other instance may be able to serve the request.
 const ReasonNoInstance Reason = "no-instance"
 
+// ReasonRelaysExhausted is the reason of CountDenied when a request is not relayed again, because the largest number of
+// instances has declined it.
+const ReasonRelaysExhausted Reason = "relays-exhausted"
+
 // ReasonProbe is the reason of CountDenied when a budget denied a probe.
 const ReasonProbe Reason = "probe"
 
@@ -367,8 +371,8 @@
 	CountHedge
 	// CountEjection: Target was ejected for Reason.
 	CountEjection
-	// CountDenied: a retry, hedge or probe was denied by its budget, or a request was not admitted by a cold target
-	// (ReasonWarmup).
+	// CountDenied: a retry, hedge or probe was denied by its budget, a request was not admitted by a cold target
+	// (ReasonWarmup) or was not relayed again (ReasonRelaysExhausted).
 	CountDenied
 	// CountLeaving: Target is leaving since this step. Reason is the source of the signal.
 	CountLeaving
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -22,6 +22,7 @@
 	notAdmitted  *prometheus.CounterVec
 	crashes      *prometheus.CounterVec
 	relays       *prometheus.CounterVec
+	exhausted    *prometheus.CounterVec
 	quarantined  prometheus.Gauge
 	bodyBytes    prometheus.Gauge
 	unbuffered   *prometheus.CounterVec
@@ -56,7 +57,8 @@
 		ejections:    counter("ejections_total", "Ejected targets by reason.", "service", "reason"),
 		panics:       counter("panics_total", "Contained panics by task.", "service", "task"),
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
-		relays:       counter("relays_total", "Requests relayed to other instances by what became of them.", "service", "result"),
+		relays:       counter("relays_total", "Requests relayed to other instances by zone and by what became of them.", "service", "zone", "result"),
+		exhausted:    counter("relays_exhausted_total", "Requests that no further instance was asked to serve.", "service"),
 		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		unbuffered:   counter("unbuffered_responses_total", "Responses passed on without a buffer for lack of memory.", "service"),
@@ -102,11 +104,14 @@
 	case core.CountEjection:
 		m.ejections.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.CountDenied:
-		if effect.Reason == core.ReasonWarmup {
+		switch effect.Reason {
+		case core.ReasonWarmup:
 			m.notAdmitted.WithLabelValues(service).Inc()
-			return
+		case core.ReasonRelaysExhausted:
+			m.exhausted.WithLabelValues(service).Inc()
+		default:
+			m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
 		}
-		m.budgetDenied.WithLabelValues(service, string(effect.Reason)).Inc()
 	case core.ReportReachability:
 		unreachable := 0.0
 		if effect.Unreachable {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -32,6 +32,7 @@
 type relays struct {
 	clock    clock
 	cfg      target.Config
+	zone     core.Zone    // of this instance
 	incoming atomic.Int64 // requests that are served for other instances
 
 	mu       sync.Mutex
@@ -48,7 +49,8 @@
 	if self, err := netip.ParseAddrPort(cfg.PeerAddress); err == nil {
 		c.LocalIP = self.Addr()
 	}
-	return &relays{clock: ck, cfg: c, selector: relay.NewSelector(string(cfg.Policy.Zone)), clients: make(map[string]*target.Client)}
+	zone := cfg.Policy.Zone
+	return &relays{clock: ck, cfg: c, zone: zone, selector: relay.NewSelector(string(zone)), clients: make(map[string]*target.Client)}
 }
 
 // SetPeers replaces the other instances, to which requests are relayed while no target can be reached.
@@ -181,10 +183,13 @@
 // recordRelay records what became of a relay for the choice of further instances, metrics and the log.
 func (e *engine) recordRelay(p *pendingRequest, peer relay.Peer, result relay.Result, outcome wire.Outcome, reason string) {
 	e.relays.ended(peer, e.name, result)
-	name := relayResultNames[result]
-	e.metrics.relays.WithLabelValues(e.name, name).Inc()
+	name, zone := relayResultNames[result], "own"
+	if peer.Zone != string(e.relays.zone) {
+		zone = "other"
+	}
+	e.metrics.relays.WithLabelValues(e.name, zone, name).Inc()
 	if log := e.log.V(2); log.Enabled() {
-		log.Info("request relayed", "request", p.attemptTemplate.RequestID, "instance", peer.Address, "result", name, "outcome", outcome, "reason", reason)
+		log.Info("request relayed", "request", p.attemptTemplate.RequestID, "instance", peer.Address, "zone", peer.Zone, "result", name, "outcome", outcome, "reason", reason)
 	}
 }
 
