relay: leave a zone whose instances decline requests

What callers saw: while a whole zone of a large fleet was cut off from all targets, its instances served about half of the first tries.

Cause: instances of the own zone precede all others as long as one of them has not declined within 2 s. A zone of 42 instances has more of these than a request has relays and arrivals have in 2 s, so that relays run out inside the zone. The request then tries targets that cannot be reached, which also uses up the retry budget.

Change: the selector remembers which instances have served the service and prefers them; after two declined relays it leaves the own zone, after four it goes to known instances only.

--- a/internal/simulation/partition.go
+++ b/internal/simulation/partition.go
@@ -60,7 +60,7 @@
 	if i.selector == nil {
 		i.selector = i.newSelector()
 	}
-	peer, ok := i.selector.Choose(i.now, relayedService, rand.New(rand.NewPCG(i.rng.Uint64(), 0)))
+	peer, ok := i.selector.Choose(i.now, relayedService, e.Declined, rand.New(rand.NewPCG(i.rng.Uint64(), 0)))
 	if !ok {
 		i.schedule(0, func() {
 			i.apply(core.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: core.OutcomeNotSent, Reason: core.ReasonNoInstance})
--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -28,7 +28,7 @@
 
 // relay sends r to another instance, which decides on it.
 func (s *Service) relay(now Instant, r *request, out []Effect) []Effect {
-	left := r.attemptsLeft()
+	left, declined := r.attemptsLeft(), r.relays
 	a := s.addAttempt(now, r, s.otherInstances)
 	r.relays++
 	r.phase = phaseInFlight
@@ -36,7 +36,7 @@
 	s.scheduleRequest(r)
 	return append(out, Effect{
 		Kind: RelayAttempt, Request: r.id, Attempt: a.id, At: r.deadline, FreshConnection: r.class == ClassOnce,
-		MaxAttempts: left, DecisionInfo: s.requestInfo(now, r),
+		MaxAttempts: left, Declined: declined, DecisionInfo: s.requestInfo(now, r),
 	})
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -72,11 +72,12 @@
 	}
 }
 
-// choose returns the instance to relay a request to, and false if none may serve it.
-func (r *relays) choose(service string) (peer relay.Peer, client *target.Client, ok bool) {
+// choose returns the instance to relay a request to that a number of instances have declined, and false if none may
+// serve it.
+func (r *relays) choose(service string, declined int) (peer relay.Peer, client *target.Client, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	peer, ok = r.selector.Choose(r.clock.now(), service, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+	peer, ok = r.selector.Choose(r.clock.now(), service, declined, rand.New(rand.NewPCG(rand.Uint64(), 0)))
 	if !ok {
 		return peer, nil, false
 	}
@@ -102,12 +103,13 @@
 		CallerIP: p.fingerprint.callerIP, Service: e.name, Attempts: effect.MaxAttempts,
 	})
 	state.started = true
-	go e.runRelay(ctx, p, effect.Attempt, state, a)
+	go e.runRelay(ctx, p, effect, state, a)
 }
 
-func (e *engine) runRelay(ctx context.Context, p *pendingRequest, id core.AttemptID, state *attemptState, a target.Attempt) {
+func (e *engine) runRelay(ctx context.Context, p *pendingRequest, effect core.Effect, state *attemptState, a target.Attempt) {
+	id := effect.Attempt
 	defer e.recoverAttempt(p, id)
-	peer, client, ok := e.relays.choose(e.name)
+	peer, client, ok := e.relays.choose(e.name, effect.Declined)
 	if !ok {
 		e.endAttempt(p, id, core.AttemptEnded{Request: p.id, Attempt: id, Outcome: core.OutcomeNotSent, Reason: core.ReasonNoInstance})
 		return
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -14,6 +14,14 @@
 	busyTime = 250 * time.Millisecond
 	// failedTime is how long an instance gets no requests after a connection to it failed.
 	failedTime = 2 * time.Second
+
+	// knownEnough is the number of instances of a zone group that are known to serve a service from which on no further
+	// one is tried. A few are enough to spread the load.
+	knownEnough = 4
+	// localTrials and remoteTrials are the numbers of instances that may decline a request before it goes only to
+	// instances of the own zone, or of any zone, that are known to serve the service. A zone is often cut off as a whole.
+	localTrials  = 2
+	remoteTrials = 4
 )
 
 // Peer is another instance of the load balancer.
@@ -39,21 +47,25 @@
 	Abandoned
 )
 
-// avoided is an instance, with a service or with none for all services.
-type avoided struct{ address, service string }
+// peerService is an instance, with a service or with none for all services.
+type peerService struct{ address, service string }
 
 // Selector chooses among the other instances. It prefers those in the same zone, since traffic between zones is
-// expensive, and of two random ones the one with fewer requests of this instance. It is not safe for concurrent use.
+// expensive, and those that are known to serve the service. Of two random ones it takes the one with fewer requests of
+// this instance. It is not safe for concurrent use.
 type Selector struct {
 	zone         string
 	peers        []Peer
-	avoidedUntil map[avoided]time.Duration
-	inFlight     map[string]int // by address
+	avoidedUntil map[peerService]time.Duration
+	serves       map[peerService]bool // the latest request of the service was served
+	inFlight     map[string]int       // by address
 }
 
 // NewSelector returns a selector without peers for an instance in a zone.
 func NewSelector(zone string) *Selector {
-	return &Selector{zone: zone, avoidedUntil: make(map[avoided]time.Duration), inFlight: make(map[string]int)}
+	return &Selector{
+		zone: zone, avoidedUntil: make(map[peerService]time.Duration), serves: make(map[peerService]bool), inFlight: make(map[string]int),
+	}
 }
 
 // SetPeers replaces the other instances.
@@ -64,25 +76,60 @@
 			delete(s.avoidedUntil, key)
 		}
 	}
+	for key := range s.serves {
+		if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Address == key.address }) {
+			delete(s.serves, key)
+		}
+	}
+}
+
+// zoneGroup holds the instances of the own zone, or those of all others, that may serve a request.
+type zoneGroup struct {
+	known   []Peer // to serve the service
+	untried []Peer
+}
+
+// candidates returns the instances among which to choose. With trials, untried ones are among them until enough are known.
+func (g *zoneGroup) candidates(trials bool) []Peer {
+	if len(g.known) >= knownEnough || !trials && len(g.known) > 0 {
+		return g.known
+	}
+	return slices.Concat(g.known, g.untried)
 }
 
-// Choose returns the instance to relay a request of a service to, and false if none may serve it. Each call that returns
-// one must be followed by Ended.
-func (s *Selector) Choose(now time.Duration, service string, rng *rand.Rand) (Peer, bool) {
-	var local, remote []Peer
+// candidates returns the instances among which to choose for a request that a number of instances have declined.
+func (s *Selector) candidates(now time.Duration, service string, declined int) []Peer {
+	var local, remote zoneGroup
 	for _, p := range s.peers {
-		switch {
-		case now < s.avoidedUntil[avoided{p.Address, service}] || now < s.avoidedUntil[avoided{address: p.Address}]:
-		case p.Zone == s.zone:
-			local = append(local, p)
-		default:
-			remote = append(remote, p)
+		key := peerService{p.Address, service}
+		if now < s.avoidedUntil[key] || now < s.avoidedUntil[peerService{address: p.Address}] {
+			continue
+		}
+		group := &remote
+		if p.Zone == s.zone {
+			group = &local
+		}
+		if s.serves[key] {
+			group.known = append(group.known, p)
+		} else {
+			group.untried = append(group.untried, p)
 		}
 	}
-	candidates := local
-	if len(candidates) == 0 {
-		candidates = remote
+	if declined < localTrials || len(local.known) > 0 {
+		if c := local.candidates(declined < localTrials); len(c) > 0 {
+			return c
+		}
+	}
+	if c := remote.candidates(declined < remoteTrials); len(c) > 0 {
+		return c
 	}
+	return local.untried
+}
+
+// Choose returns the instance to relay a request of a service to, and false if none may serve it. The request has been
+// declined by a number of instances. Each call that returns one must be followed by Ended.
+func (s *Selector) Choose(now time.Duration, service string, declined int, rng *rand.Rand) (Peer, bool) {
+	candidates := s.candidates(now, service, declined)
 	if len(candidates) == 0 {
 		return Peer{}, false
 	}
@@ -99,12 +146,17 @@
 	if s.inFlight[address]--; s.inFlight[address] <= 0 {
 		delete(s.inFlight, address)
 	}
+	key := peerService{address, service}
 	switch result {
+	case Served:
+		s.serves[key] = true
 	case Unreachable:
-		s.avoidedUntil[avoided{address, service}] = now + unreachableTime
+		delete(s.serves, key)
+		s.avoidedUntil[key] = now + unreachableTime
 	case Busy:
-		s.avoidedUntil[avoided{address: address}] = now + busyTime
+		s.avoidedUntil[peerService{address: address}] = now + busyTime
 	case Failed:
-		s.avoidedUntil[avoided{address: address}] = now + failedTime
+		delete(s.serves, key)
+		s.avoidedUntil[peerService{address: address}] = now + failedTime
 	}
 }
--- a/pkg/relay/selector_test.go
+++ b/pkg/relay/selector_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +21,7 @@
 func chosen(s *Selector, now time.Duration, service string) map[string]int {
 	rng, counts := rand.New(rand.NewPCG(1, 1)), make(map[string]int)
 	for range 300 {
-		if p, ok := s.Choose(now, service, rng); ok {
+		if p, ok := s.Choose(now, service, 0, rng); ok {
 			counts[p.Address]++
 			s.Ended(now, p.Address, service, Served)
 		}
@@ -69,8 +72,66 @@
 	s.SetPeers(0, []Peer{localA, localB})
 	counts := make(map[string]int)
 	for range 40 {
-		p, _ := s.Choose(0, "s", rng)
+		p, _ := s.Choose(0, "s", 0, rng)
 		counts[p.Address]++
 	}
 	require.InDelta(t, 20, counts[localA.Address], 3)
 }
+
+// Guards against requests that are declined by one instance after the other of a zone that is cut off as a whole, and
+// against a fleet whose requests all go to the first instance that has served one.
+func TestChoiceAmongManyInstances(t *testing.T) {
+	var local, remote []Peer
+	for i := range 10 {
+		local = append(local, Peer{fmt.Sprint("local-", i), "a"})
+		remote = append(remote, Peer{fmt.Sprint("remote-", i), "b"})
+	}
+	for name, tc := range map[string]struct {
+		serve    []Peer // instances that have served a request
+		declined int
+		want     []Peer
+	}{
+		"untried ones of the own zone":           {want: local},
+		"until some are known":                   {serve: local[:1], want: local},
+		"enough are known":                       {serve: local[:knownEnough], want: local[:knownEnough]},
+		"known ones of another zone come later":  {serve: remote, want: local},
+		"own zone declines":                      {declined: localTrials, want: remote},
+		"own zone declines, but one serves":      {serve: local[:1], declined: localTrials, want: local[:1]},
+		"until some of the other zone are known": {serve: remote[:1], declined: localTrials, want: remote},
+		"both zones decline":                     {declined: remoteTrials, want: remote},
+		"both zones decline, but one serves":     {serve: remote[:1], declined: remoteTrials, want: remote[:1]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, rng := NewSelector("a"), rand.New(rand.NewPCG(1, 1))
+			s.SetPeers(0, slices.Concat(local, remote))
+			for _, p := range tc.serve {
+				s.Ended(0, p.Address, "s", Served)
+			}
+			chosen := make(map[Peer]bool)
+			for range 300 {
+				p, ok := s.Choose(0, "s", tc.declined, rng)
+				require.True(t, ok)
+				chosen[p] = true
+				s.Ended(0, p.Address, "s", Abandoned)
+			}
+			require.ElementsMatch(t, tc.want, slices.Collect(maps.Keys(chosen)))
+		})
+	}
+}
+
+// Guards against an instance that counts as one that serves after it has declined or failed, or has left.
+func TestServingInstanceIsForgotten(t *testing.T) {
+	for name, forget := range map[string]func(s *Selector){
+		"declined": func(s *Selector) { s.Ended(0, localA.Address, "s", Unreachable) },
+		"failed":   func(s *Selector) { s.Ended(0, localA.Address, "s", Failed) },
+		"left":     func(s *Selector) { s.SetPeers(0, []Peer{localB}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewSelector("a")
+			s.SetPeers(0, []Peer{localA, localB})
+			s.Ended(0, localA.Address, "s", Served)
+			forget(s)
+			require.Empty(t, s.serves)
+		})
+	}
+}
