target: a second copy of a refusal is not believed for the same request

What operators of a like system saw: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that had run or ran at a second server.

Cause: the request ID tells a copy from the response to another request, but a retry has the ID of its request. Sent to the same target on the same connection, it took the copy for its own refusal.

Change: a connection keeps the IDs of the requests that were refused on it, up to 64, and none of them is sent on it again. A declaration in the project's own headers that does not repeat the ID closes its connection; one with another ID proves nothing.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -127,12 +127,12 @@
 	t.setLoadHeaders(w.Header(), inFlight)
 	if t.faults.isActive(FaultDrain) {
 		w.Header().Set(wire.HeaderLeaving, "1")
-		declare(w, wire.DeclareDraining)
+		declare(w, r, wire.DeclareDraining)
 		return
 	}
 	if inFlight > int64(t.cfg.Slots+t.cfg.QueueLimit) {
 		t.shed.Add(1)
-		declare(w, wire.DeclareShed)
+		declare(w, r, wire.DeclareShed)
 		return
 	}
 	ctx, cancel := deadlineContext(r)
@@ -142,7 +142,7 @@
 	slot := t.takeSlot(ctx)
 	if slot == nil {
 		t.expired.Add(1)
-		declare(w, wire.DeclareExpired)
+		declare(w, r, wire.DeclareExpired)
 		return
 	}
 	t.execute(ctx, id, slot)
@@ -254,7 +254,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-func declare(w http.ResponseWriter, d wire.Declaration) {
+func declare(w http.ResponseWriter, r *http.Request, d wire.Declaration) {
+	w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 	w.Header().Set(wire.HeaderDeclare, string(d))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,13 +40,16 @@
 	return &pool{addr: addr, cfg: cfg, leases: make(chan struct{}, cfg.MaxConnections)}
 }
 
+// maxRefusedIDs bounds conn.refusedIDs. A connection that reaches it is closed.
+const maxRefusedIDs = 64
+
 // lease returns an idle connection or dials a new one. If fresh is set, it reuses only an idle connection that received
-// a byte within Config.FreshWithin.
-func (p *pool) lease(ctx context.Context, fresh bool) (*conn, error) {
+// a byte within Config.FreshWithin. It reuses none on which the target has refused the request with the given ID.
+func (p *pool) lease(ctx context.Context, fresh bool, requestID string) (*conn, error) {
 	if err := p.acquire(ctx); err != nil {
 		return nil, err
 	}
-	c, evicted, err := p.takeIdleOrReserve(fresh)
+	c, evicted, err := p.takeIdleOrReserve(fresh, requestID)
 	if evicted != nil {
 		_ = evicted.http.Close()
 	}
@@ -106,27 +110,31 @@
 
 func (p *pool) release() { <-p.leases }
 
-// takeIdleOrReserve leases the most recently used idle connection. If there is none or it is not fresh enough, it
-// reserves a new connection and returns nil. At the limit of open connections it then also removes the least recently
-// used idle one, which the caller must close.
-func (p *pool) takeIdleOrReserve(fresh bool) (leased, evicted *conn, err error) {
+// takeIdleOrReserve leases the most recently used idle connection on which the request was not refused. If there is none or
+// it is not fresh enough, it reserves a new connection and returns nil. At the limit of open connections it then also
+// removes the least recently used idle one, which the caller must close.
+func (p *pool) takeIdleOrReserve(fresh bool, requestID string) (leased, evicted *conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, errClientClosed
 	}
-	if last := len(p.idle) - 1; last >= 0 {
-		c := p.idle[last]
-		if !fresh || time.Since(c.lastReadTime()) <= p.cfg.FreshWithin {
-			p.idle = p.idle[:last]
-			c.idleTimer.Stop()
-			c.leased, c.responseComplete, c.reused = true, false, true
-			return c, nil, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if slices.Contains(c.refusedIDs, requestID) {
+			continue
 		}
-		if p.open >= p.cfg.MaxConnections {
-			evicted = p.idle[0]
-			p.idle = p.idle[1:]
+		if fresh && time.Since(c.lastReadTime()) > p.cfg.FreshWithin {
+			break
 		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		c.idleTimer.Stop()
+		c.leased, c.responseComplete, c.reused = true, false, true
+		return c, nil, nil
+	}
+	if len(p.idle) > 0 && p.open >= p.cfg.MaxConnections {
+		evicted = p.idle[0]
+		p.idle = p.idle[1:]
 	}
 	p.open++
 	return nil, evicted, nil
@@ -178,6 +186,18 @@
 	return c, nil
 }
 
+// recordRefusal records that the target has declared on a connection that it did not run a request. It returns false if the
+// connection must not be used again. Probes have no ID; a copy of a response to one is only taken for that to another.
+func (p *pool) recordRefusal(c *conn, requestID string) bool {
+	if requestID == "" {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.refusedIDs = append(c.refusedIDs, requestID)
+	return len(c.refusedIDs) < maxRefusedIDs
+}
+
 func (p *pool) cancelReservation() {
 	p.mu.Lock()
 	p.open--
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -96,7 +96,7 @@
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, remaining/2)
 	defer cancel()
-	conn, err := c.pool.lease(connectCtx, a.Fresh)
+	conn, err := c.pool.lease(connectCtx, a.Fresh, a.RequestID)
 	switch {
 	case err == nil:
 		return conn, nil
@@ -228,6 +228,7 @@
 	body.closeDelimited = !response.NoBody && httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0
 	response.CloseDelimited = body.closeDelimited && !dialect.AllowsCloseDelimited()
 	if d := response.Metadata.Declaration; d != "" {
+		body.mustClose = metadata.Unidentified || !rt.pool.recordRefusal(rt.conn, a.RequestID)
 		rt.detachCaller() // cancelling the ended attempt must not close the connection, which can be reused
 		go body.drain()
 		return nil, &Error{Outcome: core.OutcomeRefused, Reason: core.Reason(d), Metadata: &response.Metadata}
@@ -244,6 +245,7 @@
 	closed   bool
 	// closeDelimited is set for a body that ends when the connection closes, which therefore cannot be reused.
 	closeDelimited bool
+	mustClose      bool // a copy of the response could pass as the response to a later request on the connection
 }
 
 // Read returns an *Error if the response is truncated.
@@ -269,7 +271,7 @@
 		return nil
 	}
 	b.closed = true
-	if !b.complete || b.closeDelimited {
+	if !b.complete || b.closeDelimited || b.mustClose {
 		_ = b.conn.http.Close()
 	}
 	err := b.httpResp.Body.Close()
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -55,6 +55,8 @@
 type ResponseMetadata struct {
 	// Declaration is set if the target declares that it did not run the request.
 	Declaration Declaration
+	// Unidentified is set if a later copy of the response could pass as the response to another request.
+	Unidentified bool
 	// Load is the target's load report; Load.Slots is 0 if there is none.
 	Load LoadReport
 	// StartID identifies one start of the target process; empty if unknown.
@@ -124,12 +126,14 @@
 	h.Set(HeaderDeadline, FormatDeadline(remaining))
 }
 
-// ParseResponse implements Dialect. It ignores a declaration on a response whose status is below 400.
+// ParseResponse implements Dialect. It ignores a declaration on a response whose status is below 400. Only a declaration
+// that repeats the request ID is identified.
 func (Native) ParseResponse(status int, h http.Header) ResponseMetadata {
 	m := ResponseMetadata{StartID: h.Get(HeaderStart), GaveUp: GaveUp(h)}
 	if d, ok := ParseDeclaration(h); ok && status >= http.StatusBadRequest {
 		m.Declaration = d
 	}
+	m.Unidentified = h.Get(HeaderRequestID) == ""
 	m.Load, _ = ParseLoad(h)
 	m.RequestRate, m.HasRequestRate = ParseRequestRate(h.Get(HeaderRequestRate))
 	if !m.GaveUp { // a relayed Retry-After is about the target of a nested call
@@ -139,8 +143,17 @@
 	return m
 }
 
-// VerifyResponse implements Dialect. The project's own targets do not repeat the request ID, so it accepts everything.
-func (Native) VerifyResponse(int, http.Header, string) error { return nil }
+// VerifyResponse implements Dialect. The project's own targets need not repeat the request ID. If a declaration repeats
+// one, it must be that of the request. Other responses can have the ID of a nested call, whose headers the target relays.
+func (Native) VerifyResponse(_ int, h http.Header, requestID string) error {
+	if _, declared := ParseDeclaration(h); !declared {
+		return nil
+	}
+	if id := h.Get(HeaderRequestID); id != "" && id != requestID {
+		return ErrRequestIDMismatch
+	}
+	return nil
+}
 
 // RewriteResponseHeaders implements Dialect.
 func (Native) RewriteResponseHeaders(h http.Header, requestID string, outcome Outcome) {
