gateway: metrics of the retry budget

Cause: whether a restart grants the budget again, or whether repeats are allowed by requests of another time, can only be counted from the log lines of all attempts.

Change: gauge budget_window with the requests, retries and hedges of the last 10 s and the limit for them; the limit is in GET /v1/budgets too.

Result: tests of pkg/admin, pkg/gateway, pkg/app and pkg/core pass.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -88,8 +88,8 @@
 		{"targets empty", "GET", PathTargets, "", fakeSource{}, 200, `{"services":[]}`},
 		{"instances", "GET", PathInstances, "", populatedSource, 200, `{"instances":[{"address":"10.0.0.1:9000","zone":"z","start":"s","state":"live","in_contact":false}]}`},
 		{"instances empty", "GET", PathInstances, "", fakeSource{}, 200, `{"instances":[]}`},
-		{"budgets", "GET", PathBudgets, "", populatedSource, 200, `{"services":[{"service":"a","requests":9,"retries":2,"hedges":1,"queued":{"once":1}},` +
-			`{"service":"b","requests":0,"retries":0,"hedges":0,"queued":{}}]}`},
+		{"budgets", "GET", PathBudgets, "", populatedSource, 200, `{"services":[{"service":"a","requests":9,"retries":2,"hedges":1,"retry_limit":0,"queued":{"once":1}},` +
+			`{"service":"b","requests":0,"retries":0,"hedges":0,"retry_limit":0,"queued":{}}]}`},
 		{"check valid", "POST", PathCheck, validDocument, fakeSource{}, 200, `{"valid":true,"service":"a","epoch":1,"revision":8,"rules":1,"findings":[],"notes":[]}`},
 		{"check outdated", "POST", PathCheck, "based_on = \"1.5\"\n" + validDocument, fakeSource{inForce: []ConfigurationEntry{{Service: "a", Version: rules.Version{Epoch: 1, Revision: 8}}}}, 200,
 			`{"valid":true,"service":"a","epoch":1,"revision":8,"rules":1,"findings":[],` +
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -105,7 +105,7 @@
 func newInstance(
 	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, configStore *discovery.ConfigStore, c *controlPlane,
 ) *instance {
-	reg.MustRegister(g.NewUnusableCollector())
+	reg.MustRegister(g.NewUnusableCollector(), g.NewBudgetCollector())
 	return &instance{settings: s, log: log, registry: reg, gateway: g, configStore: configStore, controlPlane: c}
 }
 
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -48,6 +48,9 @@
 	Requests int `json:"requests"`
 	Retries  int `json:"retries"`
 	Hedges   int `json:"hedges"`
+	// RetryLimit is the number of retries that the budget allows in a window with these requests; hedges included if
+	// Policy.RetriesIncludeHedges.
+	RetryLimit int `json:"retry_limit"`
 }
 
 // View returns a copy of the state as of now.
@@ -57,6 +60,7 @@
 		Targets: make([]TargetView, 0, len(s.listedTargets)),
 		Budgets: BudgetView{
 			Requests: s.budget.total.requests, Retries: s.budget.total.retries, Hedges: s.budget.total.hedges,
+			RetryLimit: s.budget.retryLimit(&s.policy),
 		},
 		Queued:      make(map[string]int, numClasses),
 		Unreachable: s.reachability.unreachable,
