target: test of responses whose head ends early

What operators of a like system saw: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or a short body.

Cause: none here. net/http returns an error for a head without its end, so that the attempt ends as unknown; a caller gets no 2xx for it.

Change: a test that cuts a head at each byte, for bodies with a length, in chunks, and for those that end with the connection.

Result: each of the cut heads ends as unknown, without a response.

--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -515,3 +515,34 @@
 		})
 	}
 }
+
+// Guards against a response whose head ends early and that passes as a whole response with an empty or a short body.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nBurdockpitch-Load: 1/4\r\nConnection: close\r\n"
+	for name, tc := range map[string]struct {
+		head    string
+		dialect wire.Dialect
+	}{
+		"length":                   {head + "Content-Length: 25\r\n\r\n", wire.Native{}},
+		"chunks":                   {head + "Transfer-Encoding: chunked\r\n\r\n", wire.Native{}},
+		"ends with the connection": {head + "\r\n", closeDelimitedDialect{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(tc.head) {
+				s := newRawTarget(t, func(_ int64, c *net.TCPConn, r *bufio.Reader) {
+					_, _ = readRequest(r)
+					_, _ = io.WriteString(c, tc.head[:n])
+				})
+				c := newTestClient(t, s.addr, func(cfg *Config) { cfg.Dialect = tc.dialect })
+				got := sendAndRead(t.Context(), c, newAttempt(http.MethodGet, ""))
+				require.Equal(t, core.OutcomeUnknown, got.outcome, "%q", tc.head[:n])
+				require.Nil(t, got.Response, "%q", tc.head[:n])
+			}
+		})
+	}
+}
+
+// closeDelimitedDialect is the native dialect, except that bodies may end with the connection.
+type closeDelimitedDialect struct{ wire.Native }
+
+func (closeDelimitedDialect) AllowsCloseDelimited() bool { return true }
