simulation, core: tests of the retry budget after restarts

Cause: no test has instances that restart right after they have used their budget under steady load. TestRetryBudgetAfterRestart has all requests of before and after in one window, which then allows the repeats of both.

--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -60,6 +60,7 @@
 	answeredAt  core.Instant // zero without an answer
 	refusedAt   core.Instant // zero without a refusal
 	sent        bool         // an attempt was sent to a target
+	reached     int          // attempts of the latest request that have reached a target
 }
 
 func (c *call) answered() bool { return c.answeredAt > 0 }
@@ -99,9 +100,11 @@
 	list           []core.Target
 	instances      []*instance
 	calls          []*call
-	sentRequests   int     // requests sent by callers, retries included
-	attempts       int     // attempts sent by instances
-	hiddenSlowdown float64 // slowdown of all targets that their reports do not show
+	sentRequests   int            // requests sent by callers, retries included
+	attempts       int            // attempts sent by instances
+	requestTimes   []core.Instant // of the requests of callers, retries included
+	repeatTimes    []core.Instant // at which an attempt after the first of its request reached a target
+	hiddenSlowdown float64        // slowdown of all targets that their reports do not show
 }
 
 // instance is one instance of the load balancer.
@@ -252,19 +255,20 @@
 func (f *fleet) send(c *call) {
 	i := f.instances[f.rng.IntN(len(f.instances))]
 	f.sentRequests++
+	f.requestTimes = append(f.requestTimes, f.now)
 	id := core.RequestID(f.sentRequests)
 	i.callsByID[id] = c
-	c.refusedAt = 0
-	ev := c.arrivedEvent(f.now)
+	c.refusedAt, c.reached = 0, 0
+	ev := c.arrivedEvent(i)
 	ev.Request = id
 	i.apply(ev)
 }
 
-// arrivedEvent returns the event that submits a request of a caller to a reducer, without its ID.
-func (c *call) arrivedEvent(now core.Instant) core.RequestArrived {
+// arrivedEvent returns the event that submits a request of a caller to an instance, without its ID.
+func (c *call) arrivedEvent(i *instance) core.RequestArrived {
 	return core.RequestArrived{
 		Class: c.load.class, Rule: c.load.Rule, Priority: c.load.Priority,
-		Deadline: c.deadline, CallerTimeout: c.deadline - now, Objective: now + c.load.Objective.Std(),
+		Deadline: c.deadline - i.startedAt, CallerTimeout: c.deadline - i.now, Objective: i.processTime() + c.load.Objective.Std(),
 	}
 }
 
@@ -279,8 +283,11 @@
 	f.schedule(min(e.RetryAfter, (c.deadline-f.now)/3), func() { f.send(c) })
 }
 
+// processTime is the time since the start of the process.
+func (i *instance) processTime() core.Instant { return i.now - i.startedAt }
+
 func (i *instance) apply(ev core.Event) {
-	for _, e := range i.service.Reduce(core.Input{Now: i.now, Rand: i.rng.Uint64(), Event: ev}, nil) {
+	for _, e := range i.service.Reduce(core.Input{Now: i.processTime(), Rand: i.rng.Uint64(), Event: ev}, nil) {
 		i.performEffect(e)
 	}
 }
@@ -312,7 +319,7 @@
 	case core.SetTimer:
 		i.timerNumber++
 		number := i.timerNumber
-		i.schedule(max(e.At-i.now, 0), func() {
+		i.schedule(max(e.At-i.processTime(), 0), func() {
 			if number == i.timerNumber {
 				i.apply(core.TimerFired{})
 			}
@@ -332,6 +339,11 @@
 func (i *instance) serve(e core.Effect, sentAt core.Instant) {
 	t := i.targets[e.Target]
 	t.recordArrival(i.now, sentAt)
+	if c := i.callsByID[e.Request]; c.reached > 0 {
+		i.repeatTimes = append(i.repeatTimes, i.now)
+	} else {
+		c.reached++
+	}
 	end := func(outcome core.AttemptOutcome, reason core.Reason) {
 		load, statement := t.report(), t.statement()
 		i.schedule(oneWayDelay, func() {
--- a/internal/simulation/partition.go
+++ b/internal/simulation/partition.go
@@ -81,7 +81,7 @@
 	i.sentRequests++
 	id := core.RequestID(i.sentRequests)
 	i.callsByID[id], i.origins[id] = c, from
-	ev := c.arrivedEvent(i.now)
+	ev := c.arrivedEvent(i)
 	ev.Request, ev.Relayed, ev.MaxAttempts = id, true, e.MaxAttempts
 	i.apply(ev)
 }
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -52,8 +52,10 @@
 	Selection string `toml:"selection"`
 	// FirstAttemptShare is core.Policy.FirstAttemptShare.
 	FirstAttemptShare float64 `toml:"first_share"`
-	// RepeatRatio, if above 0, is the share of the requests that all instances may send again.
+	// RepeatRatio, if above 0, is the share of the requests that all instances may send again, in addition to RepeatSlack
+	// per core.BudgetWindow.
 	RepeatRatio float64 `toml:"repeat_ratio"`
+	RepeatSlack float64 `toml:"repeat_slack"`
 }
 
 // Check returns an error if the options name an unknown selection method.
@@ -139,6 +141,10 @@
 	RefusedWithin Duration `toml:"refused_within"`
 	// AttemptsPerRequest is the largest number of attempts per request of a caller, over the whole run.
 	AttemptsPerRequest float64 `toml:"attempts_per_request"`
+	// RepeatRatio and RepeatSlack bound the attempts after the first of their request that reach targets in each
+	// core.BudgetWindow from From to To: the ratio times the requests in it, or in one before it, plus the slack.
+	RepeatRatio float64 `toml:"repeat_ratio"`
+	RepeatSlack float64 `toml:"repeat_slack"`
 	// RateLimitFactor and RateLimitSlack bound the requests that reach a target in each rateLimitWindow from From to To:
 	// the factor times what its rate limit allows in that time, plus the slack.
 	RateLimitFactor float64 `toml:"rate_limit_factor"`
@@ -197,6 +203,7 @@
 	policy.FirstAttemptShare = o.FirstAttemptShare
 	if o.RepeatRatio > 0 {
 		policy.RetryRatio, policy.RetryFloor, policy.RetriesIncludeHedges = o.RepeatRatio, 0, true
+		policy.RetrySlack = o.RepeatSlack
 	}
 	return policy
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -17,7 +17,9 @@
 	servedByTarget []int
 	// arrivalsByTarget holds the times at which requests reached each target.
 	arrivalsByTarget [][]core.Instant
-	mostWhileCold    int // most requests that reached a cold target within coldWindow
+	requestTimes     []core.Instant // of the requests of callers, retries included
+	repeatTimes      []core.Instant // at which an attempt after the first of its request reached a target
+	mostWhileCold    int            // most requests that reached a cold target within coldWindow
 	// arrivedDespiteOrder is the number of requests that were sent to a zone after all instances knew that it is evacuated.
 	arrivedDespiteOrder int
 }
@@ -26,7 +28,7 @@
 func Run(p *Pattern, o Options, seed uint64) *Result {
 	f := newFleet(p, o, seed)
 	f.runUntil(p.Duration.Std())
-	r := &Result{calls: f.calls, attempts: f.attempts}
+	r := &Result{calls: f.calls, attempts: f.attempts, requestTimes: f.requestTimes, repeatTimes: f.repeatTimes}
 	for _, id := range f.targetIDs {
 		r.servedByTarget = append(r.servedByTarget, f.targets[id].served)
 		r.arrivalsByTarget = append(r.arrivalsByTarget, f.targets[id].arrivals)
@@ -61,6 +63,10 @@
 			attempts := float64(r.attempts) / float64(len(r.calls))
 			report(attempts <= e.AttemptsPerRequest, "%.2f attempts per request, want at most %.2f", attempts, e.AttemptsPerRequest)
 		}
+		if e.RepeatSlack > 0 {
+			repeats, allowed := r.mostRepeats(e)
+			report(float64(repeats) <= allowed, "%d attempts after the first of their request within %s, want at most %.0f", repeats, core.BudgetWindow, allowed)
+		}
 		for _, f := range p.Faults {
 			if e.RateLimitFactor == 0 || f.Kind != FaultRateLimit {
 				continue
@@ -72,6 +78,33 @@
 	return unmet
 }
 
+// mostRepeats returns the number of repeats in the window in which they exceed what an expectation allows by most, or
+// come closest to it, and that bound. The requests are those of the window, of the one before it or of the one half a
+// window before it, whichever has most.
+func (r *Result) mostRepeats(e Expectation) (repeats int, allowed float64) {
+	const window = core.BudgetWindow
+	for i, from := range r.repeatTimes {
+		if from < e.From.Std() || from >= e.To.Std() {
+			continue
+		}
+		n := countBetween(r.repeatTimes[i:], from, from+window)
+		requests := max(countBetween(r.requestTimes, from, from+window), countBetween(r.requestTimes, from-window, from),
+			countBetween(r.requestTimes, from-window/2, from+window/2))
+		bound := e.RepeatRatio*float64(requests) + e.RepeatSlack
+		if allowed == 0 || float64(n)-bound > float64(repeats)-allowed {
+			repeats, allowed = n, bound
+		}
+	}
+	return repeats, allowed
+}
+
+// countBetween counts the times, which are in order, from one time to another, the latter excluded.
+func countBetween(times []core.Instant, from, to core.Instant) int {
+	first, _ := slices.BinarySearch(times, from)
+	end, _ := slices.BinarySearch(times, to)
+	return end - first
+}
+
 // mostArrivals returns the largest number of requests that reached one of the targets of a fault within rateLimitWindow,
 // in the time of an expectation.
 func (r *Result) mostArrivals(p *Pattern, f Fault, e Expectation) (most int) {
--- a/pkg/core/budget_test.go
+++ b/pkg/core/budget_test.go
@@ -68,3 +68,28 @@
 	const limit = 0.2*instances*(requestsEach+requestsAfter) + 230
 	require.LessOrEqual(t, float64(used), limit)
 }
+
+// TestRetryBudgetOfRestartedInstances guards against a fleet that exceeds its retry budget when all instances restart
+// right after they have used it: with steady load, a window that contains the restart has no more requests than any other.
+func TestRetryBudgetOfRestartedInstances(t *testing.T) {
+	const instances, requestsPerSecond, restartAt = 150, 3, 60 * time.Second
+	use := func(p Policy, start, end Instant) (used int) { // from start to end since the start of the process
+		b := &budget{}
+		for at := start; at < end; at += time.Second / requestsPerSecond {
+			b.addRequest(at)
+		}
+		for b.takeRetry(end, &p) {
+			used++
+		}
+		return used
+	}
+	used := 0
+	for i := range instances {
+		p := DefaultPolicy()
+		p.RetryFloor, p.RetriesIncludeHedges, p.RetryRatio, p.RetrySlack = 0, true, 0.18, 207
+		p.InstanceID, p.InstanceCount = fmt.Sprintf("10.1.0.%d:8161", i), instances
+		used += use(p, 0, restartAt) + use(p, 0, BudgetWindow-time.Second)
+	}
+	const limit = 0.2*instances*requestsPerSecond*10 + 230
+	require.LessOrEqual(t, float64(used), limit)
+}
