core: an instance that has just started repeats a tenth as much

What callers saw: nothing directly; servers got more repeats than the users allow while requests failed and instances were killed or stopped.

Cause: the counts of an instance end with its process. After a restart it repeats 18 % of its new requests at once, in the same 10 s in which it has used its budget before. The reserve of a tenth was meant to cover that; it covers one instance in ten. TestRetryBudgetAfterRestart did not show it, because all requests of before and after are in one window there.

Change: in the first 10 s of a process the ratio of retries is a tenth of what the users allow, which is the reserve. The slack was withheld before. A service that replaces another one after a panic keeps its budget: its counts were lost in the same way.

--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -203,7 +203,7 @@
 	policy.FirstAttemptShare = o.FirstAttemptShare
 	if o.RepeatRatio > 0 {
 		policy.RetryRatio, policy.RetryFloor, policy.RetriesIncludeHedges = o.RepeatRatio, 0, true
-		policy.RetrySlack = o.RepeatSlack
+		policy.RetrySlack, policy.StartRetryRatio = o.RepeatSlack, o.RepeatRatio/9
 	}
 	return policy
 }
--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -60,10 +60,10 @@
 // the fleet shares, each instance rounds up or down by its ID, so that the sum over the fleet stays the same.
 //
 // An instance that has just started gets no share of the slack: it may have used its share before a restart, and it does
-// not know the size of the fleet yet.
+// not know the size of the fleet yet. For the first reason, its ratio is Policy.StartRetryRatio.
 func (b *budget) limitOf(p *Policy, floor int, ratio, slack float64) int {
 	limit := ratio * float64(b.completeRequests())
-	if b.newestBucket >= int64(BudgetWindow/budgetBucketWidth) {
+	if !b.isStarting() {
 		limit += p.instanceShare(slack)
 	}
 	if p.RetriesIncludeHedges {
@@ -72,8 +72,15 @@
 	return floor + int(limit)
 }
 
+// isStarting reports whether the process has not run for a whole window yet.
+func (b *budget) isStarting() bool { return b.newestBucket < int64(BudgetWindow/budgetBucketWidth) }
+
 func (b *budget) retryLimit(p *Policy) int {
-	return b.limitOf(p, p.RetryFloor, p.RetryRatio, p.RetrySlack)
+	ratio := p.RetryRatio
+	if b.isStarting() {
+		ratio = p.StartRetryRatio
+	}
+	return b.limitOf(p, p.RetryFloor, ratio, p.RetrySlack)
 }
 
 func (b *budget) hedgeLimit(p *Policy) int {
--- a/pkg/core/budget_test.go
+++ b/pkg/core/budget_test.go
@@ -86,7 +86,7 @@
 	used := 0
 	for i := range instances {
 		p := DefaultPolicy()
-		p.RetryFloor, p.RetriesIncludeHedges, p.RetryRatio, p.RetrySlack = 0, true, 0.18, 207
+		p.RetryFloor, p.RetriesIncludeHedges, p.RetryRatio, p.StartRetryRatio, p.RetrySlack = 0, true, 0.18, 0.02, 207
 		p.InstanceID, p.InstanceCount = fmt.Sprintf("10.1.0.%d:8161", i), instances
 		used += use(p, 0, restartAt) + use(p, 0, BudgetWindow-time.Second)
 	}
--- a/pkg/core/policy.go
+++ b/pkg/core/policy.go
@@ -46,6 +46,9 @@
 	MaxAttempts int
 	// RetryRatio is the share of requests that may be retried over BudgetWindow.
 	RetryRatio float64
+	// StartRetryRatio replaces RetryRatio in the first BudgetWindow of a process: before a restart, it may have used its
+	// share of a budget that all instances share.
+	StartRetryRatio float64
 	// RetryFloor is the number of retries that each instance may always make per BudgetWindow.
 	RetryFloor int
 	// RetrySlack and HedgeSlack are the retries and hedges allowed per BudgetWindow to all instances together in
@@ -112,6 +115,7 @@
 		QueueLimit:          256,
 		MaxAttempts:         4,
 		RetryRatio:          0.10,
+		StartRetryRatio:     0.10,
 		RetryFloor:          10,
 		HedgeRatio:          0.05,
 		HedgeFloor:          5,
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -92,12 +92,13 @@
 	return s
 }
 
-// Successor returns a service with the policy, the leaving signals and the evacuated zones of s, but without targets and
-// requests. It replaces a service whose state may be inconsistent after a panic.
+// Successor returns a service with the policy, the retry budget, the leaving signals and the evacuated zones of s, but
+// without targets and requests. It replaces a service whose state may be inconsistent after a panic.
 func (s *Service) Successor() *Service {
 	successor := NewService(s.policy)
 	successor.startHistories = s.startHistories
 	successor.fleet = s.fleet
+	successor.budget = s.budget
 	successor.stopping = s.stopping
 	successor.evacuatedZones = s.evacuatedZones
 	return successor
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -304,12 +304,13 @@
 	return Parse(path, text)
 }
 
-// Fractions of Fleet.RepeatRatio and Fleet.RepeatSlack for retries and hedges together, and for hedges alone. The
-// remaining tenth covers requests that two instances count at different times, and replaced instances whose counts are
-// lost.
+// Fractions of Fleet.RepeatRatio and Fleet.RepeatSlack for retries and hedges together, for hedges alone, and of
+// Fleet.RepeatRatio for an instance that has just started. The tenth that repeatFraction leaves covers the latter, and
+// requests that two instances count at different times.
 const (
 	repeatFraction = 0.9
 	hedgeFraction  = 0.3
+	startFraction  = 0.1
 )
 
 // Policy returns the policy that applies to every service.
@@ -323,11 +324,12 @@
 	p.InstanceCount = s.Instances
 	p.QueueLimit, p.FirstAttemptShare = s.Queue.Limit, s.Queue.FirstAttemptShare
 	p.MaxAttempts = s.Retry.MaxAttempts
-	p.RetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Floor
+	p.RetryRatio, p.StartRetryRatio, p.RetryFloor = s.Retry.Ratio, s.Retry.Ratio, s.Retry.Floor
 	p.HedgeRatio, p.HedgeFloor, p.HedgeQuantile = s.Hedge.Ratio, s.Hedge.Floor, s.Hedge.Quantile
 	if f := s.Fleet; f.RepeatRatio > 0 {
 		p.RetriesIncludeHedges = true
 		p.RetryRatio, p.HedgeRatio = f.RepeatRatio*repeatFraction, f.RepeatRatio*hedgeFraction
+		p.StartRetryRatio = f.RepeatRatio * startFraction
 		p.RetryFloor, p.HedgeFloor = 0, 0
 		p.RetrySlack, p.HedgeSlack = f.RepeatSlack*repeatFraction, f.RepeatSlack*hedgeFraction
 	}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -119,7 +119,7 @@
 	require.EqualValues(t, 1<<20, s.Limits.Body)
 	want := core.DefaultPolicy()
 	want.Selection, want.Zone, want.SlotsPerTarget, want.InstanceCount, want.QueueLimit = core.SelectRandom, "a", 3, 7, 9
-	want.MaxAttempts, want.RetryRatio, want.RetryFloor = 3, 0.2, 2
+	want.MaxAttempts, want.RetryRatio, want.StartRetryRatio, want.RetryFloor = 3, 0.2, 0.2, 2
 	want.ProbeShare, want.ProbeCost = 0.001, 2*time.Millisecond
 	require.Equal(t, "/alive", s.Probe.Path)
 	want.HedgeRatio, want.HedgeFloor, want.HedgeQuantile = 0, 1, 0.9
@@ -131,6 +131,17 @@
 	}, s.TargetConfig())
 }
 
+// Guards against instances that together repeat more requests than the fleet may, also after they have restarted.
+func TestFleetBudgetMapping(t *testing.T) {
+	s := Default()
+	s.Fleet.RepeatRatio, s.Fleet.RepeatSlack = 0.2, 200
+	p := s.Policy()
+	require.True(t, p.RetriesIncludeHedges)
+	require.Zero(t, p.RetryFloor+p.HedgeFloor)
+	require.LessOrEqual(t, p.RetryRatio+p.StartRetryRatio, 0.2+1e-9)
+	require.InDeltaSlice(t, []float64{0.18, 0.02, 180}, []float64{p.RetryRatio, p.StartRetryRatio, p.RetrySlack}, 1e-9)
+}
+
 // Guards against defaults that differ from those of the packages they configure.
 func TestDefaults(t *testing.T) {
 	s := Default()
