core: retries count when they are sent

Cause: a retry takes its part of the budget when it is planned. It may then wait for free slots, or for seconds for a Retry-After of the targets, and reaches its target in a later window, in which its part is free again. A retry that is never sent keeps its part for 10 s. The random test recorded retries from the change of the budget, so that it had the same view.

Change: a planned retry is reserved, counts when it is sent or relayed, and is released when its request ends before. The test runtime counts retries when they are sent. Relayed retries are in retries_total too.

Evidence: TestWaitingRetriesCountWhenTheyAreSent fails before, because three more retries are allowed in the 10 s in which three were sent, and TestUnsentRetryLeavesTheBudget fails before; both pass.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -32,10 +32,7 @@
 // send starts the next attempt of r on t and plans its hedge.
 func (s *Service) send(now Instant, r *request, t *targetState, out []Effect) []Effect {
 	a, info := s.startAttempt(now, r, t)
-	if r.retryReason != "" {
-		out = append(out, Effect{Kind: CountRetry, Target: t.id, Reason: r.retryReason})
-		r.retryReason = ""
-	}
+	out = s.countRetry(now, r, t.id, out)
 	r.phase = phaseInFlight
 	s.planHedge(now, r)
 	s.scheduleRequest(r)
--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -24,6 +24,7 @@
 	buckets      [budgetBuckets]budgetBucket
 	newestBucket int64        // number of the newest bucket since the start of the process
 	total        budgetBucket // of the latest window
+	planned      int          // retries that will be sent later
 }
 
 // bucket returns the bucket with a number, which is empty before the start of the process.
@@ -35,7 +36,7 @@
 func (b *budget) advance(now Instant) {
 	newest := int64(now / budgetBucketWidth)
 	if newest-b.newestBucket >= int64(budgetBuckets) {
-		*b = budget{newestBucket: newest}
+		*b = budget{newestBucket: newest, planned: b.planned}
 		return
 	}
 	for b.newestBucket < newest {
@@ -107,7 +108,7 @@
 // its requests so far, from those of the window before it or from those of the one half a window before it, whichever are
 // most.
 func (b *budget) hasRoom(p *Policy) bool {
-	if p.retriesIn(b.total) >= b.retryLimit(p) {
+	if p.retriesIn(b.total)+b.planned >= b.retryLimit(p) {
 		return false
 	}
 	var requests, retries [budgetBuckets + 1]int // sums over the buckets before an index; the oldest bucket has index 0
@@ -120,21 +121,41 @@
 	between := func(start int) int { return requests[min(start+windowBuckets, budgetBuckets)] - requests[start] }
 	for start := windowBuckets + 1; start < budgetBuckets; start++ {
 		most := max(between(start), between(start-windowBuckets/2), between(start-windowBuckets))
-		if retries[budgetBuckets]-retries[start] >= b.retryLimitFor(p, most) {
+		if retries[budgetBuckets]-retries[start]+b.planned >= b.retryLimitFor(p, most) {
 			return false
 		}
 	}
 	return true
 }
 
-// takeRetry reports whether one more retry is allowed, and counts it if so.
-func (b *budget) takeRetry(now Instant, p *Policy) bool {
+// planRetry reports whether one more retry is allowed, and reserves it if so. countPlanned or releasePlanned must follow: a
+// retry may wait for seconds before it is sent, and it reaches its target in another window then.
+func (b *budget) planRetry(now Instant, p *Policy) bool {
 	b.advance(now)
 	if !b.hasRoom(p) {
 		return false
 	}
+	b.planned++
+	return true
+}
+
+// countPlanned counts a planned retry, which is sent now.
+func (b *budget) countPlanned(now Instant) {
+	b.advance(now)
+	b.planned--
 	b.bucket(b.newestBucket).retries++
 	b.total.retries++
+}
+
+// releasePlanned ends the reservation of a planned retry that is not sent.
+func (b *budget) releasePlanned() { b.planned-- }
+
+// takeRetry reports whether one more retry is allowed, and counts it if so.
+func (b *budget) takeRetry(now Instant, p *Policy) bool {
+	if !b.planRetry(now, p) {
+		return false
+	}
+	b.countPlanned(now)
 	return true
 }
 
--- a/pkg/core/budget_test.go
+++ b/pkg/core/budget_test.go
@@ -135,3 +135,48 @@
 		}
 	})
 }
+
+// TestWaitingRetriesCountWhenTheyAreSent guards against retries that count in the window in which they are planned, and
+// reach targets together with those of a later one: a target can want no requests for seconds. The test runtime checks
+// the budget whenever a retry is sent.
+func TestWaitingRetriesCountWhenTheyAreSent(t *testing.T) {
+	const retries = 3
+	rt := newTestRuntime(t, retries, func(p *Policy) { p.RetryFloor, p.RetryRatio, p.StartRetryRatio = retries, 0, 0 })
+	shed := func(retryAfter time.Duration) {
+		for range retries {
+			rt.submit(ClassLookup, 30*time.Second)
+		}
+		for range retries {
+			rt.endAttempt(rt.inFlight[0], AttemptEnded{
+				Outcome: OutcomeRefused, Reason: ReasonShed, Statement: Statement{Responded: true, RetryAfter: retryAfter},
+			})
+		}
+	}
+	answerFor := func(d time.Duration) {
+		for end := rt.now + d; rt.now < end; rt.advance(10 * time.Millisecond) {
+			for len(rt.inFlight) > 0 {
+				rt.answer(rt.inFlight[0])
+			}
+		}
+	}
+	shed(8 * time.Second)
+	answerFor(BudgetWindow + time.Second)
+	require.Len(t, rt.retries, retries)
+	shed(0)
+	require.Equal(t, ReasonRetryBudget, rt.refusal().Reason)
+	answerFor(time.Second)
+	require.Len(t, rt.retries, retries, "all of them were sent in this window")
+}
+
+// TestUnsentRetryLeavesTheBudget guards against retries that count although their requests ended before they were sent.
+func TestUnsentRetryLeavesTheBudget(t *testing.T) {
+	rt := newTestRuntime(t, 1, func(p *Policy) { p.RetryFloor, p.RetryRatio, p.StartRetryRatio = 1, 0, 0 })
+	for range 3 {
+		r := rt.submit(ClassLookup, 30*time.Second)
+		rt.endAttempt(rt.inFlight[0], AttemptEnded{Outcome: OutcomeRefused, Reason: ReasonShed})
+		require.Zero(t, r.decisions, "its retry is planned")
+		rt.step(CallerLeft{Request: r.id})
+		rt.advance(time.Second)
+	}
+	require.Empty(t, rt.retries)
+}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -44,9 +44,9 @@
 	Fatalf(format string, args ...any)
 }
 
-// testRuntime stands in for the runtime and checks each effect against its own record of events. Except for the times
-// of retries, the record does not use the state of the reducer, so an error in the reducer's accounting is not repeated
-// in the check.
+// testRuntime stands in for the runtime and checks each effect against its own record of events. The record does not use
+// the state of the reducer, so an error in the reducer's accounting is not repeated in the check. Retries count when they
+// are sent.
 type testRuntime struct {
 	fataler
 	s             *Service
@@ -90,16 +90,8 @@
 // step applies one event at the current time and checks its effects.
 func (rt *testRuntime) step(ev Event) []Effect {
 	rt.rand = rt.rand*6364136223846793005 + 1442695040888963407 // linear congruential generator (Knuth's MMIX)
-	// The reducer takes a retry from the budget when it plans the retry, but returns CountRetry only when it sends the
-	// attempt. The time of a retry is therefore taken from the change of the budget.
-	before := rt.s.budget.total.retries
-	rt.s.budget.advance(rt.now)
-	before = min(before, rt.s.budget.total.retries)
 	rt.recordEvent(ev)
 	rt.lastEffects = rt.s.Reduce(Input{Now: rt.now, Rand: rt.rand, Event: ev}, nil)
-	for range rt.s.budget.total.retries - before {
-		rt.retries = append(rt.retries, rt.now)
-	}
 	for _, e := range rt.lastEffects {
 		rt.checkEffect(e)
 	}
@@ -222,6 +214,8 @@
 		rt.timerAt = e.At
 	case ReportRateLimit:
 		rt.limitedSends[e.Target] = nil
+	case CountRetry:
+		rt.retries = append(rt.retries, rt.now)
 	case CountHedge:
 		rt.hedges = append(rt.hedges, rt.now)
 	}
--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -32,7 +32,8 @@
 	a := s.addAttempt(now, r, s.otherInstances)
 	r.relays++
 	r.phase = phaseInFlight
-	r.retryAt, r.hedgeAt, r.retryReason = never, never, ""
+	r.retryAt, r.hedgeAt = never, never
+	out = s.countRetry(now, r, "", out)
 	s.scheduleRequest(r)
 	return append(out, Effect{
 		Kind: RelayAttempt, Request: r.id, Attempt: a.id, At: r.deadline, FreshConnection: r.class == ClassOnce,
@@ -83,6 +84,7 @@
 			s.stopWaiting(now, r)
 			out = s.relay(now, r, out)
 		case s.budget.takeRetry(now, &s.policy):
+			out = append(out, Effect{Kind: CountRetry, Reason: ReasonSlow})
 			out = s.cancelExcept(now, r, nil, out)
 			out = s.relay(now, r, out)
 		}
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -272,6 +272,10 @@
 
 // markDecided records that r was delivered or refused. r is released once its attempts have ended.
 func (s *Service) markDecided(r *request) {
+	if r.retryReason != "" {
+		s.budget.releasePlanned()
+		r.retryReason = ""
+	}
 	r.phase = phaseDecided
 	s.unschedule(&r.timer)
 	s.releaseIfDone(r)
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -36,7 +36,7 @@
 		return s.statedWaitReason(now), out
 	case s.usableCount == 0:
 		return s.noTargetReason(), out
-	case !s.budget.takeRetry(now, &s.policy):
+	case !s.budget.planRetry(now, &s.policy):
 		return ReasonRetryBudget, append(out, Effect{Kind: CountDenied, Reason: cause})
 	}
 	r.phase = phaseBackoff
@@ -46,6 +46,17 @@
 	return "", out
 }
 
+// countRetry counts a planned retry of r that is sent now, if there is one.
+func (s *Service) countRetry(now Instant, r *request, t TargetID, out []Effect) []Effect {
+	if r.retryReason == "" {
+		return out
+	}
+	s.budget.countPlanned(now)
+	out = append(out, Effect{Kind: CountRetry, Target: t, Reason: r.retryReason})
+	r.retryReason = ""
+	return out
+}
+
 // planHedge sets the time of the hedge for the attempt just sent.
 func (s *Service) planHedge(now Instant, r *request) {
 	q := &r.latencies.hedge
