discovery: an invalid entry leaves the rest of the instance list in force

What operators of a like system saw: another writer left one odd entry among those of the servers, and machines that read the list ended or stopped following it.

Cause: the instance list of the project's own protocol is decoded as one text. An entry that is nested more than 10,000 deep, or has a number too large or of another type, fails the whole list, and the instance keeps the last one until the entry is gone. A state that is not named counts as live, and port 0 as an address. On the users' platform each entry is decoded by itself, so that only port 0 gets through.

Change: entries are read one by one, token by token, and an invalid one is left out and logged; port 0 and unknown states are invalid.

--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -81,6 +81,8 @@
 	mu      sync.Mutex
 	fetched map[string]IndexEntry // entries whose documents were fetched
 
+	invalidEntries atomic.Int64 // of the instance list that was read last
+
 	listReads     atomic.Uint64 // reads of the instance list started so far; the new count is the ID of a read
 	deliverMu     sync.Mutex    // held while a list is passed to the sink
 	lastDelivered uint64        // ID of the read whose list was passed to the sink last; guarded by deliverMu
@@ -139,8 +141,8 @@
 	var after uint64
 	r.watchLoop(ctx, "instances", func() error {
 		readID := r.listReads.Add(1)
-		var list InstanceList
-		if err := r.watch(ctx, PathInstances, after, r.cfg.Wait, &list); err != nil {
+		list, err := r.watchInstances(ctx, after, r.cfg.Wait)
+		if err != nil {
 			return err
 		}
 		if list.Sequence == after || r.deliverList(readID, list) {
@@ -175,8 +177,7 @@
 		err = r.fetchChanged(ctx, index)
 	}
 	readID := r.listReads.Add(1)
-	var list InstanceList
-	errList := r.watch(ctx, PathInstances, 0, 0, &list)
+	list, errList := r.watchInstances(ctx, 0, 0)
 	if errList == nil {
 		r.deliverList(readID, list)
 	}
@@ -266,14 +267,30 @@
 
 // watch sends a long poll and decodes the response. With after and wait set to 0, it is a plain read.
 func (r *Reader) watch(ctx context.Context, path string, after uint64, wait time.Duration, into any) error {
-	query := fmt.Sprintf("%s?after=%d&wait=%s", path, after, wait)
-	text, err := r.get(ctx, query, wait+r.cfg.Timeout, maxListBytes)
+	text, err := r.get(ctx, watchQuery(path, after, wait), wait+r.cfg.Timeout, maxListBytes)
 	if err != nil {
 		return err
 	}
 	return eris.Wrapf(json.Unmarshal(text, into), "decode %s", path)
 }
 
+// watchInstances reads the instance list. It logs the number of invalid entries when that changes.
+func (r *Reader) watchInstances(ctx context.Context, after uint64, wait time.Duration) (InstanceList, error) {
+	text, err := r.get(ctx, watchQuery(PathInstances, after, wait), wait+r.cfg.Timeout, maxListBytes)
+	if err != nil {
+		return InstanceList{}, err
+	}
+	list, invalid, err := parseInstanceList(text)
+	if n := int64(len(invalid)); err == nil && r.invalidEntries.Swap(n) != n && n > 0 {
+		r.log.Info("ignoring entries of the instance list that are not valid", "entries", n, "error", invalid[0].Error())
+	}
+	return list, err
+}
+
+func watchQuery(path string, after uint64, wait time.Duration) string {
+	return fmt.Sprintf("%s?after=%d&wait=%s", path, after, wait)
+}
+
 // get reads a path within the rate limit and the timeout, and counts the result. The body may have up to limit bytes.
 func (r *Reader) get(ctx context.Context, path string, timeout time.Duration, limit int64) ([]byte, error) {
 	if !sleep(ctx, r.limiter.reserve(time.Now())) {
