gateway: a response during a stop closes its connection

Cause: "Connection: close" is set when a request arrives, not when its response is written. A response to a request that was in progress at SIGTERM keeps the connection open, and the next request on it arrives before it is closed.

Change: the header is set with the response. Each response after the start of a stop closes its connection, refusals included.

--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -33,14 +34,25 @@
 	writeTimeout time.Duration
 	dialect      wire.Dialect
 	requestID    string
+	stopping     *atomic.Bool // Gateway.draining
 }
 
 func (g *Gateway) newCallerWriter(w http.ResponseWriter) *callerWriter {
-	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect}
+	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect, stopping: &g.draining}
 	_ = c.control.SetWriteDeadline(time.Time{}) // clears the deadline of the previous request on this connection
 	return c
 }
 
+// WriteHeader writes the status and the headers within the write timeout. During a graceful stop the response closes its
+// connection, also if the request has arrived before.
+func (c *callerWriter) WriteHeader(status int) {
+	if c.stopping.Load() {
+		c.Header().Set("Connection", "close")
+	}
+	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	c.ResponseWriter.WriteHeader(status)
+}
+
 // Write writes b within the write timeout.
 func (c *callerWriter) Write(b []byte) (int, error) {
 	if len(b) == 0 {
@@ -67,7 +79,6 @@
 	if resp.Header["Content-Type"] == nil {
 		h["Content-Type"] = nil // keeps net/http from sniffing one
 	}
-	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 	c.WriteHeader(resp.Status)
 }
 
@@ -129,7 +140,6 @@
 	h := c.Header()
 	c.dialect.SetRefusalHeaders(h, wire.Refusal{RequestID: c.requestID, Outcome: outcome, Reason: string(reason), RetryAfter: retryAfter})
 	h.Set("Content-Length", "0")
-	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 	c.WriteHeader(status)
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -379,6 +379,40 @@
 	}
 }
 
+// Guards against a connection that stays open after a response to a request which was in progress when the stop began: the
+// caller's next request would be accepted late and aborted at the limit of the stop.
+func TestResponseDuringStopClosesConnection(t *testing.T) {
+	for name, tc := range map[string]struct {
+		request string
+		status  int
+	}{
+		"response": {get("/r/1"), http.StatusOK},
+		"refusal":  {"POST /q/1 HTTP/1.1\r\nHost: registry\r\nContent-Length: 0\r\n\r\n", http.StatusBadGateway}, // at its deadline
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived, release := make(chan struct{}), make(chan struct{})
+			f := newFixture(t, logr.Discard(), Config{}, newHandlerTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				close(arrived)
+				select {
+				case <-release:
+				case <-r.Context().Done():
+				}
+			}))
+			go func() {
+				<-arrived
+				f.Drain()
+				if tc.status == http.StatusOK {
+					close(release)
+				}
+			}()
+			resp, _, err := f.exchangeRaw(t, "GET", tc.request)
+			require.NoError(t, err)
+			require.Equal(t, tc.status, resp.StatusCode)
+			require.True(t, resp.Close)
+		})
+	}
+}
+
 // Guards against a request that is removed while it waits for a retry: the retry would then panic.
 func TestUndecidedRequestStaysPending(t *testing.T) {
 	f := newFixture(t, logr.Discard(), Config{})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -56,9 +56,6 @@
 func (g *Gateway) serveCall(c *call) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.draining.Load() {
-		c.Header().Set("Connection", "close")
-	}
 	defer c.releaseBody()
 	body, rejected := g.acceptOnCurrentView(c)
 	if rejected != nil {
