discovery: a watch that is cut is no outage of the store

Cause: an outage is measured from the last confirmation of the view. A watch that waits confirms nothing before it ends, so that a cut one seems like an outage of a second, after which removed entries are kept for 2.2 s.

Change: an outage lasts at most from the last answer of the source to the start of the call that it answers again. After a failed call the next watch only waits 100 ms, which shows soon whether the source answers.

--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -77,8 +77,9 @@
 	changed   chan struct{}     // closed when the view changes or is confirmed
 	// confirmedAt is the latest time at which the view is known to have matched the source.
 	confirmedAt time.Duration
-	failures    int    // consecutive failed calls of the source
-	readFrom    string // name of the source or instance that answered last
+	answeredAt  time.Duration // time of the latest answer of the source
+	failures    int           // consecutive failed calls of the source
+	readFrom    string        // name of the source or instance that answered last
 }
 
 // NewWatcher returns a watcher that passes its results to sink. If peers is nil, it always reads the source itself.
@@ -195,7 +196,7 @@
 	if generation := w.generation(); err == nil && snapshot.Generation < generation {
 		err = eris.Errorf("data of generation %d, before the restore to generation %d", snapshot.Generation, generation)
 	}
-	if err = w.recordResult(ctx, c, "read", began-snapshot.Age, err); err != nil {
+	if err = w.recordResult(ctx, c, "read", began, began-snapshot.Age, err); err != nil {
 		return err
 	}
 	w.mu.Lock()
@@ -219,6 +220,9 @@
 		// Shorten the wait by the age of the last confirmation, because an answer with changes confirms the view only
 		// as of the start of the call.
 		wait = min(max(w.cfg.Wait-w.age(), confirmWait), w.cfg.Wait)
+		if w.isFailing() { // a long watch may be cut again, and would not show that the source answers
+			wait = confirmWait
+		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+w.cfg.Timeout)
 	defer cancel()
@@ -236,7 +240,7 @@
 	case err == nil && len(changes.Items) == 0:
 		confirmed += wait // the source answers without changes only at the end of the wait
 	}
-	if err = w.recordResult(ctx, c, "watch", confirmed, err); err != nil {
+	if err = w.recordResult(ctx, c, "watch", began, confirmed, err); err != nil {
 		return changes, err
 	}
 	w.mu.Lock()
@@ -252,9 +256,17 @@
 	return changes, nil
 }
 
-// recordResult counts a call, updates the time of the last confirmation, and logs when the source fails and recovers.
-// A recovery can start a grace period for missing entries. ErrHistoryGone counts as an answer, but confirms nothing.
-func (w *Watcher) recordResult(ctx context.Context, c sourceChoice, operation string, confirmed time.Duration, err error) error {
+// isFailing reports whether the latest call of the source has failed.
+func (w *Watcher) isFailing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failures > 0
+}
+
+// recordResult counts a call that began at a time, updates the time of the last confirmation, and logs when the source fails
+// and recovers. A recovery can start a grace period for missing entries: the source may have been away from its last answer
+// to the start of the call that it answers again. ErrHistoryGone counts as an answer, but confirms nothing.
+func (w *Watcher) recordResult(ctx context.Context, c sourceChoice, operation string, began, confirmed time.Duration, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -276,11 +288,14 @@
 	}
 	w.metrics.countRead(fromSource, "ok")
 	if fromSource && w.failures > 0 {
-		outage := w.now() - w.confirmedAt
+		outage := began - w.answeredAt
 		w.view.SourceRecovered(w.now(), outage)
 		w.log.Info("store is back", "operation", operation, "failures", w.failures, "away", outage.String())
 		w.failures = 0
 	}
+	if fromSource {
+		w.answeredAt = w.now()
+	}
 	if err == nil && confirmed > w.confirmedAt {
 		w.confirmedAt = confirmed
 		w.notifyWaiters()
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -26,7 +27,9 @@
 	historyGone bool // the next watch returns ErrHistoryGone
 	incomplete  bool // the next watch returns a higher revision without changes
 	panics      bool // the next read or watch panics
-	calls       int
+	// cutAfter, if set, is the time after which watches that wait are cut.
+	cutAfter time.Duration
+	calls    int
 }
 
 func (s *fakeSource) set(keys ...string) {
@@ -41,6 +44,13 @@
 	}
 }
 
+func (s *fakeSource) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = discovery.Item{Key: key, Revision: s.revision, Removed: true}
+}
+
 func (s *fakeSource) change(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,14 +64,24 @@
 	s.panicOnce()
 	snapshot := discovery.Snapshot{Revision: s.revision, Generation: s.generation}
 	for _, i := range s.items {
-		snapshot.Items = append(snapshot.Items, i)
+		if !i.Removed {
+			snapshot.Items = append(snapshot.Items, i)
+		}
 	}
 	return snapshot, s.callErr
 }
 
 func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
-	deadline := time.Now().Add(wait)
+	deadline, cutAt := time.Now().Add(wait), time.Time{}
+	s.change(func() {
+		if s.cutAfter > 0 {
+			cutAt = time.Now().Add(s.cutAfter)
+		}
+	})
 	for {
+		if !cutAt.IsZero() && time.Now().After(cutAt) {
+			return discovery.Changes{}, errors.New("cut")
+		}
 		if c, done, err := s.changesSince(after); done || time.Now().After(deadline) || ctx.Err() != nil {
 			return c, err
 		}
@@ -244,6 +264,30 @@
 	}
 }
 
+// Guards against a target that has left and stays in use while the source cuts watches that wait, although it answers: its
+// entry would count as one that has expired during an outage. The other instance has the same view.
+func TestCutWatchesAreNoOutage(t *testing.T) {
+	for name, hasPeers := range map[string]bool{"alone": false, "with another instance": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &fakeSource{cutAfter: 300 * time.Millisecond}
+			s.set("stays", "leaves")
+			cfg, r := watcherConfig, &recorder{}
+			cfg.Wait = 1500 * time.Millisecond
+			var peers discovery.PeerSelector
+			if hasPeers {
+				peers = &fakePeers{other: &fakeSource{items: maps.Clone(s.items), revision: s.revision}}
+			}
+			w := discovery.NewWatcher(cfg, s, peers, r, discovery.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+			go w.Run(t.Context())
+			require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+			time.Sleep(2 * cfg.Wait)
+			s.remove("leaves")
+			require.Eventually(t, func() bool { return r.count() == 1 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
 // fakePeers is a PeerSelector with a fixed parent and a fixed other instance.
 type fakePeers struct {
 	mu        sync.Mutex
