discovery: a restored store does not bring back a server that has left

Cause: an entry of the copy is left out if it has the revision that the entry had when it was removed. If the entry changed between the copy and the removal, the copy has an earlier one, which counts as new.

Change: an entry keeps its last eight revisions, and a removed one all of these. Every one of them marks an entry of the copy as outdated. A target that is alive and writes its entry again gets another revision.

--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -19,6 +19,9 @@
 	// targets start or leave together.
 	minHistoryItems      = 512
 	historyItemsPerEntry = 2
+	// maxRevisions is the number of revisions of an entry that are remembered for a restore of the source. A copy is seconds
+	// old, in which an entry changes a few times.
+	maxRevisions = 8
 	// maxRemovedEntries is the number of removed entries that are remembered for a restore of the source.
 	maxRemovedEntries = 4096
 )
@@ -38,8 +41,8 @@
 	history           []Item
 	compactedRevision uint64
 	newestChange      uint64 // highest revision in history
-	// removed holds the last revisions of removed entries by key, removedOrder their keys, oldest first.
-	removed      map[string]uint64
+	// removed holds the last revisions of removed entries by key, oldest first, removedOrder their keys, oldest first.
+	removed      map[string][]uint64
 	removedOrder []string
 	orders       orderMemory
 }
@@ -49,11 +52,13 @@
 	Item
 	// missing marks an entry that disappeared and is kept until the grace period ends.
 	missing bool
+	// revisions holds the last revisions of the entry, at most maxRevisions, oldest first.
+	revisions []uint64
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: make(map[string]entry), removed: make(map[string]uint64)}
+	return &View{entries: make(map[string]entry), removed: make(map[string][]uint64)}
 }
 
 // Generation returns the generation of the source that the view matches.
@@ -161,7 +166,7 @@
 func (v *View) withoutReverts(items []Item) []Item {
 	var list []Item
 	for _, item := range items {
-		if revision, removed := v.removed[item.Key]; removed && revision == item.Revision && !item.isOrder() {
+		if slices.Contains(v.removed[item.Key], item.Revision) && !item.isOrder() {
 			continue
 		}
 		known := v.entries[item.Key].Target
@@ -175,12 +180,12 @@
 	return list
 }
 
-// recordRemoval remembers the last revision of a removed entry.
-func (v *View) recordRemoval(key string, revision uint64) {
+// recordRemoval remembers the last revisions of a removed entry: a copy of the source has one of them.
+func (v *View) recordRemoval(key string, revisions []uint64) {
 	if _, known := v.removed[key]; !known {
 		v.removedOrder = append(v.removedOrder, key)
 	}
-	v.removed[key] = revision
+	v.removed[key] = revisions
 	if len(v.removedOrder) > maxRemovedEntries {
 		delete(v.removed, v.removedOrder[0])
 		v.removedOrder = v.removedOrder[1:]
@@ -224,7 +229,7 @@
 // put stores an item and reports whether that changed the view.
 func (v *View) put(item Item) bool {
 	old, known := v.entries[item.Key]
-	v.entries[item.Key] = entry{Item: item}
+	v.entries[item.Key] = entry{Item: item, revisions: appendRevision(old.revisions, item.Revision)}
 	if item.isOrder() {
 		v.orders.seen = remember(v.orders.seen, item.orderVersion())
 	}
@@ -237,6 +242,15 @@
 	return true
 }
 
+// appendRevision adds a revision unless it is the last one, and drops the oldest of more than maxRevisions.
+func appendRevision(revisions []uint64, revision uint64) []uint64 {
+	if n := len(revisions); n > 0 && revisions[n-1] == revision {
+		return revisions
+	}
+	revisions = append(slices.Clip(revisions), revision)
+	return revisions[max(len(revisions)-maxRevisions, 0):]
+}
+
 // remove deletes an entry and reports whether that changed the view. During the grace period after an outage it marks
 // the entry of a live target as missing instead; a target that announced that it is leaving is deleted at once. Either
 // way the history records the removal: followers receive it with the remaining grace period and decide in the same way.
@@ -246,7 +260,7 @@
 		return false
 	}
 	v.recordChange(item)
-	v.recordRemoval(item.Key, e.Revision)
+	v.recordRemoval(item.Key, e.revisions)
 	if e.Target != nil && e.Target.State == StateLive && now < v.graceUntil {
 		e.missing = true
 		v.entries[item.Key] = e
--- a/pkg/discovery/view_test.go
+++ b/pkg/discovery/view_test.go
@@ -158,3 +158,41 @@
 	_, ok = v.Since(0, 1)
 	require.False(t, ok, "the history is bounded")
 }
+
+// Guards against a target that has left and is used again after a restore of the source, because the copy has an earlier
+// version of its entry than the one that was removed; and against one that is not used although it has written its entry
+// again since.
+func TestRestoreDoesNotBringBackRemovedTargets(t *testing.T) {
+	for name, tc := range map[string]struct {
+		restored Item
+		used     bool
+	}{
+		"version of the copy is the last one":   {live("a", 7), false},
+		"version of the copy is an earlier one": {live("a", 3), false},
+		"version of the copy is the first one":  {live("a", 2), false},
+		"written again after the restore":       {live("a", 6), true},
+		"written again with a higher revision":  {live("a", 12), true},
+		"another target has such a revision":    {live("b", 3), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			v.ApplySnapshot(0, Snapshot{Items: []Item{live("a", 2)}, Revision: 2})
+			for _, revision := range []uint64{3, 7} {
+				v.ApplyChanges(0, Changes{Items: []Item{live("a", revision)}, Revision: revision})
+			}
+			v.ApplyChanges(0, Changes{Items: []Item{removed("a", 9)}, Revision: 9})
+			v.ApplySnapshot(0, Snapshot{Items: []Item{tc.restored}, Revision: 5, Generation: 1})
+			require.Equal(t, tc.used, len(v.Instances().Instances) == 1)
+		})
+	}
+}
+
+// Guards against a list of revisions that grows with each change of an entry.
+func TestRevisionsOfEntryAreBounded(t *testing.T) {
+	v := NewView()
+	v.ApplySnapshot(0, Snapshot{Revision: 1})
+	for revision := uint64(2); revision < 100; revision++ {
+		v.ApplyChanges(0, Changes{Items: []Item{live("a", revision)}, Revision: revision})
+	}
+	require.Len(t, v.entries["a"].revisions, maxRevisions)
+}
