--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -17,17 +17,17 @@
 
 // budget counts requests, retries and hedges over sliding windows.
 //
-// A bucket that is only partly in a window counts for its retries and hedges, and not for its requests. The former are
-// thus counted over at least BudgetWindow and the latter over at most BudgetWindow, so that the limits hold in every
-// window of exactly that length.
+// The bucket that is only partly in the latest window counts for its retries and hedges, and not for its requests. The
+// former are thus counted over at least BudgetWindow and the latter over at most BudgetWindow, so that the limits hold for
+// the requests of exactly that time.
 type budget struct {
 	buckets      [budgetBuckets]budgetBucket
 	newestBucket int64        // number of the newest bucket since the start of the process
 	total        budgetBucket // of the latest window
-	planned      int          // retries that will be sent later
+	planned      int          // retries that are reserved and not sent yet
 }
 
-// bucket returns the bucket with a number, which is empty before the start of the process.
+// bucket returns the bucket with a number. A negative one, before the start of the process, is empty.
 func (b *budget) bucket(number int64) *budgetBucket {
 	return &b.buckets[(number+int64(budgetBuckets))%int64(budgetBuckets)]
 }
@@ -60,9 +60,10 @@
 	b.total.requests++
 }
 
-// limitOf returns the limit for a number of requests from its parts, of which only the floor is a whole number. The parts of an instance are small
-// in a large fleet, where rounding all of them down would leave a large share of the budget unused. With a limit that
-// the fleet shares, each instance rounds up or down by its ID, so that the sum over the fleet stays the same.
+// limitOf returns the limit for a number of requests from its parts, of which only the floor is a whole number. The parts of
+// an instance are small in a large fleet, where rounding all of them down would leave a large share of the budget unused.
+// With a limit that the fleet shares, each instance rounds up or down by its ID, so that the sum over the fleet stays the
+// same.
 //
 // An instance that has just started gets no share of the slack: it may have used its share before a restart, and it does
 // not know the size of the fleet yet. For the first reason, its ratio is Policy.StartRetryRatio.
@@ -78,7 +79,7 @@
 }
 
 // isStarting reports whether the process has not run for a whole window yet.
-func (b *budget) isStarting() bool { return b.newestBucket < int64(BudgetWindow/budgetBucketWidth) }
+func (b *budget) isStarting() bool { return b.newestBucket < int64(windowBuckets) }
 
 func (b *budget) retryLimit(p *Policy) int { return b.retryLimitFor(p, b.completeRequests()) }
 
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -397,7 +397,7 @@
 	At Instant
 	// MaxAttempts is the number of attempts that another instance may make (RelayAttempt).
 	MaxAttempts int
-	// Declined is the number of instances to which the request was relayed before (RelayAttempt).
+	// Declined is the number of instances to which the request was relayed before, and which did not serve it (RelayAttempt).
 	Declined int
 	// NotRun is set on Refuse when every attempt is proved not to have run.
 	NotRun bool
