wire: a declaration below status 400 is not checked for its ID

Cause: read of the diff. A response below 400 ignores a declaration; its ID was checked all the same, so that a target which passes the headers of a nested call on would have its 200 taken for that of another request.

Change: one function tells which declarations count, for both.

--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -126,13 +126,10 @@
 	h.Set(HeaderDeadline, FormatDeadline(remaining))
 }
 
-// ParseResponse implements Dialect. It ignores a declaration on a response whose status is below 400. Only a declaration
-// that repeats the request ID is identified.
+// ParseResponse implements Dialect. Only a response that repeats the request ID is identified.
 func (Native) ParseResponse(status int, h http.Header) ResponseMetadata {
 	m := ResponseMetadata{StartID: h.Get(HeaderStart), GaveUp: GaveUp(h)}
-	if d, ok := ParseDeclaration(h); ok && status >= http.StatusBadRequest {
-		m.Declaration = d
-	}
+	m.Declaration = declarationOn(status, h)
 	m.Unidentified = h.Get(HeaderRequestID) == ""
 	m.Load, _ = ParseLoad(h)
 	m.RequestRate, m.HasRequestRate = ParseRequestRate(h.Get(HeaderRequestRate))
@@ -145,16 +142,23 @@
 
 // VerifyResponse implements Dialect. The project's own targets need not repeat the request ID. If a declaration repeats
 // one, it must be that of the request. Other responses can have the ID of a nested call, whose headers the target relays.
-func (Native) VerifyResponse(_ int, h http.Header, requestID string) error {
-	if _, declared := ParseDeclaration(h); !declared {
-		return nil
-	}
-	if id := h.Get(HeaderRequestID); id != "" && id != requestID {
+func (Native) VerifyResponse(status int, h http.Header, requestID string) error {
+	id := h.Get(HeaderRequestID)
+	if declarationOn(status, h) != "" && id != "" && id != requestID {
 		return ErrRequestIDMismatch
 	}
 	return nil
 }
 
+// declarationOn returns the declaration on a response of a native target, or "". On a status below 400 there is none.
+func declarationOn(status int, h http.Header) Declaration {
+	d, ok := ParseDeclaration(h)
+	if !ok || status < http.StatusBadRequest {
+		return ""
+	}
+	return d
+}
+
 // RewriteResponseHeaders implements Dialect.
 func (Native) RewriteResponseHeaders(h http.Header, requestID string, outcome Outcome) {
 	SanitizeResponse(h)
