gateway, core: tests of the new metrics, and targets that stay closed

In TestRequestIsRelayedOnce an instance at times reached a "closed" target: its port had been freed and was that of the next listener (a 400 of a relay server, a 200).

--- a/pkg/core/reachability_test.go
+++ b/pkg/core/reachability_test.go
@@ -75,6 +75,23 @@
 	require.False(t, rt.inFlight[0].relay)
 }
 
+// TestExhaustedRelaysAreCounted guards against a request that has run out of relays and cannot be told from one that waits
+// for targets.
+func TestExhaustedRelaysAreCounted(t *testing.T) {
+	rt := cutOff(t)
+	r := rt.submit(ClassLookup, time.Second)
+	for n := range maxRelays {
+		require.Equal(t, n+1, r.relays)
+		exhausted := 0
+		for _, e := range rt.endAttempt(rt.inFlight[0], declined) {
+			if e.Kind == CountDenied && e.Reason == ReasonRelaysExhausted {
+				exhausted++
+			}
+		}
+		require.Equal(t, n+1 == maxRelays, exhausted == 1)
+	}
+}
+
 // TestWaitingRequestsAreRelayed guards against requests that wait for targets when the instance is cut off, with its own
 // callers or from another instance, and against one whose attempts did not find a connection.
 func TestWaitingRequestsAreRelayed(t *testing.T) {
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -46,13 +47,7 @@
 
 // startCutOff starts an instance whose targets refuse connections, with other instances beside it, and lets it notice.
 func startCutOff(t *testing.T, peers ...string) *Gateway {
-	var closed []string
-	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		closed = append(closed, l.Addr().String())
-		l.Close()
-	}
+	closed := []string{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"} // a freed port could be that of the next listener
 	g, _ := startRelayTest(t, closed...)
 	var list []relay.Peer
 	fleet := []string{""}
@@ -184,6 +179,22 @@
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
 }
 
+// Guards against metrics that do not tell a cut zone from a single cut instance.
+func TestRelaysAreCountedByZone(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	_, other := startRelayTest(t, strings.TrimPrefix(server.URL, "http://"))
+	g := startCutOff(t, other)
+	relays := func(zone string) float64 {
+		return testutil.ToFloat64(g.metrics.relays.WithLabelValues("s", zone, "served"))
+	}
+	serveOnce(g, "")
+	require.Equal(t, []float64{1, 0}, []float64{relays("own"), relays("other")})
+	g.SetPeers([]relay.Peer{{Address: other, Zone: "b"}})
+	serveOnce(g, "")
+	require.Equal(t, []float64{1, 1}, []float64{relays("own"), relays("other")})
+}
+
 // Guards against requests of other instances that take all the room of this one, or that are not marked as such.
 func TestRelayServerDeclines(t *testing.T) {
 	g, address := startRelayTest(t)
