core, gateway, discovery, simulation: names and messages

Cause: read of the diff as a newcomer.

Change: the budget reserves retries (it "planned" them, as the service does); the writer to callers calls the stop what the gateway calls it; one read of the instance list no longer has the name of the loop. In the simulation, a bound on repeats without a slack is checked too, the ratio after a start has a name, and a flag is no count.

--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -60,7 +60,7 @@
 	answeredAt  core.Instant // zero without an answer
 	refusedAt   core.Instant // zero without a refusal
 	sent        bool         // an attempt was sent to a target
-	reached     int          // attempts of the latest request that have reached a target
+	reached     bool         // an attempt of the latest request has reached a target
 }
 
 func (c *call) answered() bool { return c.answeredAt > 0 }
@@ -258,7 +258,7 @@
 	f.requestTimes = append(f.requestTimes, f.now)
 	id := core.RequestID(f.sentRequests)
 	i.callsByID[id] = c
-	c.refusedAt, c.reached = 0, 0
+	c.refusedAt, c.reached = 0, false
 	ev := c.arrivedEvent(i)
 	ev.Request = id
 	i.apply(ev)
@@ -339,11 +339,11 @@
 func (i *instance) serve(e core.Effect, sentAt core.Instant) {
 	t := i.targets[e.Target]
 	t.recordArrival(i.now, sentAt)
-	if c := i.callsByID[e.Request]; c.reached > 0 {
+	c := i.callsByID[e.Request]
+	if c.reached {
 		i.repeatTimes = append(i.repeatTimes, i.now)
-	} else {
-		c.reached++
 	}
+	c.reached = true
 	end := func(outcome core.AttemptOutcome, reason core.Reason) {
 		load, statement := t.report(), t.statement()
 		i.schedule(oneWayDelay, func() {
@@ -359,7 +359,7 @@
 			})
 		})
 	}
-	run := i.callsByID[e.Request].load.RunTime.Std()
+	run := c.load.RunTime.Std()
 	work := func() {
 		t.running++
 		slowdown := t.slowdown
--- a/internal/simulation/partition.go
+++ b/internal/simulation/partition.go
@@ -12,7 +12,7 @@
 const (
 	// relayedService names the only service to the selectors of instances.
 	relayedService = "service"
-	// relayLimit is the number of requests that an instance serves for others at a time.
+	// relayLimit is the number of requests that an instance serves for others at a time, as in pkg/gateway.
 	relayLimit = 64
 )
 
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -151,6 +151,10 @@
 	RateLimitSlack  float64 `toml:"rate_limit_slack"`
 }
 
+// startRepeatShare is the share of Options.RepeatRatio for an instance that has just started: pkg/settings gives it a tenth
+// of what the fleet may send again, and nine tenths to others.
+const startRepeatShare = 1.0 / 9
+
 // rateLimitWindow is the time over which the requests to a target with a rate limit are counted.
 const rateLimitWindow = 4 * time.Second
 
@@ -203,7 +207,7 @@
 	policy.FirstAttemptShare = o.FirstAttemptShare
 	if o.RepeatRatio > 0 {
 		policy.RetryRatio, policy.RetryFloor, policy.RetriesIncludeHedges = o.RepeatRatio, 0, true
-		policy.RetrySlack, policy.StartRetryRatio = o.RepeatSlack, o.RepeatRatio/9
+		policy.RetrySlack, policy.StartRetryRatio = o.RepeatSlack, o.RepeatRatio*startRepeatShare
 	}
 	return policy
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -63,7 +63,7 @@
 			attempts := float64(r.attempts) / float64(len(r.calls))
 			report(attempts <= e.AttemptsPerRequest, "%.2f attempts per request, want at most %.2f", attempts, e.AttemptsPerRequest)
 		}
-		if e.RepeatSlack > 0 {
+		if e.RepeatRatio > 0 {
 			repeats, allowed := r.mostRepeats(e)
 			report(float64(repeats) <= allowed, "%d attempts after the first of their request within %s, want at most %.0f", repeats, core.BudgetWindow, allowed)
 		}
--- a/pkg/core/budget.go
+++ b/pkg/core/budget.go
@@ -24,7 +24,7 @@
 	buckets      [budgetBuckets]budgetBucket
 	newestBucket int64        // number of the newest bucket since the start of the process
 	total        budgetBucket // of the latest window
-	planned      int          // retries that are reserved and not sent yet
+	reserved     int          // planned retries that are not sent yet
 }
 
 // bucket returns the bucket with a number. A negative one, before the start of the process, is empty.
@@ -36,7 +36,7 @@
 func (b *budget) advance(now Instant) {
 	newest := int64(now / budgetBucketWidth)
 	if newest-b.newestBucket >= int64(budgetBuckets) {
-		*b = budget{newestBucket: newest, planned: b.planned}
+		*b = budget{newestBucket: newest, reserved: b.reserved}
 		return
 	}
 	for b.newestBucket < newest {
@@ -109,7 +109,7 @@
 // its requests so far, from those of the window before it or from those of the one half a window before it, whichever are
 // most.
 func (b *budget) hasRoom(p *Policy) bool {
-	if p.retriesIn(b.total)+b.planned >= b.retryLimit(p) {
+	if p.retriesIn(b.total)+b.reserved >= b.retryLimit(p) {
 		return false
 	}
 	var requests, retries [budgetBuckets + 1]int // sums over the buckets before an index; the oldest bucket has index 0
@@ -122,41 +122,41 @@
 	between := func(start int) int { return requests[min(start+windowBuckets, budgetBuckets)] - requests[start] }
 	for start := windowBuckets + 1; start < budgetBuckets; start++ {
 		most := max(between(start), between(start-windowBuckets/2), between(start-windowBuckets))
-		if retries[budgetBuckets]-retries[start]+b.planned >= b.retryLimitFor(p, most) {
+		if retries[budgetBuckets]-retries[start]+b.reserved >= b.retryLimitFor(p, most) {
 			return false
 		}
 	}
 	return true
 }
 
-// planRetry reports whether one more retry is allowed, and reserves it if so. countPlanned or releasePlanned must follow: a
-// retry may wait for seconds before it is sent, and it reaches its target in another window then.
-func (b *budget) planRetry(now Instant, p *Policy) bool {
+// reserveRetry reports whether one more retry is allowed, and reserves it if so. countReserved or releaseReserved must
+// follow: a planned retry may wait for seconds before it is sent, and it reaches its target in another window then.
+func (b *budget) reserveRetry(now Instant, p *Policy) bool {
 	b.advance(now)
 	if !b.hasRoom(p) {
 		return false
 	}
-	b.planned++
+	b.reserved++
 	return true
 }
 
-// countPlanned counts a planned retry, which is sent now.
-func (b *budget) countPlanned(now Instant) {
+// countReserved counts a reserved retry, which is sent now.
+func (b *budget) countReserved(now Instant) {
 	b.advance(now)
-	b.planned--
+	b.reserved--
 	b.bucket(b.newestBucket).retries++
 	b.total.retries++
 }
 
-// releasePlanned ends the reservation of a planned retry that is not sent.
-func (b *budget) releasePlanned() { b.planned-- }
+// releaseReserved ends the reservation of a retry that is not sent.
+func (b *budget) releaseReserved() { b.reserved-- }
 
 // takeRetry reports whether one more retry is allowed, and counts it if so.
 func (b *budget) takeRetry(now Instant, p *Policy) bool {
-	if !b.planRetry(now, p) {
+	if !b.reserveRetry(now, p) {
 		return false
 	}
-	b.countPlanned(now)
+	b.countReserved(now)
 	return true
 }
 
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -273,7 +273,7 @@
 // markDecided records that r was delivered or refused. r is released once its attempts have ended.
 func (s *Service) markDecided(r *request) {
 	if r.retryReason != "" {
-		s.budget.releasePlanned()
+		s.budget.releaseReserved()
 		r.retryReason = ""
 	}
 	r.phase = phaseDecided
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -36,7 +36,7 @@
 		return s.statedWaitReason(now), out
 	case s.usableCount == 0:
 		return s.noTargetReason(), out
-	case !s.budget.planRetry(now, &s.policy):
+	case !s.budget.reserveRetry(now, &s.policy):
 		return ReasonRetryBudget, append(out, Effect{Kind: CountDenied, Reason: cause})
 	}
 	r.phase = phaseBackoff
@@ -51,7 +51,7 @@
 	if r.retryReason == "" {
 		return out
 	}
-	s.budget.countPlanned(now)
+	s.budget.countReserved(now)
 	out = append(out, Effect{Kind: CountRetry, Target: t, Reason: r.retryReason})
 	r.retryReason = ""
 	return out
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -99,7 +99,7 @@
 	successor.startHistories = s.startHistories
 	successor.fleet = s.fleet
 	successor.budget = s.budget
-	successor.budget.planned = 0 // the requests are lost
+	successor.budget.reserved = 0 // the requests are lost
 	successor.stopping = s.stopping
 	successor.evacuatedZones = s.evacuatedZones
 	return successor
--- a/pkg/discovery/instancelist.go
+++ b/pkg/discovery/instancelist.go
@@ -63,14 +63,14 @@
 	case token != json.Delim('['):
 		return nil, eris.Errorf("instances are not a list at byte %d", p.dec.InputOffset())
 	}
-	for p.dec.More() {
+	for n := 1; p.dec.More(); n++ {
 		start := p.dec.InputOffset()
 		if err := p.skip(); err != nil {
 			return nil, err
 		}
 		text := bytes.TrimLeft(p.text[start:p.dec.InputOffset()], ", \t\r\n")
 		if entry, err := parseEntry(text); err != nil {
-			p.invalid = append(p.invalid, err)
+			p.invalid = append(p.invalid, eris.Wrapf(err, "entry %d", n))
 		} else {
 			entries = append(entries, entry)
 		}
--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -141,7 +141,7 @@
 	var after uint64
 	r.watchLoop(ctx, "instances", func() error {
 		readID := r.listReads.Add(1)
-		list, err := r.watchInstances(ctx, after, r.cfg.Wait)
+		list, err := r.readInstanceList(ctx, after, r.cfg.Wait)
 		if err != nil {
 			return err
 		}
@@ -177,7 +177,7 @@
 		err = r.fetchChanged(ctx, index)
 	}
 	readID := r.listReads.Add(1)
-	list, errList := r.watchInstances(ctx, 0, 0)
+	list, errList := r.readInstanceList(ctx, 0, 0)
 	if errList == nil {
 		r.deliverList(readID, list)
 	}
@@ -274,8 +274,8 @@
 	return eris.Wrapf(json.Unmarshal(text, into), "decode %s", path)
 }
 
-// watchInstances reads the instance list. It logs the number of invalid entries when that changes.
-func (r *Reader) watchInstances(ctx context.Context, after uint64, wait time.Duration) (InstanceList, error) {
+// readInstanceList reads the instance list, or waits for a change of it. It logs the number of invalid entries when that changes.
+func (r *Reader) readInstanceList(ctx context.Context, after uint64, wait time.Duration) (InstanceList, error) {
 	text, err := r.get(ctx, watchQuery(PathInstances, after, wait), wait+r.cfg.Timeout, maxListBytes)
 	if err != nil {
 		return InstanceList{}, err
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -34,11 +34,11 @@
 	writeTimeout time.Duration
 	dialect      wire.Dialect
 	requestID    string
-	stopping     *atomic.Bool // Gateway.draining
+	draining     *atomic.Bool // of the gateway
 }
 
 func (g *Gateway) newCallerWriter(w http.ResponseWriter) *callerWriter {
-	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect, stopping: &g.draining}
+	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect, draining: &g.draining}
 	_ = c.control.SetWriteDeadline(time.Time{}) // clears the deadline of the previous request on this connection
 	return c
 }
@@ -46,7 +46,7 @@
 // WriteHeader writes the status and the headers within the write timeout. During a graceful stop the response closes its
 // connection, also if the request has arrived before.
 func (c *callerWriter) WriteHeader(status int) {
-	if c.stopping.Load() {
+	if c.draining.Load() {
 		c.Header().Set("Connection", "close")
 	}
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -32,7 +32,7 @@
 type relays struct {
 	clock    clock
 	cfg      target.Config
-	zone     core.Zone    // of this instance
+	zone     string       // of this instance
 	incoming atomic.Int64 // requests that are served for other instances
 
 	mu       sync.Mutex
@@ -49,8 +49,8 @@
 	if self, err := netip.ParseAddrPort(cfg.PeerAddress); err == nil {
 		c.LocalIP = self.Addr()
 	}
-	zone := cfg.Policy.Zone
-	return &relays{clock: ck, cfg: c, zone: zone, selector: relay.NewSelector(string(zone)), clients: make(map[string]*target.Client)}
+	zone := string(cfg.Policy.Zone)
+	return &relays{clock: ck, cfg: c, zone: zone, selector: relay.NewSelector(zone), clients: make(map[string]*target.Client)}
 }
 
 // SetPeers replaces the other instances, to which requests are relayed while no target can be reached.
@@ -186,7 +186,7 @@
 func (e *engine) recordRelay(p *pendingRequest, peer relay.Peer, result relay.Result, outcome wire.Outcome, reason string) {
 	e.relays.ended(peer, e.name, result)
 	name, zone := relayResultNames[result], "own"
-	if peer.Zone != string(e.relays.zone) {
+	if peer.Zone != e.relays.zone {
 		zone = "other"
 	}
 	e.metrics.relays.WithLabelValues(e.name, zone, name).Inc()
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -15,8 +15,8 @@
 	// failedTime is how long an instance gets no requests after a connection to it failed.
 	failedTime = 2 * time.Second
 
-	// knownEnough is the number of instances of a zone group that are known to serve a service from which on no further
-	// one is tried. A few are enough to spread the load.
+	// knownEnough is the number of instances known to serve a service, in the own zone or in all others, from which on no
+	// further ones are tried there. A few are enough to spread the load.
 	knownEnough = 4
 	// localTrials and remoteTrials are the numbers of instances that may decline a request before it goes only to
 	// instances of the own zone, or of any zone, that are known to serve the service. A zone is often cut off as a whole.
