gateway: a stop accepts all connections that wait, also without the filter

What callers saw: a connection that the kernel had established was reset when the instance stopped, if the process accepted too slowly, or if the machine does not permit the socket filter that refuses new connections (the users' record has such a machine: "set filter of listener: operation not permitted"). No test played a stop without it.

Cause: the listener was closed 100 ms after the filter was set, whatever still waited to be accepted; without the filter, connections also arrive in all of that time.

Change: the listener is closed in a moment at which its accept queue is empty (TCP_INFO), at the earliest after 100 ms.

--- a/internal/sockets/refuse.go
+++ b/internal/sockets/refuse.go
@@ -12,11 +12,10 @@
 // be accepted, whose callers may already have sent a request; once the listener refuses connections, those can be
 // accepted first.
 //
-// It returns an error if the kernel does not support socket filters.
+// It returns an error if the kernel does not support socket filters or does not permit them, and in builds with the tag
+// nosocketfilter.
 func RefuseConnections(listener syscall.Conn) error {
-	return setFilter(listener, func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, dropSYN())
-	})
+	return setFilter(listener, func(fd int) error { return attachFilter(fd, dropSYN()) })
 }
 
 // AcceptConnections ends the effect of RefuseConnections.
@@ -24,6 +23,23 @@
 	return setFilter(listener, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
 }
 
+// WaitingConnections returns the number of connections of a TCP listener that are established and not accepted yet.
+func WaitingConnections(listener syscall.Conn) (int, error) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return 0, eris.Wrap(err, "access socket of listener")
+	}
+	var info *unix.TCPInfo
+	var optErr error
+	if err := raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return 0, eris.Wrap(err, "access socket of listener")
+	}
+	if optErr != nil {
+		return 0, eris.Wrap(optErr, "read state of listener")
+	}
+	return int(info.Unacked), nil // for a listener, the length of its accept queue
+}
+
 func setFilter(listener syscall.Conn, set func(fd int) error) error {
 	raw, err := listener.SyscallConn()
 	if err != nil {
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -20,6 +20,8 @@
 	handshakeTime = 100 * time.Millisecond
 	// firstRequestTime is how long a stopping server waits for the first request on a new connection.
 	firstRequestTime = time.Second
+	// acceptPollInterval is the interval at which a stopping server looks whether connections still wait to be accepted.
+	acceptPollInterval = time.Millisecond
 	// stopPollInterval is the interval at which a stopping server looks for connections that it can close.
 	stopPollInterval = 5 * time.Millisecond
 )
@@ -84,16 +86,29 @@
 
 // drainListener closes the listener once the connections that it has established are accepted.
 func (s *Server) drainListener(ctx context.Context, listener net.Listener) {
-	if socket, ok := listener.(syscall.Conn); ok {
+	defer listener.Close()
+	socket, isSocket := listener.(syscall.Conn)
+	if isSocket {
 		if err := sockets.RefuseConnections(socket); err != nil {
 			s.log.V(1).Info("cannot refuse connections before the listener is closed", "error", err.Error())
 		}
 	}
-	select {
-	case <-time.After(handshakeTime):
-	case <-ctx.Done():
+	wait := handshakeTime
+	for {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		if !isSocket {
+			return
+		}
+		// Without the filter, connections keep arriving. The listener is closed in a moment at which none waits.
+		if waiting, err := sockets.WaitingConnections(socket); err != nil || waiting == 0 {
+			return
+		}
+		wait = acceptPollInterval
 	}
-	_ = listener.Close()
 }
 
 // closeUnused closes the connections on which no request is in progress or has begun to arrive, and reports whether no
--- a/pkg/gateway/server_test.go
+++ b/pkg/gateway/server_test.go
@@ -10,11 +10,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 )
@@ -161,3 +163,56 @@
 	_, _, err := f.exchangeRaw(t, http.MethodGet, "GET /r/1 HTTP/1.0\r\nHost: registry\r\n\r\n")
 	require.Error(t, err)
 }
+
+// slowListener accepts connections slowly, as a process does that rarely gets processor time.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(20 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// Guards against a stop that resets connections which wait to be accepted, where the kernel does not permit the filter that
+// refuses new ones.
+func TestShutdownWithoutFilterAcceptsWaitingConnections(t *testing.T) {
+	for name, permitted := range map[string]bool{"filter": true, "no filter": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			if !permitted {
+				lockFilter(t, l.(syscall.Conn))
+			}
+			s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }), DefaultHeaderLimits, logr.Discard())
+			defer s.Close()
+			const waiting = 20 // take longer than handshakeTime
+			var conns []net.Conn
+			for range waiting {
+				c, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				conns = append(conns, c)
+				_, err = io.WriteString(c, get("/"))
+				require.NoError(t, err)
+			}
+			go s.Serve(slowListener{l.(*net.TCPListener)})
+			require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.listener != nil }, 10*time.Second, time.Millisecond)
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(t.Context()) }()
+			for _, c := range conns {
+				_, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+				c.Close()
+			}
+			require.NoError(t, <-stopped)
+		})
+	}
+}
+
+// lockFilter makes the kernel refuse a filter for a listener with "operation not permitted".
+func lockFilter(t *testing.T, listener syscall.Conn) {
+	raw, err := listener.SyscallConn()
+	require.NoError(t, err)
+	var optErr error
+	require.NoError(t, raw.Control(func(fd uintptr) { optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_LOCK_FILTER, 1) }))
+	require.NoError(t, optErr)
+	require.ErrorIs(t, sockets.RefuseConnections(listener), unix.EPERM)
+}
