gateway: a request that crosses the close of its connection is not served

What callers saw: nothing yet; found by reading. A stopping instance checks that no byte has arrived on a kept connection and then closes it. A request that http.Server read in between was passed on to a target, and its response had no connection any more.

Cause: the check and the close were two steps, and http.Server reads beside them.

Change: the check ends the connection under a lock. What is read after that is dropped, and a request that was already buffered is not served.

Result: TestRequestThatCrossesCloseIsDropped plays the order of steps; the former code has no state that it could check.

--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -39,7 +39,7 @@
 
 func newServer(handler http.Handler, limits HeaderLimits, log logr.Logger) *Server {
 	s := &Server{log: log, conns: make(map[*callerConn]struct{})}
-	s.Handler, s.IdleTimeout, s.DisableGeneralOptionsHandler = handler, callerIdleTimeout, true
+	s.Handler, s.IdleTimeout, s.DisableGeneralOptionsHandler = skipEnded(handler), callerIdleTimeout, true
 	s.ConnState = setConnState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, c)
@@ -117,7 +117,7 @@
 	s.mu.Lock()
 	var unused []*callerConn
 	for c := range s.conns {
-		if c.unused() && (closeNew || !c.isNew.Load()) {
+		if c.endIfUnused(closeNew) {
 			unused = append(unused, c)
 		}
 	}
@@ -177,10 +177,13 @@
 	net.Conn
 	server *Server
 	raw    syscall.RawConn // nil if the connection is no socket
-	isNew  atomic.Bool     // no request has been read yet
+
+	mu    sync.Mutex
+	isNew bool // no request has been read yet
 	// idle is set between requests. http.Server counts a request only once it has read the whole head.
-	idle     atomic.Bool
-	received atomic.Bool // bytes were read since idle was set
+	idle     bool
+	received bool // bytes were read since idle was set
+	ended    bool // closed by a stop; nothing that is read later counts
 }
 
 func setConnState(c net.Conn, state http.ConnState) {
@@ -188,26 +191,56 @@
 	if !ok {
 		return
 	}
-	idle := state == http.StateNew || state == http.StateIdle
-	if idle {
-		conn.received.Store(false)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.isNew = state == http.StateNew
+	conn.idle = state == http.StateNew || state == http.StateIdle
+	if conn.idle {
+		conn.received = false
 	}
-	conn.isNew.Store(state == http.StateNew)
-	conn.idle.Store(idle)
 }
 
-// unused reports whether no request is in progress and none has begun to arrive. It checks received last, so that
-// bytes that are read after Peek count.
-func (c *callerConn) unused() bool {
-	return (c.raw == nil || sockets.Peek(c.raw) != sockets.Readable) && c.idle.Load() && !c.received.Load()
+// skipEnded drops requests whose connection was ended between requests, while they were already buffered.
+func skipEnded(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && c.isEnded() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (c *callerConn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
 }
 
-// Read implements net.Conn.
+// endIfUnused ends the connection, so that nothing more is read from it, if no request is in progress and none has begun
+// to arrive. It ends a connection without a first request only if endNew is set. It reports whether it has ended it.
+func (c *callerConn) endIfUnused(endNew bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.received || c.isNew && !endNew || c.raw != nil && sockets.Peek(c.raw) == sockets.Readable {
+		return false
+	}
+	c.ended = true
+	return true
+}
+
+// Read implements net.Conn. It drops what arrives while a stop closes the connection: a request that is served without a
+// connection would run on a target, and its caller would not learn of it.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, net.ErrClosed
 	}
+	c.received = true
 	return n, err
 }
 
--- a/pkg/gateway/server_test.go
+++ b/pkg/gateway/server_test.go
@@ -128,7 +128,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle.Load() {
+		c.mu.Lock()
+		idle := c.idle
+		c.mu.Unlock()
+		if idle {
 			n++
 		}
 	}
@@ -164,6 +167,22 @@
 	require.Error(t, err)
 }
 
+// Guards against a request that runs on a target although a stop has closed its connection: it arrives between the check
+// that nothing has arrived and the close.
+func TestRequestThatCrossesCloseIsDropped(t *testing.T) {
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	c := &callerConn{Conn: accepted, idle: true}
+	require.True(t, c.endIfUnused(true))
+	go caller.Write([]byte("GET"))
+	n, err := c.Read(make([]byte, 10))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, net.ErrClosed)
+
+	c = &callerConn{Conn: accepted, idle: true, received: true}
+	require.False(t, c.endIfUnused(true))
+}
+
 // slowListener accepts connections slowly, as a process does that rarely gets processor time.
 type slowListener struct{ *net.TCPListener }
 
