gateway, core: a stopping instance sends nothing that may outlast it

Cause: whether a request is sent was decided by its own deadline; nothing compared that with the end of the instance. Closing the connection after each response ended one way in.

Change: one promise for all ways in. The reducer holds it (core.StopRequested names the latest deadline); the runtime applies it to bodies that are being read, to attempts that wait for a connection, to the waits for the first exchange and for a refreshed view, and once more before the first byte is written. What is turned away gets 503 and not-run at once, with a Retry-After of 20 ms. The end counts from the signal; an engine created during the stop learns of it. TestStopTimeoutCountsAbortedRequests cut a request that waited for the first exchange and was never sent; it now cuts one that a target has received, which is at least as strict.

Each check of the reducer was removed once, and a test failed each time.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -222,8 +222,9 @@
 	i.log.Info("instance started", "callers", callerListener.Addr().String(), "admin", adminListener.Addr().String())
 
 	<-ctx.Done()
+	end := time.Now().Add(i.settings.StopLimit.Std())
 	i.controlPlane.node.AnnounceLeaving(context.Background())
-	i.stop(servers...)
+	i.stop(end, servers...)
 	_ = adminServer.Close()
 	_ = readyServer.Close()
 	return group.Wait()
@@ -250,15 +251,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop shuts the instance down. During the lame-duck period the platform's load balancer sees the failing readiness
+// stop shuts the instance down until end. During the lame-duck period the platform's load balancer sees the failing readiness
 // check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end of the
 // period, because closing one could abort a request that the caller has already sent. Requests that are still active
-// after StopLimit, which includes the lame-duck period, are aborted and counted.
-func (i *instance) stop(servers ...*gateway.Server) {
+// at the end, which were sent to targets before the stop, are aborted and counted.
+func (i *instance) stop(end time.Time, servers ...*gateway.Server) {
 	i.stopping.Store(true)
-	i.gateway.Drain()
-	i.log.Info("instance stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.StopLimit.Std())
+	i.gateway.Drain(end)
+	i.log.Info("instance stopping", "end_ms", time.Until(end).Milliseconds())
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	select {
 	case <-time.After(i.settings.LameDuck.Std()):
--- a/pkg/app/stop_test.go
+++ b/pkg/app/stop_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -21,9 +22,20 @@
 // Guards against a graceful stop that hangs on a request without a response, and against one that aborts the request
 // without counting it.
 func TestStopTimeoutCountsAbortedRequests(t *testing.T) {
-	silentTarget, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections, and no response is sent
+	silentTarget, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer silentTarget.Close()
+	arrived := make(chan struct{})
+	go func() { // reads the request and sends no response
+		c, err := silentTarget.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 1))
+		close(arrived)
+		_, _ = io.Copy(io.Discard, c)
+	}()
 	doc, err := rules.Parse("test", []byte("service = \"registry\"\nepoch = 1\nrevision = 1\n[rules]\n"+
 		"lookup = { path = \"/*\", methods = [\"GET\"], class = \"lookup\", deadline = \"30s\" } # asked by the test\n"))
 	require.NoError(t, err)
@@ -31,6 +43,7 @@
 	s.LameDuck, s.StopLimit = 0, settings.Duration(50*time.Millisecond)
 	reg := prometheus.NewRegistry()
 	g := gateway.New(newGatewayConfig(s, Adapter{}), gateway.NewMetrics(reg), logr.Discard())
+	g.MarkSynced()
 	g.SetDocuments([]*rules.Document{doc})
 	g.SetTargets(discovery.InstanceList{Instances: []discovery.Instance{
 		{Service: "registry", Address: silentTarget.Addr().String(), State: discovery.StateLive},
@@ -48,9 +61,10 @@
 		}
 		requestErr <- err
 	}()
-	require.Eventually(t, func() bool { return g.Active() == 1 }, 10*time.Second, time.Millisecond)
+	<-arrived // a request that has not been sent is refused
+	require.Equal(t, 1, g.Active())
 	inst := &instance{settings: s, log: logr.Discard(), gateway: g}
-	inst.stop(server)
+	inst.stop(time.Now().Add(s.StopLimit.Std()), server)
 	require.Error(t, <-requestErr)
 	require.Error(t, inst.Ready())
 	require.NoError(t, testutil.GatherAndCompare(reg, strings.NewReader(
--- a/pkg/core/admission.go
+++ b/pkg/core/admission.go
@@ -85,7 +85,7 @@
 
 // enqueueOrRefuse puts a request that cannot be sent now into its queue, or refuses it.
 func (s *Service) enqueueOrRefuse(now Instant, r *request, out []Effect) []Effect {
-	if s.stopping && r.attemptsStarted == 0 {
+	if s.stop.requested && r.attemptsStarted == 0 {
 		return s.refuse(now, r, ReasonStopping, out)
 	}
 	if s.queue.classes[r.class].length >= s.policy.QueueLimit {
--- a/pkg/core/backlog.go
+++ b/pkg/core/backlog.go
@@ -53,7 +53,7 @@
 // or r would miss its deadline.
 func (s *Service) enterBacklog(now Instant, r *request, out []Effect) []Effect {
 	switch {
-	case s.stopping && r.attemptsStarted == 0:
+	case s.stop.requested && r.attemptsStarted == 0:
 		return s.refuse(now, r, ReasonStopping, out)
 	case s.usableCount == 0:
 		return s.refuse(now, r, s.noTargetReason(), out)
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -74,12 +74,13 @@
 	contacts      []TargetID // targets of attempts, probes and connection checks
 	// unprobedSince holds, for each target that has not answered a probe since its zone was last evacuated, the end of
 	// that evacuation.
-	unprobedSince map[TargetID]Instant
+	unprobedSince  map[TargetID]Instant
+	latestDeadline Instant // of StopRequested; never before
 }
 
 func newEmptyTestRuntime(t fataler, p Policy) *testRuntime {
 	return &testRuntime{
-		fataler: t, s: NewService(p), timerAt: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
+		fataler: t, s: NewService(p), timerAt: never, latestDeadline: never, rand: 1, knownStarts: make(map[TargetID]int), leavingStarts: make(map[string]bool),
 		probing: make(map[TargetID]bool), limitedSends: make(map[TargetID][]Instant), unprobedSince: make(map[TargetID]Instant),
 		cold: newColdRecord(),
 	}
@@ -122,6 +123,8 @@
 				rt.unprobedSince[id] = rt.now
 			}
 		}
+	case StopRequested:
+		rt.latestDeadline = ev.LatestDeadline
 	case RequestQuarantined:
 		rt.submitted(ev.Request).quarantined = true
 	case TargetsChanged:
@@ -224,6 +227,8 @@
 func (rt *testRuntime) checkSend(e Effect) {
 	r := rt.submitted(e.Request)
 	switch {
+	case rt.mayOutlastStop(r):
+		rt.Fatalf("attempt for request %d, whose deadline %v exceeds %v, the latest during the stop", r.id, r.deadline, rt.latestDeadline)
 	case r.decisions > 0:
 		rt.Fatalf("attempt for the decided request %d", r.id)
 	case r.quarantined:
@@ -246,10 +251,17 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
+// mayOutlastStop reports whether a stopping instance may end before the deadline of r, so that it must not be sent.
+func (rt *testRuntime) mayOutlastStop(r *submittedRequest) bool {
+	return r.deadline > rt.latestDeadline
+}
+
 // checkRelay checks that a request may be relayed to another instance.
 func (rt *testRuntime) checkRelay(e Effect) {
 	r := rt.submitted(e.Request)
 	switch {
+	case rt.mayOutlastStop(r):
+		rt.Fatalf("request %d relayed, whose deadline %v exceeds %v, the latest during the stop", r.id, r.deadline, rt.latestDeadline)
 	case r.decisions > 0 || r.quarantined || r.relayed || r.relays >= maxRelays || rt.now >= r.deadline:
 		rt.Fatalf("request %d relayed although it is decided, quarantined, from another instance, relayed too often or late", r.id)
 	case r.class == ClassOnce && !r.notRun():
@@ -324,6 +336,9 @@
 		if r.decisions > 1 || r.decisions == 0 && rt.now >= r.deadline+2*decisionGrace {
 			rt.Fatalf("request %d has %d decisions at %v, deadline %v", r.id, r.decisions, rt.now, r.deadline)
 		}
+		if r.inFlight == 0 && rt.mayOutlastStop(r) {
+			rt.Fatalf("request %d with deadline %v waits, which exceeds %v, the latest during the stop", r.id, r.deadline, rt.latestDeadline)
+		}
 	}
 	view := rt.s.View(rt.now)
 	usable, ejected := 0, 0
--- a/pkg/core/probe.go
+++ b/pkg/core/probe.go
@@ -72,7 +72,7 @@
 		return s.onBacklogTimer(now, out)
 	}
 	p := &s.policy
-	if !s.sendsHealthProbes() || s.stopping {
+	if !s.sendsHealthProbes() || s.stop.requested {
 		return out // a policy change schedules the next check
 	}
 	allowance := s.probeAllowance()
--- a/pkg/core/queue_test.go
+++ b/pkg/core/queue_test.go
@@ -141,7 +141,7 @@
 func TestStop(t *testing.T) {
 	rt := newTestRuntime(t, 1)
 	n := rt.fillTargets(ClassLookup)
-	rt.step(StopRequested{})
+	rt.step(StopRequested{LatestDeadline: never})
 	rt.submit(ClassLookup, time.Second)
 	require.Equal(t, ReasonStopping, rt.refusal().Reason)
 	rt.answer(rt.inFlight[0])
--- a/pkg/core/random_test.go
+++ b/pkg/core/random_test.go
@@ -283,7 +283,7 @@
 
 func (sc *randomScenario) drawStop(t *rapid.T) {
 	if rapid.IntRange(0, 9).Draw(t, "really") == 0 {
-		sc.step(StopRequested{})
+		sc.step(StopRequested{LatestDeadline: sc.now + Instant(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "rest"))})
 	}
 }
 
--- a/pkg/core/relay.go
+++ b/pkg/core/relay.go
@@ -17,9 +17,9 @@
 )
 
 // canRelay reports whether r may be relayed to another instance: its outcome is still the one it would have here, and
-// another instance may serve it.
+// another instance may serve it before this one stops.
 func (s *Service) canRelay(now Instant, r *request) bool {
-	return len(s.fleet) > 1 && now >= s.relayPausedUntil && !r.relayed && r.relays < maxRelays && now < r.deadline &&
+	return s.stop.allows(r) && len(s.fleet) > 1 && now >= s.relayPausedUntil && !r.relayed && r.relays < maxRelays && now < r.deadline &&
 		r.attemptsLeft() > 0 && (r.class != ClassOnce || r.provedNotRun())
 }
 
--- a/pkg/core/request.go
+++ b/pkg/core/request.go
@@ -187,6 +187,9 @@
 	if now >= r.deadline {
 		return s.refuse(now, r, ReasonDeadline, out)
 	}
+	if !s.stop.allows(r) {
+		return s.refuse(now, r, ReasonStopping, out)
+	}
 	if s.usableCount == 0 {
 		return s.refuse(now, r, s.noTargetReason(), out)
 	}
--- a/pkg/core/retry.go
+++ b/pkg/core/retry.go
@@ -30,6 +30,8 @@
 		return ReasonMayHaveRun, out
 	case r.attemptsStarted >= r.maxAttempts:
 		return ReasonAttemptsExhausted, out
+	case !s.stop.allows(r):
+		return ReasonStopping, out
 	case now+backoff >= r.deadline:
 		return ReasonDeadline, out
 	case now+stated >= r.deadline:
@@ -73,7 +75,7 @@
 func (s *Service) tryHedge(now Instant, r *request, out []Effect) []Effect {
 	budgetShare := earlyHedgeShare
 	first := r.pendingAttempt()
-	if now >= r.deadline || r.phase != phaseInFlight || first == nil || r.attemptsStarted >= r.maxAttempts {
+	if now >= r.deadline || r.phase != phaseInFlight || first == nil || r.attemptsStarted >= r.maxAttempts || !s.stop.allows(r) {
 		r.hedgeAt = never
 		return out
 	}
--- a/pkg/core/retry_after.go
+++ b/pkg/core/retry_after.go
@@ -15,6 +15,8 @@
 	// quarantineRetryAfter is how long the caller of a quarantined request should wait. The same request is likely to be
 	// refused then too.
 	quarantineRetryAfter = time.Minute
+	// StoppingRetryAfter is the Retry-After of a request that may outlast this instance. Another instance can serve it now.
+	StoppingRetryAfter = 20 * time.Millisecond
 )
 
 // retryAfter returns how long the caller of a request that is refused for the given reason should wait before it retries:
@@ -24,6 +26,9 @@
 	if reason == ReasonCrashesTargets {
 		return quarantineRetryAfter
 	}
+	if !s.stop.allows(r) {
+		return StoppingRetryAfter
+	}
 	wait := s.expectedQueueWait(now, r.class)
 	if s.probesLoad() {
 		wait = s.expectedBacklogWait(now, r)
--- a/pkg/core/service.go
+++ b/pkg/core/service.go
@@ -14,10 +14,10 @@
 
 // Service is the state of one service as one instance sees it.
 type Service struct {
-	policy   Policy
-	fleet    []string // IDs of the instances that share the targets; empty while unknown
-	rng      rand.PCG
-	stopping bool
+	policy Policy
+	fleet  []string // IDs of the instances that share the targets; empty while unknown
+	rng    rand.PCG
+	stop   stopState
 	// resumedAt is the end of the last pause of this process.
 	resumedAt Instant
 
@@ -100,7 +100,7 @@
 	successor.fleet = s.fleet
 	successor.budget = s.budget
 	successor.budget.reserved = 0 // the requests are lost
-	successor.stopping = s.stopping
+	successor.stop = s.stop
 	successor.evacuatedZones = s.evacuatedZones
 	return successor
 }
@@ -154,7 +154,7 @@
 	case Resumed:
 		s.resumed(now)
 	case StopRequested:
-		s.stopping = true
+		return s.stopRequested(now, ev, out)
 	}
 	return out
 }
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -106,7 +106,7 @@
 	ReasonRetryBudget       Reason = "retry-budget"        // a retry is needed and the budget is used up
 	ReasonAttemptsExhausted Reason = "attempts-exhausted"
 	ReasonMayHaveRun        Reason = "may-have-run"   // a ClassOnce attempt ended without proof that it did not run
-	ReasonStopping          Reason = "stopping"       // the request would have to be queued during the graceful stop
+	ReasonStopping          Reason = "stopping"       // during the graceful stop: it would be queued, or may outlast the stop
 	ReasonLoop              Reason = "loop"           // the request passed too many instances
 	ReasonNestedGiveUp      Reason = "nested-give-up" // another instance gave up on a nested call of the target
 	ReasonCallerLeft        Reason = "caller-left"
@@ -319,9 +319,10 @@
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
 type Resumed struct{ Gap time.Duration }
 
-// StopRequested begins the graceful stop. Until the runtime closes its listeners, new requests are still served if they
-// need not be queued.
-type StopRequested struct{}
+// StopRequested begins the graceful stop. Requests with a later deadline than LatestDeadline may outlast the instance: from
+// now on none of them is sent to a target or relayed, and those that wait are refused. New requests with an earlier deadline
+// are served if they need not be queued.
+type StopRequested struct{ LatestDeadline Instant }
 
 // TimerFired reports that the time of the last SetTimer effect has come.
 type TimerFired struct{}
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -17,11 +17,17 @@
 // 600 KB, and it is short against a graceful stop.
 const discardTimeout = 5 * time.Second
 
-// readBody reads the body within the rule's deadline and body limit. The memory for each part is reserved before the
+// readBody reads the body within the rule's deadline and body limit, unless the stop turns the request away. The memory for each part is reserved before the
 // part is read; the first read of the body sends 100 Continue.
 func (g *Gateway) readBody(c *call) ([]byte, *rejection) {
 	c.memory = g.bodyMemory.open(c.callerIP())
-	_ = c.control.SetReadDeadline(c.arrived.Add(c.rule.Deadline))
+	readDeadline := c.arrived.Add(c.rule.Deadline)
+	_ = c.control.SetReadDeadline(readDeadline)
+	detach := g.stop.onBegin(func(latest time.Time) {
+		if last := latest.Add(-c.timeLimit(c.rule)); last.Before(readDeadline) {
+			_ = c.control.SetReadDeadline(last)
+		}
+	})
 	limited := http.MaxBytesReader(c.ResponseWriter, c.r.Body, c.rule.BodyLimit)
 	var body []byte
 	var err error
@@ -33,6 +39,9 @@
 	} else {
 		body, err = readGrowing(nil, limited, c.rule.BodyLimit+1, c.memory)
 	}
+	if !detach() && !g.allowedDuringStop(c) {
+		return nil, &rejectStopping
+	}
 	if err == nil {
 		// An expired read deadline would cancel the request's context as if the caller had disconnected.
 		_ = c.control.SetReadDeadline(time.Time{})
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
@@ -34,11 +33,11 @@
 	writeTimeout time.Duration
 	dialect      wire.Dialect
 	requestID    string
-	draining     *atomic.Bool // of the gateway
+	stop         *stopState
 }
 
 func (g *Gateway) newCallerWriter(w http.ResponseWriter) *callerWriter {
-	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect, draining: &g.draining}
+	c := &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: g.cfg.WriteTimeout, dialect: g.cfg.Dialect, stop: g.stop}
 	_ = c.control.SetWriteDeadline(time.Time{}) // clears the deadline of the previous request on this connection
 	return c
 }
@@ -46,7 +45,7 @@
 // WriteHeader writes the status and the headers within the write timeout. During a graceful stop the response closes its
 // connection, also if the request has arrived before.
 func (c *callerWriter) WriteHeader(status int) {
-	if c.draining.Load() {
+	if c.stop.requested() {
 		c.Header().Set("Connection", "close")
 	}
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -26,6 +26,7 @@
 	quarantine *Quarantine
 	relays     *relays
 	bodyMemory *bodyMemory
+	stop       *stopState
 	metrics    *Metrics
 	log        logr.Logger
 	probePath  atomicString
@@ -60,6 +61,7 @@
 	target   core.TargetID
 	start    time.Time
 	cancel   context.CancelFunc
+	withdraw context.CancelFunc // ends the attempt unless it has a connection
 	response *bufferedResponse
 	memory   *heldMemory // of the response
 	started  bool        // a goroutine runs the attempt and ends it
@@ -80,7 +82,7 @@
 func (g *Gateway) newEngine(name string) *engine {
 	e := &engine{
 		name: name, clock: g.clock, pauses: g.pauses, clients: g.clients, quarantine: g.quarantine, relays: g.relays,
-		bodyMemory: g.bodyMemory, metrics: g.metrics, log: g.log.WithValues("service", name),
+		bodyMemory: g.bodyMemory, stop: g.stop, metrics: g.metrics, log: g.log.WithValues("service", name),
 		service: core.NewService(g.policyLocked(name)), pending: make(map[core.RequestID]*pendingRequest),
 	}
 	e.probePath.Store(g.cfg.ProbePath)
@@ -176,14 +178,17 @@
 func (e *engine) newAttempt(effect core.Effect) (ctx context.Context, p *pendingRequest, state *attemptState, a target.Attempt) {
 	p = e.pending[effect.Request]
 	ctx, cancel := context.WithCancel(context.Background())
+	connectCtx, withdraw := context.WithCancel(ctx)
 	state = &attemptState{
-		target: effect.Target, start: time.Now(), cancel: cancel, memory: e.bodyMemory.open(p.fingerprint.callerIP),
+		target: effect.Target, start: time.Now(), cancel: cancel, withdraw: withdraw, memory: e.bodyMemory.open(p.fingerprint.callerIP),
 	}
 	p.attempts[effect.Attempt] = state
 	p.attemptsStarted++
 	p.lastTarget = effect.Target
 	a = p.attemptTemplate
-	a.Fresh = effect.FreshConnection
+	a.Fresh, a.ConnectContext = effect.FreshConnection, connectCtx
+	deadline := a.Deadline // of the request
+	a.IsCurrent = func() bool { return e.stop.allows(deadline) }
 	if at := e.clock.timeAt(effect.At); at.Before(a.Deadline) {
 		a.Deadline = at
 	}
@@ -193,7 +198,8 @@
 func (e *engine) startAttempt(effect core.Effect) {
 	ctx, p, state, a := e.newAttempt(effect)
 	generation := e.pauses.generation()
-	a.IsCurrent = func() bool { return e.pauses.isCurrent(generation) }
+	isAllowed := a.IsCurrent
+	a.IsCurrent = func() bool { return isAllowed() && e.pauses.isCurrent(generation) }
 	client, identity := e.clients.get(effect.Target)
 	a.TargetIdentity = identity
 	e.logAttemptSent(p, effect)
@@ -265,7 +271,7 @@
 func (e *engine) runAttempt(ctx context.Context, c *target.Client, p *pendingRequest, id core.AttemptID, state *attemptState, a target.Attempt) {
 	defer e.recoverAttempt(p, id)
 	response, err := c.Send(ctx, a)
-	if failure := (*target.Error)(nil); errors.As(err, &failure) && failure.Reason == target.ReasonResumed {
+	if failure := (*target.Error)(nil); errors.As(err, &failure) && failure.Reason == target.ReasonOutdated {
 		e.pauses.awaitRefresh(ctx) // so that the reducer selects again from the refreshed targets
 	}
 	if err == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,7 +79,7 @@
 	log            logr.Logger
 	ruleTable      atomic.Pointer[rules.Table]
 	splits         splitSequences
-	draining       atomic.Bool
+	stop           *stopState
 	activeRequests atomic.Int64 // requests from callers in progress
 
 	synced     chan struct{} // closed by MarkSynced
@@ -111,7 +111,7 @@
 	ck := newClock()
 	g := &Gateway{
 		cfg: cfg, clock: ck, pauses: &pauseDetector{clock: ck}, clients: newClients(cfg.Target), metrics: m, log: log,
-		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), synced: make(chan struct{}),
+		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), stop: newStopState(), synced: make(chan struct{}),
 	}
 	g.relays = newRelays(ck, cfg)
 	g.bodyMemory = newBodyMemory(ck, cfg.BodyMemory, m)
@@ -214,18 +214,14 @@
 		e = g.newEngine(name)
 		e.dispatch(core.FleetChanged{Instances: g.fleet})
 		e.dispatch(evacuationChanged(g.evacuatedZones))
+		if g.stop.requested() {
+			e.stopRequested()
+		}
 		g.engines[name] = e
 	}
 	return e
 }
 
-// Drain begins the graceful stop: the reducers are informed, and from now on each response closes its connection.
-// Requests are still served.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-	g.broadcast(core.StopRequested{})
-}
-
 // Active returns the number of requests from callers in progress.
 func (g *Gateway) Active() int { return int(g.activeRequests.Load()) }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -375,7 +375,7 @@
 		}
 		require.Equal(t, resp.Header.Get(wire.HeaderRequestID), line["request"])
 		require.NotEmpty(t, line["duration"])
-		f.Drain()
+		f.Drain(time.Now().Add(time.Minute))
 	}
 }
 
@@ -400,7 +400,7 @@
 			}))
 			go func() {
 				<-arrived
-				f.Drain()
+				f.Drain(time.Now().Add(time.Minute))
 				if tc.status == http.StatusOK {
 					close(release)
 				}
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -49,11 +49,12 @@
 	rejectUpgrade         = rejection{reason: ReasonUpgrade, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
 	rejectConnect         = rejection{reason: ReasonConnect, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
 	rejectRelayLimit      = rejection{reason: ReasonRelayLimit, status: http.StatusServiceUnavailable, retryAfter: retryAfterShort}
+	rejectStopping        = rejection{reason: core.ReasonStopping, status: http.StatusServiceUnavailable, retryAfter: core.StoppingRetryAfter, bodyUnread: true, immediate: true}
 )
 
 var rejections = []rejection{
 	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectBodyMemory,
-	rejectUpgrade, rejectConnect, rejectRelayLimit,
+	rejectUpgrade, rejectConnect, rejectRelayLimit, rejectStopping,
 }
 
 // refusalStatus returns the HTTP status for a refusal by the reducer. A request that may have run gets 502 or 504.
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -159,7 +159,7 @@
 		return relay.Failed
 	case failure.Reason == target.ReasonNoConnection:
 		return relay.Busy
-	case failure.Reason == target.ReasonCancelled, failure.Reason == core.ReasonDeadline, failure.Reason == core.ReasonSlow:
+	case failure.Reason == target.ReasonCancelled, failure.Reason == target.ReasonOutdated, failure.Reason == core.ReasonDeadline, failure.Reason == core.ReasonSlow:
 		return relay.Abandoned
 	}
 	return relay.Failed
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -88,19 +88,19 @@
 // the body is read, it matches the request again.
 func (g *Gateway) acceptOnCurrentView(c *call) ([]byte, *rejection) {
 	g.awaitSync(c)
-	g.pauses.awaitRefresh(c.r.Context())
+	g.awaitRefresh(c)
 	generation := g.pauses.generation()
 	body, rejected := g.accept(c)
 	for rejected == nil && !g.pauses.isCurrent(generation) && c.r.Context().Err() == nil {
-		g.pauses.awaitRefresh(c.r.Context())
+		g.awaitRefresh(c)
 		generation = g.pauses.generation()
 		rejected = g.rematch(c, len(body))
 	}
 	return body, rejected
 }
 
-// awaitSync waits for MarkSynced, but not beyond the deadline of the request. A request that matches no rule does not
-// wait, because it is rejected.
+// awaitSync waits for MarkSynced, but not beyond the deadline of the request, and not if the stop turns it away. A request
+// that matches no rule does not wait, because it is rejected.
 func (g *Gateway) awaitSync(c *call) {
 	select {
 	case <-g.synced:
@@ -111,13 +111,29 @@
 	if rule == nil {
 		return
 	}
+	ctx, cancel := g.stop.whileAllowed(c.r.Context(), c.deadline(rule))
+	defer cancel()
 	timer := time.NewTimer(c.timeLimit(rule))
 	defer timer.Stop()
 	select {
 	case <-g.synced:
 	case <-timer.C:
-	case <-c.r.Context().Done():
+	case <-ctx.Done():
+	}
+}
+
+// awaitRefresh waits until the view is not stale, unless the caller leaves or the stop turns the request away.
+func (g *Gateway) awaitRefresh(c *call) {
+	if !g.pauses.stale() {
+		return
+	}
+	ctx := c.r.Context()
+	if rule := g.ruleTable.Load().MatchHost(c.r.Host, c.r.Method, c.r.URL.Path); rule != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = g.stop.whileAllowed(ctx, c.deadline(rule))
+		defer cancel()
 	}
+	g.pauses.awaitRefresh(ctx)
 }
 
 // timeLimit returns the time from the arrival of the request to its deadline: the rule's, or the caller's if it is
@@ -129,13 +145,25 @@
 	return rule.Deadline
 }
 
+// allowedDuringStop reports whether a request of which all has been read now may still be sent. A stop counts its time limit
+// from now, so that the body of a slow caller does not leave the target less time than usual.
+func (g *Gateway) allowedDuringStop(c *call) bool {
+	return g.stop.allows(time.Now().Add(c.timeLimit(c.rule)))
+}
+
+// deadline returns the time at which the request is refused if it has not been answered.
+func (c *call) deadline(rule *rules.Rule) time.Time { return c.arrived.Add(c.timeLimit(rule)) }
+
 // rematch matches a request whose body was already read under an earlier rule, and checks the body's length in bytes
 // against the new rule.
 func (g *Gateway) rematch(c *call, length int) *rejection {
 	if rejected := g.match(c); rejected != nil {
 		return rejected
 	}
-	if int64(length) > c.rule.BodyLimit {
+	switch {
+	case !g.allowedDuringStop(c):
+		return &rejectStopping
+	case int64(length) > c.rule.BodyLimit:
 		return &rejectBodyTooLarge
 	}
 	return nil
@@ -169,6 +197,9 @@
 	if rejected := g.match(c); rejected != nil {
 		return nil, rejected
 	}
+	if !g.allowedDuringStop(c) {
+		return nil, &rejectStopping
+	}
 	if c.r.ContentLength > c.rule.BodyLimit {
 		return nil, &rejectBodyTooLarge // checked before the first read, which sends 100 Continue
 	}
@@ -178,8 +209,7 @@
 	return g.readBody(c)
 }
 
-// newAttemptTemplate returns the request as it is sent to targets. The deadline is the earlier of the rule's and the
-// caller's.
+// newAttemptTemplate returns the request as it is sent to targets.
 func (c *call) newAttemptTemplate(body []byte) target.Attempt {
 	header := c.r.Header.Clone()
 	removeHopByHop(header)
@@ -188,7 +218,7 @@
 	return target.Attempt{
 		RequestID: c.requestID,
 		Method:    c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header, Body: body, Trailer: c.r.Trailer,
-		Deadline: c.arrived.Add(c.timeLimit(c.rule)),
+		Deadline: c.deadline(c.rule),
 	}
 }
 
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -6,6 +6,7 @@
 package target
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -65,9 +66,11 @@
 	Deadline time.Time
 	// Fresh requires a connection that is new or received a byte within Config.FreshWithin.
 	Fresh bool
-	// IsCurrent, if set, is called immediately before the first byte is written. If it returns false, the target was
-	// selected from an outdated view of the targets and the attempt ends with ReasonResumed. It must not block.
+	// IsCurrent, if set, is called immediately before the first byte is written. If it returns false, the decision to send
+	// the attempt is out of date and the attempt ends with ReasonOutdated. It must not block.
 	IsCurrent func() bool
+	// ConnectContext, if set, ends an attempt that waits for a connection. It has no effect once there is one.
+	ConnectContext context.Context
 }
 
 // Response is a target's response. The caller must close Body.
@@ -99,9 +102,9 @@
 	// ReasonUnverified means that wire.Dialect.VerifyResponse rejected the response, for example because it belongs to
 	// another request or does not come from the target.
 	ReasonUnverified core.Reason = "foreign-answer"
-	// ReasonResumed means that Attempt.IsCurrent returned false, because the process was paused after the target was
-	// selected.
-	ReasonResumed core.Reason = "resumed"
+	// ReasonOutdated means that Attempt.IsCurrent returned false: since the attempt was decided, the process was paused, or
+	// it has begun to stop.
+	ReasonOutdated core.Reason = "outdated"
 )
 
 // Error describes the end of an attempt without a usable response.
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -19,7 +19,7 @@
 // Errors that a conn returns to the HTTP client that reads from it and writes to it.
 var (
 	errDeadlinePassed = eris.New("deadline passed before the first byte was written")
-	errStaleView      = eris.New("target was selected from an outdated view of the targets")
+	errOutdated       = eris.New("the decision to send is out of date")
 	errConnUnusable   = eris.New("target closed the connection or sent unsolicited bytes before the first byte was written")
 	errAttemptEnded   = eris.New("write after the attempt has ended")
 	errUnsolicited    = eris.New("target sent bytes without a request")
@@ -124,7 +124,7 @@
 		return errDeadlinePassed
 	}
 	if s.isCurrent != nil && !s.isCurrent() {
-		return errStaleView
+		return errOutdated
 	}
 	if c.unsolicited || sockets.Peek(c.raw) != sockets.Idle {
 		return errConnUnusable
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -92,16 +92,23 @@
 		return nil, notSentError(core.ReasonDeadline, false, errDeadlinePassed)
 	}
 	if a.IsCurrent != nil && !a.IsCurrent() {
-		return nil, notSentError(ReasonResumed, false, errStaleView)
+		return nil, notSentError(ReasonOutdated, false, errOutdated)
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, remaining/2)
 	defer cancel()
+	withdrawn := func() bool { return false }
+	if a.ConnectContext != nil {
+		defer context.AfterFunc(a.ConnectContext, cancel)()
+		withdrawn = func() bool { return a.ConnectContext.Err() != nil }
+	}
 	conn, err := c.pool.lease(connectCtx, a.Fresh, a.RequestID)
 	switch {
 	case err == nil:
 		return conn, nil
 	case ctx.Err() != nil:
 		return nil, notSentError(ReasonCancelled, false, err)
+	case withdrawn():
+		return nil, notSentError(ReasonOutdated, false, errOutdated)
 	case errors.Is(err, errNoConnection):
 		return nil, notSentError(ReasonNoConnection, false, err)
 	}
@@ -197,8 +204,8 @@
 	switch {
 	case cancelled:
 		return notSentError(ReasonCancelled, false, err)
-	case errors.Is(err, errStaleView):
-		return notSentError(ReasonResumed, false, err)
+	case errors.Is(err, errOutdated):
+		return notSentError(ReasonOutdated, false, err)
 	case timedOut || errors.Is(err, errDeadlinePassed):
 		return notSentError(core.ReasonDeadline, false, err)
 	}
--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -312,7 +312,7 @@
 		"monotonic and wall": {time.Now().Add(-time.Second), nil, false, errDeadlinePassed},
 		"wall clock only":    {time.Now().Add(-time.Second).Round(0), nil, false, errDeadlinePassed},
 		"current view":       {time.Now().Add(time.Hour), func() bool { return true }, false, nil},
-		"outdated view":      {time.Now().Add(time.Hour), func() bool { return false }, false, errStaleView},
+		"outdated view":      {time.Now().Add(time.Hour), func() bool { return false }, false, errOutdated},
 		"closed by target":   {time.Now().Add(time.Hour), nil, true, errConnUnusable},
 	}
 	for name, tc := range cases {
