gateway: relays go past an instance that refuses because of an evacuation

What callers saw: an instance that is cut off from all targets relayed requests to one that obeyed an order which had ended, and passed its refusals on, although others could serve.

Cause: the refusal "evacuated" counted as the answer of a relay, not as a declined one.

Change: it counts as declined; a further instance is tried, in another zone sooner.

Result: TestRelayGoesPastEvacuatedInstance fails without the change.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -145,6 +145,7 @@
 	core.ReasonUnreachable: relay.Unreachable,
 	core.ReasonNoTarget:    relay.Unreachable,
 	core.ReasonStopping:    relay.Unreachable,
+	core.ReasonEvacuated:   relay.Unreachable, // it may have missed the end of an order
 	ReasonNoConfiguration:  relay.Unreachable,
 	ReasonNoRule:           relay.Unreachable,
 	ReasonRelayLimit:       relay.Busy,
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -179,6 +179,20 @@
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
 }
 
+// Guards against an instance that is cut off and relays all its requests to one that refuses them, because it obeys an order to
+// evacuate all zones that has ended, while another one could serve them.
+func TestRelayGoesPastEvacuatedInstance(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	target := strings.TrimPrefix(server.URL, "http://")
+	outdated, outdatedAddress := startRelayTest(t, target)
+	outdated.SetEvacuatedZones([]string{""})
+	_, served := startRelayTest(t, target)
+	for range 10 { // the order in which instances are tried is random
+		require.Equal(t, http.StatusOK, serveOnce(startCutOff(t, outdatedAddress, served), "").Code)
+	}
+}
+
 // Guards against metrics that do not tell a cut zone from a single cut instance.
 func TestRelaysAreCountedByZone(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
