--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -251,10 +251,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop shuts the instance down until end. During the lame-duck period the platform's load balancer sees the failing readiness
-// check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end of the
-// period, because closing one could abort a request that the caller has already sent. Requests that are still active
-// at the end, which were sent to targets before the stop, are aborted and counted.
+// stop shuts the instance down until end. During the lame-duck period the platform's load balancer sees the failing
+// readiness check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end
+// of the period, because closing one could abort a request that the caller has already sent. Requests that are still
+// active at the end, which were sent to targets before the stop, are aborted and counted.
 func (i *instance) stop(end time.Time, servers ...*gateway.Server) {
 	i.stopping.Store(true)
 	i.gateway.Drain(end)
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -319,9 +319,9 @@
 // Resumed reports that the process was paused (SIGSTOP, suspend) for Gap.
 type Resumed struct{ Gap time.Duration }
 
-// StopRequested begins the graceful stop. Requests with a later deadline than LatestDeadline may outlast the instance: from
-// now on none of them is sent to a target or relayed, and those that wait are refused. New requests with an earlier deadline
-// are served if they need not be queued.
+// StopRequested begins the graceful stop. Requests with a later deadline than LatestDeadline may outlast the instance:
+// from now on none of them is sent to a target or relayed, and those that wait are refused. New requests with an earlier
+// deadline are served if they need not be queued.
 type StopRequested struct{ LatestDeadline Instant }
 
 // TimerFired reports that the time of the last SetTimer effect has come.
--- a/pkg/discovery/evacuation.go
+++ b/pkg/discovery/evacuation.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 )
 
 // This file keeps the orders to evacuate availability zones. An order is in force while its key exists in the source. It
@@ -103,35 +102,3 @@
 	}
 	return true
 }
-
-// retainedOrders returns the retained orders, sorted by key. Their keys may have been removed before the restore without this
-// view having seen it.
-func (v *View) retainedOrders() []OrderVersion {
-	var list []OrderVersion
-	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
-		if e := v.entries[key]; e.isOrder() && e.Retained != 0 {
-			list = append(list, e.orderVersion())
-		}
-	}
-	return list
-}
-
-// endedOrders returns those of the given orders that this view has seen in force, and whose keys have no order in force any
-// more.
-func (v *View) endedOrders(orders []OrderVersion) []OrderVersion {
-	return slices.DeleteFunc(slices.Clone(orders), func(o OrderVersion) bool {
-		e := v.entries[o.Key]
-		return e.isOrder() || !slices.Contains(v.orders.seen, o)
-	})
-}
-
-// endRetained ends those of the given orders that are retained, and reports whether there were any. Instances that follow this
-// one end theirs by themselves.
-func (v *View) endRetained(now time.Duration, ended []OrderVersion) (changed bool) {
-	for _, o := range ended {
-		if e := v.entries[o.Key]; e.isOrder() && e.Retained != 0 && e.orderVersion() == o {
-			changed = v.remove(now, Item{Key: o.Key, Revision: v.revision, Removed: true}) || changed
-		}
-	}
-	return changed
-}
--- a/pkg/discovery/feed.go
+++ b/pkg/discovery/feed.go
@@ -19,39 +19,6 @@
 	return s, nil
 }
 
-// EndedOrders returns those of the given orders to evacuate a zone that have ended as far as this instance knows.
-func (w *Watcher) EndedOrders(orders []OrderVersion) []OrderVersion {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.view.endedOrders(orders)
-}
-
-// settleInterval is the interval at which an instance with retained orders asks another one whether they have ended.
-const settleInterval = 500 * time.Millisecond
-
-// settleOrders ends retained orders that have ended as far as another instance knows, until ctx ends. The source cannot tell:
-// it has lost the order, and may have lost its removal.
-func (w *Watcher) settleOrders(ctx context.Context) {
-	for sleep(ctx, settleInterval) {
-		w.mu.Lock()
-		retained := w.view.retainedOrders()
-		w.mu.Unlock()
-		if len(retained) == 0 {
-			continue
-		}
-		ended, from, err := w.cfg.AskEndedOrders(ctx, retained)
-		if err != nil {
-			w.log.V(1).Info("cannot ask for the end of retained orders", "peer", from, "error", err.Error())
-			continue
-		}
-		w.mu.Lock()
-		if w.view.endRetained(w.now(), ended) {
-			w.publish("another instance has seen the end of an order", from)
-		}
-		w.mu.Unlock()
-	}
-}
-
 // notifyWaiters wakes the waiting calls of Since. The caller holds w.mu.
 func (w *Watcher) notifyWaiters() {
 	close(w.changed)
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -17,8 +17,8 @@
 // 600 KB, and it is short against a graceful stop.
 const discardTimeout = 5 * time.Second
 
-// readBody reads the body within the rule's deadline and body limit, unless the stop turns the request away. The memory for each part is reserved before the
-// part is read; the first read of the body sends 100 Continue.
+// readBody reads the body within the rule's deadline and body limit, unless the stop turns the request away. The memory for
+// each part is reserved before the part is read; the first read of the body sends 100 Continue.
 func (g *Gateway) readBody(c *call) ([]byte, *rejection) {
 	c.memory = g.bodyMemory.open(c.callerIP())
 	readDeadline := c.arrived.Add(c.rule.Deadline)
@@ -39,7 +39,8 @@
 	} else {
 		body, err = readGrowing(nil, limited, c.rule.BodyLimit+1, c.memory)
 	}
-	if !detach() && !g.allowedDuringStop(c) {
+	detach()
+	if !g.allowedDuringStop(c) {
 		return nil, &rejectStopping
 	}
 	if err == nil {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -145,8 +145,8 @@
 	return rule.Deadline
 }
 
-// allowedDuringStop reports whether a request of which all has been read now may still be sent. A stop counts its time limit
-// from now, so that the body of a slow caller does not leave the target less time than usual.
+// allowedDuringStop reports whether a request that has been read by now may still be sent. A stop counts its time limit
+// from now, so that a slow upload does not leave the target less time than usual.
 func (g *Gateway) allowedDuringStop(c *call) bool {
 	return g.stop.allows(time.Now().Add(c.timeLimit(c.rule)))
 }
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -42,10 +42,19 @@
 	return latest == nil || !deadline.After(*latest)
 }
 
-// onBegin calls f in a goroutine with the latest deadline once the stop has begun. The returned function prevents the call;
-// it returns false if the stop has begun.
-func (s *stopState) onBegin(f func(latestDeadline time.Time)) (detach func() bool) {
-	return context.AfterFunc(s.begun, func() { f(*s.latestDeadline.Load()) })
+// onBegin calls f in a goroutine with the latest deadline once the stop has begun. The returned function, which must be
+// called once, prevents the call or waits for its end.
+func (s *stopState) onBegin(f func(latestDeadline time.Time)) (detach func()) {
+	done := make(chan struct{})
+	prevent := context.AfterFunc(s.begun, func() {
+		defer close(done)
+		f(*s.latestDeadline.Load())
+	})
+	return func() {
+		if !prevent() {
+			<-done
+		}
+	}
 }
 
 // whileAllowed returns a context for a wait on behalf of a request. It ends with ctx, and as soon as allows does not hold.
@@ -74,8 +83,8 @@
 	}
 }
 
-// stopRequested informs the reducer of the stop, and ends the attempts that still wait for a connection and must no longer
-// be sent.
+// stopRequested informs the reducer of the stop, and ends the attempts that still wait for a connection and must no
+// longer be sent.
 func (e *engine) stopRequested() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -167,8 +167,8 @@
 	Retained      uint64
 }
 
-// OrderVersions lists writes of orders to evacuate a zone. It is the request and the reply of the Peer.EndedOrders method: the
-// reply lists those of the request that have ended as far as its sender knows.
+// OrderVersions lists writes of orders to evacuate a zone. It is the request and the reply of the Peer.EndedOrders method:
+// the reply lists those of the request that have ended as far as its sender knows.
 type OrderVersions struct{ Orders []discovery.OrderVersion }
 
 // message is implemented by all requests and replies. validate checks the content of a decoded message.
