gateway: tests of the checks of a stop that no test had failed without

Cause: read of the diff. With the checks of the runtime taken out one by one, no test failed for six: the end of a wait for a connection (the test's limit was as long as the dial timeout), the check before the first byte, the wait for a new view after a pause, an upload that was read during a pause, a service that appears during the stop, and the use of the handler that drops requests of ended connections. The rule that a request matches was looked up in three places, and what may be sent was asked in two ways. An error of reading the accept queue was swallowed, and the log did not name the listener.

Change: a test each; engine.mayBeSent and call.matchIn; the error is logged, with the address. "instance stopping" names its time as remaining_ms.

The check before the first byte of a relay, which asks the same function, has no test.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -258,7 +258,7 @@
 func (i *instance) stop(end time.Time, servers ...*gateway.Server) {
 	i.stopping.Store(true)
 	i.gateway.Drain(end)
-	i.log.Info("instance stopping", "end_ms", time.Until(end).Milliseconds())
+	i.log.Info("instance stopping", "remaining_ms", time.Until(end).Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	select {
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -187,8 +187,6 @@
 	p.lastTarget = effect.Target
 	a = p.attemptTemplate
 	a.Fresh, a.ConnectContext = effect.FreshConnection, connectCtx
-	deadline := a.Deadline // of the request
-	a.IsCurrent = func() bool { return e.stop.allows(deadline) }
 	if at := e.clock.timeAt(effect.At); at.Before(a.Deadline) {
 		a.Deadline = at
 	}
@@ -198,8 +196,7 @@
 func (e *engine) startAttempt(effect core.Effect) {
 	ctx, p, state, a := e.newAttempt(effect)
 	generation := e.pauses.generation()
-	isAllowed := a.IsCurrent
-	a.IsCurrent = func() bool { return isAllowed() && e.pauses.isCurrent(generation) }
+	a.IsCurrent = func() bool { return e.mayBeSent(p) && e.pauses.isCurrent(generation) }
 	client, identity := e.clients.get(effect.Target)
 	a.TargetIdentity = identity
 	e.logAttemptSent(p, effect)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -42,7 +42,7 @@
 	server *Server
 }
 
-// newFixture starts a gateway with the test rules and the given targets.
+// newFixture starts a gateway with the test rules and the given targets. The zero value of cfg.Target means the default.
 func newFixture(t testing.TB, log logr.Logger, cfg Config, targets ...string) *fixture {
 	t.Helper()
 	doc, err := rules.Parse("test", []byte(testRules))
@@ -50,7 +50,9 @@
 	if cfg.Policy.InstanceCount == 0 {
 		cfg.Policy = core.DefaultPolicy()
 	}
-	cfg.Target = target.DefaultConfig()
+	if cfg.Target == (target.Config{}) {
+		cfg.Target = target.DefaultConfig()
+	}
 	g := New(cfg, NewMetrics(prometheus.NewRegistry()), log)
 	g.SetDocuments([]*rules.Document{doc})
 	var list discovery.InstanceList
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -102,6 +102,7 @@
 	wire.SetRelayHeaders(a.Header, wire.RelayedRequest{
 		CallerIP: p.fingerprint.callerIP, Service: e.name, Attempts: effect.MaxAttempts,
 	})
+	a.IsCurrent = func() bool { return e.mayBeSent(p) }
 	state.started = true
 	go e.runRelay(ctx, p, effect, state, a)
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -107,7 +107,7 @@
 		return
 	default:
 	}
-	rule := g.ruleTable.Load().MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
+	rule := c.matchIn(g.ruleTable.Load())
 	if rule == nil {
 		return
 	}
@@ -128,7 +128,7 @@
 		return
 	}
 	ctx := c.r.Context()
-	if rule := g.ruleTable.Load().MatchHost(c.r.Host, c.r.Method, c.r.URL.Path); rule != nil {
+	if rule := c.matchIn(g.ruleTable.Load()); rule != nil {
 		var cancel context.CancelFunc
 		ctx, cancel = g.stop.whileAllowed(ctx, c.deadline(rule))
 		defer cancel()
@@ -136,6 +136,11 @@
 	g.pauses.awaitRefresh(ctx)
 }
 
+// matchIn returns the rule of a table that the request matches, or nil.
+func (c *call) matchIn(table *rules.Table) *rules.Rule {
+	return table.MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
+}
+
 // timeLimit returns the time from the arrival of the request to its deadline: the rule's, or the caller's if it is
 // shorter.
 func (c *call) timeLimit(rule *rules.Rule) time.Duration {
@@ -172,7 +177,7 @@
 // match sets the rule and the service of a request, or returns a rejection if no rule matches.
 func (g *Gateway) match(c *call) *rejection {
 	table := g.ruleTable.Load()
-	c.rule = table.MatchHost(c.r.Host, c.r.Method, c.r.URL.Path)
+	c.rule = c.matchIn(table)
 	switch {
 	case c.rule != nil && c.relayed != nil && c.rule.RoutesTo(c.relayed.Service):
 		c.service = c.relayed.Service
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -84,17 +84,18 @@
 	return nil
 }
 
-// drainListener closes the listener once the connections that it has established are accepted.
+// drainListener closes the listener in a moment at which no connection waits to be accepted. Without the filter, connections
+// keep arriving until then.
 func (s *Server) drainListener(ctx context.Context, listener net.Listener) {
 	defer listener.Close()
+	log := s.log.V(1).WithValues("listener", listener.Addr().String())
 	socket, isSocket := listener.(syscall.Conn)
 	if isSocket {
 		if err := sockets.RefuseConnections(socket); err != nil {
-			s.log.V(1).Info("cannot refuse connections before the listener is closed", "error", err.Error())
+			log.Info("cannot refuse connections before the listener is closed", "error", err.Error())
 		}
 	}
-	wait := handshakeTime
-	for {
+	for wait := handshakeTime; ; wait = acceptPollInterval {
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -103,11 +104,13 @@
 		if !isSocket {
 			return
 		}
-		// Without the filter, connections keep arriving. The listener is closed in a moment at which none waits.
-		if waiting, err := sockets.WaitingConnections(socket); err != nil || waiting == 0 {
+		waiting, err := sockets.WaitingConnections(socket)
+		if err != nil {
+			log.Info("cannot see whether connections wait to be accepted, closing the listener", "error", err.Error())
+		}
+		if err != nil || waiting == 0 {
 			return
 		}
-		wait = acceptPollInterval
 	}
 }
 
@@ -183,7 +186,7 @@
 	// idle is set between requests. http.Server counts a request only once it has read the whole head.
 	idle     bool
 	received bool // bytes were read since idle was set
-	ended    bool // closed by a stop; nothing that is read later counts
+	ended    bool // a stop closes the connection; what is read from now on is dropped
 }
 
 func setConnState(c net.Conn, state http.ConnState) {
@@ -200,7 +203,7 @@
 	}
 }
 
-// skipEnded drops requests whose connection was ended between requests, while they were already buffered.
+// skipEnded drops a request that http.Server had read before its connection was ended. See endIfUnused.
 func skipEnded(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && c.isEnded() {
--- a/pkg/gateway/server_test.go
+++ b/pkg/gateway/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -168,7 +169,8 @@
 }
 
 // Guards against a request that runs on a target although a stop has closed its connection: it arrives between the check
-// that nothing has arrived and the close.
+// that nothing has arrived and the close, or http.Server had read it before the check; and against a stop that closes a
+// connection on which something has arrived.
 func TestRequestThatCrossesCloseIsDropped(t *testing.T) {
 	caller, accepted := net.Pipe()
 	defer caller.Close()
@@ -179,6 +181,11 @@
 	require.Zero(t, n)
 	require.ErrorIs(t, err, net.ErrClosed)
 
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	request = request.WithContext(context.WithValue(request.Context(), callerConnKey{}, c))
+	s := newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }), DefaultHeaderLimits, logr.Discard())
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { s.Handler.ServeHTTP(httptest.NewRecorder(), request) })
+
 	c = &callerConn{Conn: accepted, idle: true, received: true}
 	require.False(t, c.endIfUnused(true))
 }
@@ -191,9 +198,9 @@
 	return l.TCPListener.Accept()
 }
 
-// Guards against a stop that resets connections which wait to be accepted, where the kernel does not permit the filter that
-// refuses new ones.
-func TestShutdownWithoutFilterAcceptsWaitingConnections(t *testing.T) {
+// Guards against a stop that resets connections which wait to be accepted, because the process accepts slowly, with the filter
+// that refuses new connections and where the kernel does not permit it.
+func TestShutdownAcceptsWaitingConnections(t *testing.T) {
 	for name, permitted := range map[string]bool{"filter": true, "no filter": false} {
 		t.Run(name, func(t *testing.T) {
 			l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -12,8 +12,8 @@
 // is written to the caller.
 const stopMargin = 200 * time.Millisecond
 
-// stopState is the graceful stop of the instance. It keeps requests that have not been sent to a target from being sent
-// if they may outlast the instance. It is safe for concurrent use.
+// stopState is the graceful stop of the instance, for requests that the reducer does not know yet or has already decided
+// to send. The reducer applies the same latest deadline to its decisions. It is safe for concurrent use.
 type stopState struct {
 	begun          context.Context // ends when the stop begins
 	setBegun       context.CancelFunc
@@ -90,7 +90,7 @@
 	defer e.mu.Unlock()
 	e.apply(core.StopRequested{LatestDeadline: e.clock.offset(*e.stop.latestDeadline.Load())})
 	for _, p := range e.pending {
-		if e.stop.allows(p.attemptTemplate.Deadline) {
+		if e.mayBeSent(p) {
 			continue
 		}
 		for _, state := range p.attempts {
@@ -98,3 +98,6 @@
 		}
 	}
 }
+
+// mayBeSent reports whether the stop still allows an attempt of p to be written to a connection.
+func (e *engine) mayBeSent(p *pendingRequest) bool { return e.stop.allows(p.attemptTemplate.Deadline) }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -26,7 +27,8 @@
 	release chan struct{}
 }
 
-// newStopFixture starts a gateway with a target that begins each response at once and ends it when the test does.
+// newStopFixture starts a gateway with a target that responds at once, but begins a response to a path that ends in
+// /streamed and ends it when release is closed.
 func newStopFixture(t *testing.T, cfg Config) *stopFixture {
 	s := &stopFixture{served: make(chan string, 100), release: make(chan struct{})}
 	s.fixture = newFixture(t, logr.Discard(), cfg, newHandlerTarget(t, func(w http.ResponseWriter, r *http.Request) {
@@ -82,13 +84,6 @@
 			s.drain()
 			send(t, c, get("/r/1"))
 		},
-		"new connection": func(t *testing.T, s *stopFixture, c net.Conn) {
-			s.drain()
-			_ = c.Close()
-			next := s.dial(t)
-			send(t, next, get("/r/1"))
-			requireTurnedAway(t, next, bufio.NewReader(next))
-		},
 		"part of the head": func(t *testing.T, s *stopFixture, c net.Conn) {
 			send(t, c, get("/r/1")[:20])
 			time.Sleep(20 * time.Millisecond)
@@ -118,12 +113,18 @@
 			s := newStopFixture(t, Config{})
 			c := s.dial(t)
 			run(t, s, c)
-			if name != "new connection" {
-				requireTurnedAway(t, c, bufio.NewReader(c))
-			}
+			requireTurnedAway(t, c, bufio.NewReader(c))
 			require.Empty(t, s.served)
 		})
 	}
+	t.Run("new connection", func(t *testing.T) {
+		s := newStopFixture(t, Config{})
+		s.drain()
+		c := s.dial(t)
+		send(t, c, get("/r/1"))
+		requireTurnedAway(t, c, bufio.NewReader(c))
+		require.Empty(t, s.served)
+	})
 }
 
 // Guards against a request that follows a response whose head was sent before the stop, so that it could not close the
@@ -147,7 +148,7 @@
 }
 
 // Guards against waiting requests that a stop sends late, or refuses late: for free slots, for a connection to the target,
-// and for the first contact with another instance.
+// for the first contact with another instance, and for a new view after a pause.
 func TestStopTurnsWaitingRequestsAway(t *testing.T) {
 	for name, start := range map[string]func(t *testing.T) *fixture{
 		"queue": func(t *testing.T) *fixture {
@@ -161,11 +162,14 @@
 			return s.fixture
 		},
 		"connection": func(t *testing.T) *fixture {
-			l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			t.Cleanup(func() { l.Close() })
-			require.NoError(t, sockets.RefuseConnections(l.(syscall.Conn)))
-			return newFixture(t, logr.Discard(), Config{}, l.Addr().String())
+			f, _ := newUnconnectedFixture(t)
+			return f
+		},
+		"view of before a pause": func(t *testing.T) *fixture {
+			s := newStopFixture(t, Config{})
+			s.pauses.recordHeartbeat(false)
+			s.pauses.simulatePause(2 * pauseThreshold)
+			return s.fixture
 		},
 		"first contact": func(t *testing.T) *fixture { return newStopFixture(t, Config{HoldUntilSynced: true}).fixture },
 	} {
@@ -182,6 +186,62 @@
 	}
 }
 
+// Guards against an upload that a stop holds until the view is new, because the process was paused while the body was read.
+func TestStopTurnsAwayUploadReadDuringPause(t *testing.T) {
+	s := newStopFixture(t, Config{})
+	s.pauses.recordHeartbeat(false)
+	c := s.dial(t)
+	send(t, c, "POST /b/1 HTTP/1.1\r\nHost: registry\r\nContent-Length: 4\r\n\r\nab")
+	s.awaitActive(t)
+	time.Sleep(20 * time.Millisecond)
+	s.pauses.simulatePause(2 * pauseThreshold)
+	send(t, c, "cd")
+	time.Sleep(20 * time.Millisecond)
+	s.drain()
+	requireTurnedAway(t, c, bufio.NewReader(c))
+	require.Empty(t, s.served)
+}
+
+// newUnconnectedFixture starts a gateway that waits for a connection to its target for as long as no test ends this wait. It
+// returns the listener of the target, which drops the first packet of each connection.
+func newUnconnectedFixture(t *testing.T) (*fixture, net.Listener) {
+	l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	require.NoError(t, sockets.RefuseConnections(l.(syscall.Conn)))
+	cfg := target.DefaultConfig()
+	cfg.DialTimeout = time.Minute
+	return newFixture(t, logr.Discard(), Config{Target: cfg}, l.Addr().String()), l
+}
+
+// Guards against a request that is written to a target although the stop has begun since it was decided to send it, before
+// the reducer knows of the stop.
+func TestStopIsCheckedBeforeFirstByte(t *testing.T) {
+	f, l := newUnconnectedFixture(t)
+	s := &stopFixture{fixture: f}
+	c := s.dial(t)
+	send(t, c, get("/r/1"))
+	s.awaitActive(t)
+	time.Sleep(20 * time.Millisecond)
+	s.stop.begin(time.Now().Add(5 * time.Second))
+	require.NoError(t, sockets.AcceptConnections(l.(syscall.Conn)))
+	accepted, err := l.Accept() // the kernel repeats the dropped packet after a second
+	require.NoError(t, err)
+	defer accepted.Close()
+	_ = accepted.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	n, _ := accepted.Read(make([]byte, 1)) // fails when the gateway closes the connection
+	require.Zero(t, n)
+}
+
+// Guards against a service that appears during the stop and does not know of it.
+func TestStopReachesLaterServices(t *testing.T) {
+	s := newStopFixture(t, Config{})
+	s.drain()
+	a := target.Attempt{Deadline: time.Now().Add(10 * time.Second)}
+	p := s.engine("later").submit(core.RequestArrived{}, a, &fingerprinter{}, nil)
+	require.Equal(t, core.ReasonStopping, (<-p.decisionCh).refusal.Reason)
+}
+
 // Guards against a request that a stopping instance sends a second time after its first attempt has failed.
 func TestStopSendsNoRetry(t *testing.T) {
 	arrived, release := make(chan string, 10), make(chan struct{})
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -96,10 +96,8 @@
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, remaining/2)
 	defer cancel()
-	withdrawn := func() bool { return false }
 	if a.ConnectContext != nil {
 		defer context.AfterFunc(a.ConnectContext, cancel)()
-		withdrawn = func() bool { return a.ConnectContext.Err() != nil }
 	}
 	conn, err := c.pool.lease(connectCtx, a.Fresh, a.RequestID)
 	switch {
@@ -107,7 +105,7 @@
 		return conn, nil
 	case ctx.Err() != nil:
 		return nil, notSentError(ReasonCancelled, false, err)
-	case withdrawn():
+	case a.ConnectContext != nil && a.ConnectContext.Err() != nil:
 		return nil, notSentError(ReasonOutdated, false, errOutdated)
 	case errors.Is(err, errNoConnection):
 		return nil, notSentError(ReasonNoConnection, false, err)
