--- a/pkg/core/budget_test.go
+++ b/pkg/core/budget_test.go
@@ -180,3 +180,28 @@
 	}
 	require.Empty(t, rt.retries)
 }
+
+// checkBudgets compares the retries and hedges just decided with the requests in the exact window.
+func (rt *testRuntime) checkBudgets() {
+	p := rt.s.policy
+	if n := len(rt.retries); n > 0 && rt.retries[n-1] == rt.now {
+		if got := countInWindow(rt.retries, rt.now); float64(got) > float64(p.RetryFloor)+p.RetryRatio*rt.requestsInWindow() {
+			rt.Fatalf("%d retries for %v requests in the window exceed the retry budget", got, rt.requestsInWindow())
+		}
+	}
+	if n := len(rt.hedges); n > 0 && rt.hedges[n-1] == rt.now {
+		if got := countInWindow(rt.hedges, rt.now); float64(got) > float64(p.HedgeFloor)+p.HedgeRatio*rt.requestsInWindow() {
+			rt.Fatalf("%d hedges for %v requests in the window exceed the hedge budget", got, rt.requestsInWindow())
+		}
+	}
+}
+
+func (rt *testRuntime) requestsInWindow() float64 { return float64(countInWindow(rt.arrivals, rt.now)) }
+
+func countInWindow(times []Instant, now Instant) int {
+	n := 0
+	for n < len(times) && now-times[len(times)-1-n] < BudgetWindow {
+		n++
+	}
+	return n
+}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -251,11 +251,6 @@
 	rt.inFlight = append(rt.inFlight, &sentAttempt{id: e.Attempt, request: r, target: e.Target, start: rt.knownStarts[e.Target], sentAt: rt.now})
 }
 
-// mayOutlastStop reports whether a stopping instance may end before the deadline of r, so that it must not be sent.
-func (rt *testRuntime) mayOutlastStop(r *submittedRequest) bool {
-	return r.deadline > rt.latestDeadline
-}
-
 // checkRelay checks that a request may be relayed to another instance.
 func (rt *testRuntime) checkRelay(e Effect) {
 	r := rt.submitted(e.Request)
@@ -296,31 +291,6 @@
 	}
 }
 
-// checkBudgets compares the retries and hedges just decided with the requests in the exact window.
-func (rt *testRuntime) checkBudgets() {
-	p := rt.s.policy
-	if n := len(rt.retries); n > 0 && rt.retries[n-1] == rt.now {
-		if got := countInWindow(rt.retries, rt.now); float64(got) > float64(p.RetryFloor)+p.RetryRatio*rt.requestsInWindow() {
-			rt.Fatalf("%d retries for %v requests in the window exceed the retry budget", got, rt.requestsInWindow())
-		}
-	}
-	if n := len(rt.hedges); n > 0 && rt.hedges[n-1] == rt.now {
-		if got := countInWindow(rt.hedges, rt.now); float64(got) > float64(p.HedgeFloor)+p.HedgeRatio*rt.requestsInWindow() {
-			rt.Fatalf("%d hedges for %v requests in the window exceed the hedge budget", got, rt.requestsInWindow())
-		}
-	}
-}
-
-func (rt *testRuntime) requestsInWindow() float64 { return float64(countInWindow(rt.arrivals, rt.now)) }
-
-func countInWindow(times []Instant, now Instant) int {
-	n := 0
-	for n < len(times) && now-times[len(times)-1-n] < BudgetWindow {
-		n++
-	}
-	return n
-}
-
 func (rt *testRuntime) checkState() {
 	onTargets := 0
 	for _, a := range rt.inFlight {
--- a/pkg/core/stop_test.go
+++ b/pkg/core/stop_test.go
@@ -26,3 +26,8 @@
 	require.Equal(t, ReasonStopping, rt.refusal().Reason)
 	require.True(t, rt.refusal().NotRun)
 }
+
+// mayOutlastStop reports whether a stopping instance may end before the deadline of r, so that it must not be sent.
+func (rt *testRuntime) mayOutlastStop(r *submittedRequest) bool {
+	return r.deadline > rt.latestDeadline
+}
--- a/pkg/discovery/retained_orders.go
+++ b/pkg/discovery/retained_orders.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// This file settles retained orders: those that a restore of the source has lost, so that the source cannot tell whether they
-// had ended before. Other instances may have seen their end.
+// This file ends retained orders. A restore of the source has lost them, so that the source cannot tell whether they had
+// ended before; another instance may have seen their end.
 
 // EndedOrders returns those of the given orders to evacuate a zone that have ended as far as this instance knows.
 func (w *Watcher) EndedOrders(orders []OrderVersion) []OrderVersion {
@@ -20,8 +20,7 @@
 // settleInterval is the interval at which an instance with retained orders asks another one whether they have ended.
 const settleInterval = 500 * time.Millisecond
 
-// settleOrders ends retained orders that have ended as far as another instance knows, until ctx ends. The source cannot tell:
-// it has lost the order, and may have lost its removal.
+// settleOrders ends the retained orders whose end another instance has seen, until ctx ends.
 func (w *Watcher) settleOrders(ctx context.Context) {
 	for sleep(ctx, settleInterval) {
 		w.mu.Lock()
@@ -32,7 +31,7 @@
 		}
 		ended, from, err := w.cfg.AskEndedOrders(ctx, retained)
 		if err != nil {
-			w.log.V(1).Info("cannot ask for the end of retained orders", "peer", from, "error", err.Error())
+			w.log.V(1).Info("cannot ask whether retained orders have ended", "peer", from, "orders", len(retained), "error", err.Error())
 			continue
 		}
 		w.mu.Lock()
@@ -43,8 +42,7 @@
 	}
 }
 
-// retainedOrders returns the retained orders, sorted by key. Their keys may have been removed before the restore without this
-// view having seen it.
+// retainedOrders returns the retained orders, sorted by key.
 func (v *View) retainedOrders() []OrderVersion {
 	var list []OrderVersion
 	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
@@ -64,8 +62,8 @@
 	})
 }
 
-// endRetained ends those of the given orders that are retained, and reports whether there were any. Instances that follow this
-// one end theirs by themselves.
+// endRetained ends those of the given orders that are retained, and reports whether there were any. It is no change for
+// instances that follow this one: they ask by themselves.
 func (v *View) endRetained(now time.Duration, ended []OrderVersion) (changed bool) {
 	for _, o := range ended {
 		if e := v.entries[o.Key]; e.isOrder() && e.Retained != 0 && e.orderVersion() == o {
