--- a/review/harness-2/lab.go
+++ b/review/harness-2/lab.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -55,14 +56,17 @@
 	return fmt.Sprintf("127.%d.%d.%d", l.network, 1+l.lastHost/200, 1+l.lastHost%200)
 }
 
-// freePort returns ip with a port that nothing listens on.
+// freePort returns ip with a port that nothing listens on. The port is outside the range from which the kernel takes the
+// ports of outgoing connections.
 func freePort(ip string) string {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("%s:%d", ip, 10_000+rand.IntN(20_000))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // instance is a process of the program under test.
