--- a/review/harness-2/lab.go
+++ b/review/harness-2/lab.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,9 +83,15 @@
 func (l *lab) newInstances(zones ...string) {
 	for n, zone := range zones {
 		ip := l.newIP()
+		var ports []string // distinct
+		for len(ports) < 4 {
+			if port := freePort(ip); !slices.Contains(ports, port) {
+				ports = append(ports, port)
+			}
+		}
 		l.instances = append(l.instances, &instance{
 			name: fmt.Sprintf("front-%s-%d", zone, n+1), zone: zone, ip: ip,
-			front: freePort(ip), ready: freePort(ip), control: freePort(ip), admin: freePort(ip),
+			front: ports[0], ready: ports[1], control: ports[2], admin: ports[3],
 		})
 	}
 }
