clients: tests of clients that do not behave, which fail

What callers saw: an instance of 284 MB ended beside clients that send heads in short lines; beside silent clients hardly an ordinary caller was answered.

Each test starts an instance as a process of 184 MiB or 256 descriptors, opens a crowd on one listener and checks that the process lives, stays within its memory and three quarters of its descriptors, answers an ordinary request and lets another instance connect. The bounds are the memory of the smallest machine and a quarter of the descriptors for targets, peers and store. Further tests check the operator's limits on the size of heads and on the time of a client.

The crowds run after the other tests and alone (make clients), because they measure memory and descriptors.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Make targets for developers and CI. "make test" is what CI runs.
 GO ?= go
 
-.PHONY: build test lint unit models known-red demo measure bench capacity soak fuzz
+.PHONY: build test lint unit clients models known-red demo measure bench capacity soak fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: lint known-red unit models
+test: lint known-red unit clients models
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
@@ -17,7 +17,11 @@
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && grep -oE '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt | sed 's,/,$$/^,g; s,.*,^&$$,' | paste -sd '|')
 
 unit:
-	$(GO) test -race -count=1 -timeout 6m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	$(GO) test -race -count=1 -timeout 6m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $$($(GO) list ./... | grep -v /platform/clients)
+
+# Runs the crowds of clients that do not behave. They measure memory and descriptors, and therefore run alone.
+clients:
+	$(GO) test -count=1 -timeout 10m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform/clients
 
 # Checks the models, if there are any. Installs the model checker spin first if spin is missing.
 models:
--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -40,6 +40,8 @@
 	cmd    *exec.Cmd
 	done   chan struct{}
 	output syncBuffer
+	// unreadOutput is the end of the pipe for the output that is not read; nil if the output is collected.
+	unreadOutput *os.File
 }
 
 // syncBuffer is a bytes.Buffer that is safe for concurrent use.
@@ -70,15 +72,44 @@
 
 // Start starts a program of the binary directory. The kernel kills the process when this process dies.
 func (c *Cluster) Start(program string, args ...string) (*Process, error) {
-	p := &Process{cmd: exec.Command(filepath.Join(c.binaryDir, program), args...), done: make(chan struct{})}
+	return c.StartWith(StartOptions{}, program, args...)
+}
+
+// StartOptions are conditions under which a process runs.
+type StartOptions struct {
+	// Descriptors is the limit on open files of the process; 0 leaves it as it is.
+	Descriptors int
+	// OutputStalls connects the output of the process to a pipe that is not read.
+	OutputStalls bool
+}
+
+// StartWith is Start under the given conditions.
+func (c *Cluster) StartWith(o StartOptions, program string, args ...string) (*Process, error) {
+	command := append([]string{filepath.Join(c.binaryDir, program)}, args...)
+	if o.Descriptors > 0 {
+		command = append([]string{"sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(o.Descriptors)}, command...)
+	}
+	p := &Process{cmd: exec.Command(command[0], command[1:]...), done: make(chan struct{})}
 	p.cmd.Stdout = &p.output
 	p.cmd.Stderr = &p.output
+	if o.OutputStalls {
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			return nil, eris.Wrap(err, "make pipe")
+		}
+		defer writer.Close()
+		p.unreadOutput = reader
+		p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start %s", program)
 	}
 	go func() {
 		_ = p.cmd.Wait()
+		if p.unreadOutput != nil {
+			_ = p.unreadOutput.Close()
+		}
 		close(p.done)
 	}()
 	c.mu.Lock()
@@ -125,6 +156,9 @@
 	return list
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
