logging: bound the bytes of lines that wait for a slow reader

What callers saw: nothing, until the instance ended. 40 callers that send request IDs of 60 KB of bytes that are no UTF-8, while nobody reads the log, took an instance of 184 MiB to 601 MiB.

Cause: the queue was bounded by lines only, 1,024 of them, and a text in a line is as long as a caller wants; as JSON it takes up to six times its size.

Change: texts and errors in lines are cut at 4 KiB, and the lines that wait are bounded to 2 MiB together. Lines beyond are dropped and counted, as before.

TestQueuedBytesAreBounded guards the queue.

--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// maxQueuedLines bounds the lines that wait for a slow reader of the log.
+	// maxQueuedLines and maxQueuedBytes bound the lines that wait for a slow reader of the log.
 	maxQueuedLines = 1024
+	maxQueuedBytes = 2 << 20
+	// maxValueBytes bounds a text in a line. Some come from callers, and take up to six times their size as JSON.
+	maxValueBytes = 4 << 10
 	// dropReportInterval is the shortest time between two lines that report dropped lines.
 	dropReportInterval = time.Second
 )
@@ -25,6 +28,7 @@
 	out       io.Writer
 	limiter   *rate.Limiter
 	lines     chan []byte
+	queued    atomic.Int64 // bytes in lines
 	dropped   atomic.Int64
 	stop      chan struct{} // closed by Close
 	done      chan struct{} // closed once the queue has been written after Close
@@ -51,11 +55,16 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -99,6 +108,7 @@
 		if line == nil {
 			return
 		}
+		w.queued.Add(-int64(len(line)))
 		_, _ = w.out.Write(line) // a write error of the log itself cannot be reported anywhere
 		dropped := w.dropped.Load()
 		if dropped > reported && time.Since(reportedAt) >= dropReportInterval {
@@ -108,19 +118,33 @@
 	}
 }
 
-// renameDebugLevel writes logr's verbosities above 0 as DEBUG. slog would write V(1) relative to its own levels, as
-// DEBUG+3.
-func renameDebugLevel(groups []string, a slog.Attr) slog.Attr {
+// rewriteAttr writes logr's verbosities above 0 as DEBUG, and cuts long texts. slog would write V(1) relative to its own
+// levels, as DEBUG+3.
+func rewriteAttr(groups []string, a slog.Attr) slog.Attr {
+	switch value := a.Value.Any().(type) {
+	case string:
+		a.Value = slog.StringValue(cut(value))
+	case error:
+		a.Value = slog.StringValue(cut(value.Error()))
+	}
 	if level, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && len(groups) == 0 && level < slog.LevelInfo {
 		a.Value = slog.StringValue(slog.LevelDebug.String())
 	}
 	return a
 }
 
+// cut returns the first maxValueBytes of a text, with a mark if there are more.
+func cut(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	return text[:maxValueBytes] + "..."
+}
+
 // New returns a logger that writes messages up to the given logr verbosity to w as JSON lines. It also installs the
 // same handler as the default of slog, through which net/http logs.
 func New(w io.Writer, verbosity int) logr.Logger {
-	options := &slog.HandlerOptions{Level: slog.Level(-verbosity), ReplaceAttr: renameDebugLevel} // logr's V(n) is slog's level -n
+	options := &slog.HandlerOptions{Level: slog.Level(-verbosity), ReplaceAttr: rewriteAttr} // logr's V(n) is slog's level -n
 	handler := slog.NewJSONHandler(w, options)
 	slog.SetDefault(slog.New(handler))
 	return logr.FromSlogHandler(handler)
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -84,3 +85,25 @@
 	}
 	require.Equal(t, []string{"INFO first", "DEBUG second"}, levels)
 }
+
+// Guards against lines that take as much memory as callers want: their texts are cut, and the lines that wait for a slow
+// reader are bounded in bytes.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	w := NewWriter(out, 0)
+	log := New(w, 0)
+	long := strings.Repeat("\xff", 10*maxValueBytes)
+	for range maxQueuedLines {
+		log.Info("line", "id", long)
+		log.Error(errors.New(long), "line")
+		require.LessOrEqual(t, w.queued.Load(), int64(maxQueuedBytes))
+	}
+	require.Positive(t, w.Dropped())
+	close(out.release)
+	w.Close(10 * time.Second)
+	require.Zero(t, w.queued.Load())
+	for line := range strings.Lines(out.buf.String()) {
+		require.LessOrEqual(t, len(line), 7*maxValueBytes)
+		require.True(t, json.Valid([]byte(line)))
+	}
+}
