target: remember refused requests by a hash of their ID

What callers saw: nothing. Found while reading for what callers can make an instance hold.

Cause: a connection to a target keeps the IDs of up to 64 requests that the target has refused, and the platform's IDs are as long as a request head: up to 4 MB for each connection.

Change: it keeps a hash of 8 bytes of each.

Result: tests of pkg/target pass. The bytes were calculated, not measured.

--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,6 +44,13 @@
 // maxRefusedIDs bounds conn.refusedIDs. A connection that reaches it is closed.
 const maxRefusedIDs = 64
 
+// requestKey is the hash of a request ID, which itself can be as long as a request head.
+type requestKey uint64
+
+var requestKeySeed = maphash.MakeSeed()
+
+func newRequestKey(id string) requestKey { return requestKey(maphash.String(requestKeySeed, id)) }
+
 // lease returns an idle connection or dials a new one. If fresh is set, it reuses only an idle connection that received
 // a byte within Config.FreshWithin. It reuses none on which the target has refused the request with the given ID.
 func (p *pool) lease(ctx context.Context, fresh bool, requestID string) (*conn, error) {
@@ -114,6 +122,7 @@
 // it is not fresh enough, it reserves a new connection and returns nil. At the limit of open connections it then also
 // removes the least recently used idle one, which the caller must close.
 func (p *pool) takeIdleOrReserve(fresh bool, requestID string) (leased, evicted *conn, err error) {
+	key := newRequestKey(requestID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -121,7 +130,7 @@
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if slices.Contains(c.refusedIDs, requestID) {
+		if slices.Contains(c.refusedIDs, key) {
 			continue
 		}
 		if fresh && time.Since(c.lastReadTime()) > p.cfg.FreshWithin {
@@ -194,7 +203,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.refusedIDs = append(c.refusedIDs, requestID)
+	c.refusedIDs = append(c.refusedIDs, newRequestKey(requestID))
 	return len(c.refusedIDs) < maxRefusedIDs
 }
 
