httpserver: bound what clients make an instance hold, over all connections together

What callers saw: an instance of 284 MB ended beside clients with heads in short lines, and beside silent clients hardly an ordinary caller was answered.

Cause: size and time of a head were bounded for each connection and nothing over all of them. net/http parses the lines of a head as they arrive, and a line of six bytes takes two hundred. Connections were bounded by the descriptors of the process only. The administration API and the readiness checks had no idle timeout.

Change: the server of callers moves from pkg/gateway to pkg/httpserver and serves every HTTP listener of an instance. It passes a head to net/http once it is complete and once its parsed size is reserved, in the budget that bodies use (pkg/bodymemory becomes pkg/callermemory). Each connection has an allowance that ordinary heads do not exceed. At the bound on connections a new one replaces the one that has waited for its client for the longest time. Half of the descriptors and three quarters of the memory are kept for the rest; accepted connections have receive buffers of 32 KiB.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -21,6 +21,7 @@
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/logging"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
@@ -45,7 +46,7 @@
 		func() settings.Settings { return s },
 		func() Adapter { return adapter },
 		func() logr.Logger { return logging.New(logWriter, s.Log.Verbosity) },
-		newRegistry, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
+		newRegistry, newClientCapacity, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
 		newConfigStore, newNode, newPlatformReader, newControlPlane, newInstance,
 	}
 	for _, constructor := range constructors {
@@ -78,19 +79,18 @@
 	return reg, reg
 }
 
-func newGatewayConfig(s settings.Settings, a Adapter) gateway.Config {
+func newGatewayConfig(s settings.Settings, a Adapter, c clientCapacity) gateway.Config {
 	return gateway.Config{
-		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect, HeaderLimits: headerLimits(s),
-		PeerAddress: s.PeerListen, BodyMemory: s.BodyMemory(),
+		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect,
+		Limits: httpserver.Limits{
+			HeadBytes: int(s.Limits.Header), HeadTimeout: s.Limits.HeaderTimeout.Std(), IdleTimeout: s.Limits.IdleTimeout.Std(),
+		},
+		CallerConnections: c.callers, RelayConnections: c.relays,
+		PeerAddress: s.PeerListen, BodyMemory: c.memory, BodyAllowance: bodyAllowance,
 		HoldUntilSynced: s.Adapter == "", // the project's own platform may be behind the other instances
 	}
 }
 
-// headerLimits returns the limits on request heads, which hold for callers and for the administration API.
-func headerLimits(s settings.Settings) gateway.HeaderLimits {
-	return gateway.HeaderLimits{Timeout: s.Limits.HeaderTimeout.Std(), MaxBytes: int(s.Limits.Header)}
-}
-
 // instance is a running instance. It implements admin.Source.
 type instance struct {
 	settings     settings.Settings
@@ -99,14 +99,16 @@
 	gateway      *gateway.Gateway
 	configStore  *discovery.ConfigStore
 	controlPlane *controlPlane
+	capacity     clientCapacity
 	stopping     atomic.Bool
 }
 
 func newInstance(
 	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, configStore *discovery.ConfigStore, c *controlPlane,
+	capacity clientCapacity,
 ) *instance {
 	reg.MustRegister(g.NewUnusableCollector(), g.NewBudgetCollector())
-	return &instance{settings: s, log: log, registry: reg, gateway: g, configStore: configStore, controlPlane: c}
+	return &instance{settings: s, log: log, registry: reg, gateway: g, configStore: configStore, controlPlane: c, capacity: capacity}
 }
 
 // Ready implements admin.Source.
@@ -186,7 +188,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	adminListener, err := net.Listen("tcp", i.settings.AdminListen)
+	adminListener, err := sockets.ListenConfig().Listen(ctx, "tcp", i.settings.AdminListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
@@ -194,24 +196,23 @@
 	if err != nil {
 		return err
 	}
-	readyListener, err := i.listenReady()
+	readyListener, err := i.listenReady(ctx)
 	if err != nil {
 		return err
 	}
 	callerServer := i.gateway.NewServer()
-	adminServer := &http.Server{Handler: admin.NewHandler(i, i.registry)}
-	headerLimits(i.settings).Apply(adminServer)
+	adminServer := i.newLocalServer("admin", admin.NewHandler(i, i.registry))
 	backgroundCtx, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
 
 	var group errgroup.Group
 	group.Go(func() error { return serve(callerServer, callerListener) })
 	group.Go(func() error { return serve(adminServer, adminListener) })
-	readyServer := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: readyHeaderTimeout}
+	readyServer := i.newLocalServer("ready", http.HandlerFunc(i.serveReady))
 	if readyListener != nil {
 		group.Go(func() error { return serve(readyServer, readyListener) })
 	}
-	servers := []*gateway.Server{callerServer}
+	servers := []*httpserver.Server{callerServer}
 	if peerListener != nil {
 		relayServer := i.gateway.NewRelayServer()
 		relayListener := i.controlPlane.node.RelayListener(peerListener.Addr())
@@ -230,15 +231,12 @@
 	return group.Wait()
 }
 
-// readyHeaderTimeout bounds the time in which a readiness check must send its request head.
-const readyHeaderTimeout = 5 * time.Second
-
 // listenReady opens the listener for readiness checks. It returns nil if the settings have no ready_listen.
-func (i *instance) listenReady() (net.Listener, error) {
+func (i *instance) listenReady(ctx context.Context) (net.Listener, error) {
 	if i.settings.ReadyListen == "" {
 		return nil, nil
 	}
-	l, err := net.Listen("tcp", i.settings.ReadyListen)
+	l, err := sockets.ListenConfig().Listen(ctx, "tcp", i.settings.ReadyListen)
 	return l, eris.Wrap(err, "listen for readiness checks")
 }
 
@@ -255,7 +253,7 @@
 // readiness check, and each response closes its caller's keep-alive connection. Idle connections stay open until the end
 // of the period, because closing one could abort a request that the caller has already sent. Requests that are still
 // active at the end, which were sent to targets before the stop, are aborted and counted.
-func (i *instance) stop(end time.Time, servers ...*gateway.Server) {
+func (i *instance) stop(end time.Time, servers ...*httpserver.Server) {
 	i.stopping.Store(true)
 	i.gateway.Drain(end)
 	i.log.Info("instance stopping", "remaining_ms", time.Until(end).Milliseconds())
@@ -280,11 +278,8 @@
 	i.log.Info("instance stopped")
 }
 
-// httpServer is implemented by http.Server and gateway.Server.
-type httpServer interface{ Serve(net.Listener) error }
-
 // serve runs s on l. It returns nil after s was closed or shut down.
-func serve(s httpServer, l net.Listener) error {
+func serve(s *httpserver.Server, l net.Listener) error {
 	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
 		return eris.Wrapf(err, "serve %s", l.Addr())
 	}
--- a/pkg/bodymemory/budget.go
+++ b/pkg/callermemory/budget.go
@@ -1,6 +1,6 @@
-// Package bodymemory bounds the bytes of request and response bodies that an instance holds. It has no clock and no I/O:
-// the time is an argument, as an offset from the start of the process. Nothing waits for memory.
-package bodymemory
+// Package callermemory bounds the bytes of heads and bodies that an instance holds for its callers. It has no clock and no
+// I/O: the time is an argument, as an offset from the start of the process. Nothing waits for memory.
+package callermemory
 
 import (
 	"math"
--- a/pkg/bodymemory/budget_test.go
+++ b/pkg/callermemory/budget_test.go
@@ -1,4 +1,4 @@
-package bodymemory
+package callermemory
 
 import (
 	"testing"
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -20,7 +21,9 @@
 // readBody reads the body within the rule's deadline and body limit, unless the stop turns the request away. The memory for
 // each part is reserved before the part is read; the first read of the body sends 100 Continue.
 func (g *Gateway) readBody(c *call) ([]byte, *rejection) {
-	c.memory = g.bodyMemory.open(c.callerIP())
+	c.memory = g.bodyMemory.openRequest(c.callerIP())
+	conn := httpserver.FromContext(c.r.Context())
+	received := conn.AwaitBody()
 	readDeadline := c.arrived.Add(c.rule.Deadline)
 	_ = c.control.SetReadDeadline(readDeadline)
 	detach := g.stop.onBegin(func(latest time.Time) {
@@ -39,7 +42,14 @@
 	} else {
 		body, err = readGrowing(nil, limited, c.rule.BodyLimit+1, c.memory)
 	}
+	if err == nil && len(c.r.Trailer) > 0 {
+		err = c.memory.grow(httpserver.HeaderParsedBytes(c.r.Trailer))
+	}
 	detach()
+	received()
+	if conn.Evicted() {
+		return nil, &rejectConnectionLimit
+	}
 	if !g.allowedDuringStop(c) {
 		return nil, &rejectStopping
 	}
@@ -104,6 +114,7 @@
 	if c.control.Flush() != nil {
 		return
 	}
+	httpserver.FromContext(c.r.Context()).DiscardBody()
 	_ = c.control.SetReadDeadline(time.Now().Add(discardTimeout))
 	_, _ = io.CopyN(io.Discard, c.r.Body, rules.MaxBodyBytes)
 }
--- a/pkg/gateway/bodymemory.go
+++ b/pkg/gateway/bodymemory.go
@@ -4,7 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/bodymemory"
+	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 )
 
 // errNoMemory is returned if there is no memory for a body.
@@ -12,13 +12,21 @@
 
 // bodyMemory hands out the memory for request bodies and buffered response bodies. It is safe for concurrent use.
 type bodyMemory struct {
-	clock  clock
-	budget *bodymemory.Budget
-	held   prometheus.Gauge
+	clock     clock
+	budget    *callermemory.Budget
+	allowance int64 // bytes of each request body that are not counted
+	held      prometheus.Gauge
 }
 
-func newBodyMemory(ck clock, bytes int64, m *Metrics) *bodyMemory {
-	return &bodyMemory{clock: ck, budget: bodymemory.New(bytes), held: m.bodyBytes}
+func newBodyMemory(ck clock, bytes, allowance int64, m *Metrics) *bodyMemory {
+	return &bodyMemory{clock: ck, budget: callermemory.New(bytes), allowance: allowance, held: m.bodyBytes}
+}
+
+// openRequest is open for a request body.
+func (m *bodyMemory) openRequest(caller string) *heldMemory {
+	h := m.open(caller)
+	h.allowance = m.allowance
+	return h
 }
 
 // open returns a reservation of no bytes for a caller, with one holder.
@@ -32,12 +40,14 @@
 type heldMemory struct {
 	memory      *bodyMemory
 	caller      string
-	reservation *bodymemory.Reservation
+	reservation *callermemory.Reservation
 	granted     bool // bytes have been reserved
+	// allowance is the number of further bytes that need no reservation.
+	allowance int64
 	// lack says what was refused last. It belongs to the goroutine that grows the reservation.
 	lack struct {
 		bytes  int64
-		reason bodymemory.Reason
+		reason callermemory.Reason
 	}
 }
 
@@ -46,12 +56,14 @@
 	if h == nil {
 		return nil
 	}
-	if reason := h.reservation.Grow(n); reason != bodymemory.Granted {
-		h.lack.bytes, h.lack.reason = n, reason
+	counted := max(n-h.allowance, 0)
+	if reason := h.reservation.Grow(counted); reason != callermemory.Granted {
+		h.lack.bytes, h.lack.reason = counted, reason
 		return errNoMemory
 	}
 	h.granted = true
-	h.memory.held.Add(float64(n))
+	h.allowance -= n - counted
+	h.memory.held.Add(float64(counted))
 	return nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -6,7 +6,6 @@
 package gateway
 
 import (
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
@@ -34,34 +34,22 @@
 	Dialect wire.Dialect
 	// WriteTimeout bounds each write to a caller; zero means DefaultWriteTimeout.
 	WriteTimeout time.Duration
-	// HeaderLimits bounds the headers of requests; zero means DefaultHeaderLimits.
-	HeaderLimits HeaderLimits
+	// Limits bounds what a caller can send, unless a document sets its own limits; zero means httpserver.DefaultLimits.
+	Limits httpserver.Limits
+	// CallerConnections and RelayConnections bound the open connections of callers, and of other instances that relay
+	// requests; zero means no bound.
+	CallerConnections, RelayConnections int
 	// PeerAddress is the address at which other instances know this one, "ip:port". Connections to them come from its IP.
 	PeerAddress string
-	// BodyMemory bounds the bytes of request bodies and buffered responses that are held at a time; zero means no bound.
-	BodyMemory int64
+	// BodyMemory bounds the bytes of request heads, request bodies and buffered responses that are held at a time; zero
+	// means no bound. BodyAllowance bytes of each request body are not counted, so that callers with large bodies cannot
+	// keep the memory from others.
+	BodyMemory, BodyAllowance int64
 	// HoldUntilSynced makes requests wait until MarkSynced, or until their deadlines. Without it, an instance that has
 	// just started may send requests to targets of which only the other instances know that they are leaving.
 	HoldUntilSynced bool
 }
 
-// HeaderLimits bounds the request line and headers of requests to a server.
-type HeaderLimits struct {
-	// Timeout bounds the time in which a caller sends them.
-	Timeout time.Duration
-	// MaxBytes bounds their size; net/http answers a larger request with status 431.
-	MaxBytes int
-}
-
-// DefaultHeaderLimits has a timeout that is long enough for a slow caller on a congested network, and a size that is
-// large enough for the cookies and tokens that common gateways accept.
-var DefaultHeaderLimits = HeaderLimits{Timeout: 10 * time.Second, MaxBytes: 64 << 10}
-
-// Apply sets the limits on s.
-func (l HeaderLimits) Apply(s *http.Server) {
-	s.ReadHeaderTimeout, s.MaxHeaderBytes = l.Timeout, l.MaxBytes
-}
-
 // DefaultWriteTimeout is long enough for a congested network, and short enough to free the slot of a target whose
 // response is not read.
 const DefaultWriteTimeout = 10 * time.Second
@@ -81,6 +69,7 @@
 	splits         splitSequences
 	stop           *stopState
 	activeRequests atomic.Int64 // requests from callers in progress
+	servers        servers
 
 	synced     chan struct{} // closed by MarkSynced
 	syncedOnce sync.Once
@@ -102,8 +91,8 @@
 		cfg.Dialect = wire.Native{}
 	}
 	cfg.Target.Dialect = cfg.Dialect
-	if cfg.HeaderLimits == (HeaderLimits{}) {
-		cfg.HeaderLimits = DefaultHeaderLimits
+	if cfg.Limits == (httpserver.Limits{}) {
+		cfg.Limits = httpserver.DefaultLimits
 	}
 	if cfg.WriteTimeout == 0 {
 		cfg.WriteTimeout = DefaultWriteTimeout
@@ -114,7 +103,8 @@
 		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), stop: newStopState(), synced: make(chan struct{}),
 	}
 	g.relays = newRelays(ck, cfg)
-	g.bodyMemory = newBodyMemory(ck, cfg.BodyMemory, m)
+	g.bodyMemory = newBodyMemory(ck, cfg.BodyMemory, cfg.BodyAllowance, m)
+	g.servers.limits = cfg.Limits
 	g.quarantine = newQuarantine(ck, m, log, g.refuseQuarantined)
 	if !cfg.HoldUntilSynced {
 		g.MarkSynced()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
@@ -39,7 +40,7 @@
 type fixture struct {
 	*Gateway
 	addr   string
-	server *Server
+	server *httpserver.Server
 }
 
 // newFixture starts a gateway with the test rules and the given targets. The zero value of cfg.Target means the default.
@@ -458,3 +459,13 @@
 		}
 	})
 }
+
+// Guards against a truncated response that an HTTP/1.0 caller takes for a complete one: without chunks, its body ends
+// with the connection.
+func TestTruncationIsVisibleToOldCallers(t *testing.T) {
+	chunk := strings.Repeat("x", maxBufferedBytes)
+	f := newFixture(t, logr.Discard(), Config{}, newRawTarget(t,
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n5\r\nab", len(chunk), chunk)))
+	_, _, err := f.exchangeRaw(t, http.MethodGet, "GET /r/1 HTTP/1.0\r\nHost: registry\r\n\r\n")
+	require.Error(t, err)
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 )
 
 // Metrics holds the Prometheus metrics of a Gateway.
@@ -25,6 +26,7 @@
 	exhausted    *prometheus.CounterVec
 	quarantined  prometheus.Gauge
 	bodyBytes    prometheus.Gauge
+	servers      *httpserver.Metrics
 	unbuffered   *prometheus.CounterVec
 	unreachable  *prometheus.GaugeVec
 	unconnected  *prometheus.CounterVec
@@ -88,6 +90,7 @@
 	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: "burdockpitch", Name: "targets_unreachable", Help: "1 while this instance can connect to no target of the service.",
 	}, []string{"service"})
+	m.servers = httpserver.NewMetrics(reg)
 	reg.MustRegister(m.aborted, m.quarantined, m.bodyBytes, m.unreachable)
 	for _, r := range rejections {
 		m.refusals.WithLabelValues("", string(r.reason))
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 )
 
 // Reasons for refusing a request before it reaches the reducer. Together with the reasons of package core they form a
@@ -18,7 +19,11 @@
 	ReasonBodyMemory      core.Reason = "body-memory" // no memory is available for the body
 	ReasonUpgrade         core.Reason = "upgrade"
 	ReasonConnect         core.Reason = "connect"
-	ReasonRelayLimit      core.Reason = "relay-limit" // too many requests of other instances are in progress
+	ReasonHeadTooLarge    core.Reason = core.Reason(httpserver.ReasonHeadTooLarge)
+	ReasonHeadSlow        core.Reason = core.Reason(httpserver.ReasonHeadSlow)
+	ReasonHeadMemory      core.Reason = core.Reason(httpserver.ReasonHeadMemory)      // no memory is available for the head
+	ReasonConnectionLimit core.Reason = core.Reason(httpserver.ReasonConnectionLimit) // a new connection has replaced this one
+	ReasonRelayLimit      core.Reason = "relay-limit"                                 // too many requests of other instances are in progress
 )
 
 // rejection is the response to a request that is refused before it reaches the reducer.
@@ -48,13 +53,14 @@
 	rejectBodyMemory      = rejection{reason: ReasonBodyMemory, status: http.StatusServiceUnavailable, bodyUnread: true, immediate: true} // retryAfter is calculated
 	rejectUpgrade         = rejection{reason: ReasonUpgrade, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
 	rejectConnect         = rejection{reason: ReasonConnect, status: http.StatusNotImplemented, retryAfter: retryAfterLong}
+	rejectConnectionLimit = rejection{reason: ReasonConnectionLimit, status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, immediate: true}
 	rejectRelayLimit      = rejection{reason: ReasonRelayLimit, status: http.StatusServiceUnavailable, retryAfter: retryAfterShort}
 	rejectStopping        = rejection{reason: core.ReasonStopping, status: http.StatusServiceUnavailable, retryAfter: core.StoppingRetryAfter, bodyUnread: true, immediate: true}
 )
 
 var rejections = []rejection{
 	rejectNoConfiguration, rejectNoRule, rejectBodyTooLarge, rejectBodyBroken, rejectBodySlow, rejectBodyMemory,
-	rejectUpgrade, rejectConnect, rejectRelayLimit, rejectStopping,
+	rejectUpgrade, rejectConnect, rejectConnectionLimit, rejectRelayLimit, rejectStopping,
 }
 
 // refusalStatus returns the HTTP status for a refusal by the reducer. A request that may have run gets 502 or 504.
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -24,8 +24,6 @@
 	relayDialTimeout = 100 * time.Millisecond
 	// relayWaitLimit bounds the wait for a connection to an instance while all are in use.
 	relayWaitLimit = 20 * time.Millisecond
-	// relayHeaderBytes is more than the headers of a relay take.
-	relayHeaderBytes = 1 << 10
 )
 
 // relays sends requests to other instances. It is safe for concurrent use.
@@ -197,13 +195,6 @@
 	}
 }
 
-// NewRelayServer returns a server for requests that other instances relay to this one.
-func (g *Gateway) NewRelayServer() *Server {
-	limits := g.cfg.HeaderLimits
-	limits.MaxBytes += relayHeaderBytes
-	return newServer(http.HandlerFunc(g.serveRelayed), limits, g.log)
-}
-
 // serveRelayed serves a request of another instance's caller.
 func (g *Gateway) serveRelayed(w http.ResponseWriter, r *http.Request) {
 	relayed, ok := wire.TakeRelayHeaders(r.Header)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -9,18 +9,12 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
-// callerIdleTimeout is longer than the idle timeouts of common load balancers in front of this one. They then close
-// first, and no request arrives on a connection that is being closed.
-const callerIdleTimeout = 10 * time.Minute
-
-// NewServer returns a server for callers that limits slow and oversized requests.
-func (g *Gateway) NewServer() *Server { return newServer(g.Handler(), g.cfg.HeaderLimits, g.log) }
-
 // Handler returns the HTTP handler for callers. It has none of the limits that NewServer sets.
 func (g *Gateway) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -247,7 +241,7 @@
 	g.recordResult(c, result{target: d.target, attempts: d.attemptsStarted, outcome: outcome, status: d.response.Status})
 	if end != delivered {
 		if !c.r.ProtoAtLeast(1, 1) {
-			resetConnection(c.r.Context()) // without chunks, the body seems complete when the connection ends cleanly
+			httpserver.FromContext(c.r.Context()).Reset() // without chunks, the body seems complete when the connection ends cleanly
 		}
 		panic(http.ErrAbortHandler) // closes the connection, so that the caller can detect the truncation
 	}
--- a/pkg/gateway/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -1,14 +1,12 @@
-package gateway
+package httpserver
 
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,7 +25,7 @@
 	t.Helper()
 	l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := newServer(handler, DefaultHeaderLimits, logr.Discard())
+	s := New(handler, Config{Log: logr.Discard()})
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
 	return s, l.Addr().String()
@@ -130,7 +128,7 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.mu.Lock()
-		idle := c.idle
+		idle := c.phase <= phaseIdle
 		c.mu.Unlock()
 		if idle {
 			n++
@@ -158,23 +156,14 @@
 	}
 }
 
-// Guards against a truncated response that an HTTP/1.0 caller takes for a complete one: without chunks, its body ends
-// with the connection.
-func TestTruncationIsVisibleToOldCallers(t *testing.T) {
-	chunk := strings.Repeat("x", maxBufferedBytes)
-	f := newFixture(t, logr.Discard(), Config{}, newRawTarget(t,
-		fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n5\r\nab", len(chunk), chunk)))
-	_, _, err := f.exchangeRaw(t, http.MethodGet, "GET /r/1 HTTP/1.0\r\nHost: registry\r\n\r\n")
-	require.Error(t, err)
-}
-
 // Guards against a request that runs on a target although a stop has closed its connection: it arrives between the check
 // that nothing has arrived and the close, or http.Server had read it before the check; and against a stop that closes a
 // connection on which something has arrived.
 func TestRequestThatCrossesCloseIsDropped(t *testing.T) {
 	caller, accepted := net.Pipe()
 	defer caller.Close()
-	c := &callerConn{Conn: accepted, idle: true}
+	s := New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }), Config{Log: logr.Discard()})
+	c := &Conn{Conn: accepted, server: s, phase: phaseIdle}
 	require.True(t, c.endIfUnused(true))
 	go caller.Write([]byte("GET"))
 	n, err := c.Read(make([]byte, 10))
@@ -182,12 +171,12 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 
 	request := httptest.NewRequest(http.MethodGet, "/", nil)
-	request = request.WithContext(context.WithValue(request.Context(), callerConnKey{}, c))
-	s := newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }), DefaultHeaderLimits, logr.Discard())
+	request = request.WithContext(context.WithValue(request.Context(), connKey{}, c))
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { s.Handler.ServeHTTP(httptest.NewRecorder(), request) })
 
-	c = &callerConn{Conn: accepted, idle: true, received: true}
-	require.False(t, c.endIfUnused(true))
+	for _, c := range []*Conn{{Conn: accepted, server: s, phase: phaseHead}, {Conn: accepted, server: s, phase: phaseIdle, unread: true}} {
+		require.False(t, c.endIfUnused(true))
+	}
 }
 
 // slowListener accepts connections slowly, as a process does that rarely gets processor time.
@@ -208,7 +197,7 @@
 			if !permitted {
 				lockFilter(t, l.(syscall.Conn))
 			}
-			s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }), DefaultHeaderLimits, logr.Discard())
+			s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }), Config{Log: logr.Discard()})
 			defer s.Close()
 			const waiting = 20 // take longer than handshakeTime
 			var conns []net.Conn
@@ -242,3 +231,5 @@
 	require.NoError(t, optErr)
 	require.ErrorIs(t, sockets.RefuseConnections(listener), unix.EPERM)
 }
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -67,6 +67,9 @@
 	{"limits.body", 1, rules.MaxBodyBytes, "from 1B to 64MiB"},
 	{"limits.header", 1 << 10, 1 << 20, "from 1KiB to 1MiB"},
 	{"limits.header_timeout", float64(100 * time.Millisecond), float64(time.Minute), "from 100ms to 1m"},
+	{"limits.idle_timeout", float64(100 * time.Millisecond), float64(24 * time.Hour), "from 100ms to 24h"},
+	{"limits.connections", 0, 1_000_000, "from 0 to 1000000"},
+	{"limits.descriptors", 0, 10_000_000, "from 0 to 10000000"},
 	{"deadline.max", float64(rules.MinDeadline), float64(rules.MaxDeadline), "from 1ms to 50s"},
 }
 
--- a/pkg/settings/docs_test.go
+++ b/pkg/settings/docs_test.go
@@ -66,6 +66,7 @@
 	for _, r := range []core.Reason{
 		core.ReasonNoTarget, core.ReasonEvacuated, core.ReasonQueueFull, core.ReasonDeadline, core.ReasonInfeasible, core.ReasonRetryBudget, core.ReasonAttemptsExhausted,
 		core.ReasonMayHaveRun, core.ReasonStopping, core.ReasonLoop, core.ReasonNestedGiveUp, core.ReasonCallerLeft, "no-rule", "body-too-large", "body-broken", "body-memory",
+		"head-too-large", "head-slow", "head-memory", "connection-limit",
 	} {
 		require.Contains(t, string(page), "| `"+string(r)+"` |")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -11,8 +11,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/bodymemory"
+	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/tomldoc"
@@ -253,6 +254,13 @@
 	Header Size `toml:"header"`
 	// HeaderTimeout is the time that a caller may take to send a request head. Default 10s.
 	HeaderTimeout Duration `toml:"header_timeout"`
+	// IdleTimeout is how long a caller's connection stays open between two requests. Default 10m.
+	IdleTimeout Duration `toml:"idle_timeout"`
+	// Connections bounds the open connections of all listeners together. Default 0: half of Descriptors, or a quarter of
+	// the memory of the process, whichever is reached first.
+	Connections int `toml:"connections"`
+	// Descriptors is the number of file descriptors that the process may have open. Default 0: the limit of the system.
+	Descriptors int `toml:"descriptors"`
 }
 
 // Deadline bounds the deadlines of rules.
@@ -290,7 +298,7 @@
 		},
 		Memory:   Memory{GCPercent: 100, BodyShare: 0.25},
 		Queue:    Queue{Limit: p.QueueLimit},
-		Limits:   Limits{Body: rules.MaxBodyBytes, Header: 64 << 10, HeaderTimeout: Duration(10 * time.Second)},
+		Limits:   Limits{Body: rules.MaxBodyBytes, Header: Size(httpserver.DefaultLimits.HeadBytes), HeaderTimeout: Duration(httpserver.DefaultLimits.HeadTimeout), IdleTimeout: Duration(httpserver.DefaultLimits.IdleTimeout)},
 		Deadline: Deadline{Max: Duration(rules.MaxDeadline)},
 	}
 }
@@ -349,7 +357,7 @@
 // is less.
 func (s Settings) MaxBody() int64 {
 	if bound := s.BodyMemory(); bound > 0 {
-		return min(int64(s.Limits.Body), bodymemory.MaxBody(bound))
+		return min(int64(s.Limits.Body), callermemory.MaxBody(bound))
 	}
 	return int64(s.Limits.Body)
 }
