platform: apply the operator's limits on heads and on the time of callers

What callers saw: nothing; what the operator saw: max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration had no effect. 64 KiB, 10 s and 10 min held instead, so that clients kept connections for as long.

Cause: the parser of the configuration read max_body_bytes only, and the limits of the server could not change while it ran.

Change: the limits are part of the document. The servers for callers and relays take them over when a document comes into force, also for connections that wait for their clients. The idle timeout of relays stays that of the settings, since the instances on the other side keep connections as long as their own settings say.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -119,6 +119,7 @@
 	g.splits.setRules(docs)
 	g.ruleTable.Store(rules.NewTable(docs))
 	g.setWarmups(docs)
+	g.servers.setLimits(limitsOf(docs, g.cfg.Limits))
 	for _, d := range docs {
 		for _, s := range d.Services {
 			if s.ProbePath != "" {
--- a/pkg/gateway/servers.go
+++ b/pkg/gateway/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
+	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -49,6 +50,36 @@
 	return server.Server
 }
 
+func (s *servers) setLimits(l httpserver.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+	for _, server := range s.list {
+		server.setLimits(l)
+	}
+}
+
+// limitsOf returns the limits on callers that documents set. What none of them sets is that of defaults. Where several
+// set a limit, the largest holds, since the rule of a request is not known before its head was read.
+func limitsOf(docs []*rules.Document, defaults httpserver.Limits) httpserver.Limits {
+	var l rules.CallerLimits
+	for _, d := range docs {
+		l.HeadBytes = max(l.HeadBytes, d.CallerLimits.HeadBytes)
+		l.HeadTimeout = max(l.HeadTimeout, d.CallerLimits.HeadTimeout)
+		l.IdleTimeout = max(l.IdleTimeout, d.CallerLimits.IdleTimeout)
+	}
+	if l.HeadBytes > 0 {
+		defaults.HeadBytes = l.HeadBytes
+	}
+	if l.HeadTimeout > 0 {
+		defaults.HeadTimeout = l.HeadTimeout
+	}
+	if l.IdleTimeout > 0 {
+		defaults.IdleTimeout = l.IdleTimeout
+	}
+	return defaults
+}
+
 // NewServer returns a server for callers that limits slow and oversized requests.
 func (g *Gateway) NewServer() *httpserver.Server {
 	cfg := g.ServerConfig(ListenerCallers, g.cfg.CallerConnections)
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -110,6 +110,18 @@
 	// Services configures the services that the rules name. A service that is not listed uses the settings. Only a
 	// platform adapter sets it.
 	Services []Service
+	// CallerLimits bounds what callers can send. Only a platform adapter sets it.
+	CallerLimits CallerLimits
+}
+
+// CallerLimits bounds the heads of requests and the idle time of connections. A zero field means that of the settings.
+type CallerLimits struct {
+	// HeadBytes is the largest size of the request line, and of the header lines together.
+	HeadBytes int
+	// HeadTimeout is the time that a caller may take to send a head.
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a connection stays open between two requests.
+	IdleTimeout time.Duration
 }
 
 // Service describes how the targets of a service are used.
