gateway: reject requests without waiting for their bodies

What callers saw: the rejection of a request with a body that it does not need (no rule, an upgrade, too many relays) came only after up to 256 KB of the body had arrived; without the body it never came, and the connection stayed open for ever.

Cause: net/http reads the rest of a body before it sends the response, with no deadline, unless the response closes the connection.

Change: a rejection before the body is read closes its connection and goes out at once. What still arrives is read and discarded for up to 5 s, as for a body without memory.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -295,9 +295,11 @@
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
-	discards := rejected.bodyUnread && !c.awaitsContinue()
+	// Before the body is matched and accepted, no rejection waits for it, or the caller could keep the connection.
+	bodyUnread := rejected.bodyUnread || c.r.ContentLength != 0 && c.memory == nil
+	discards := bodyUnread && !c.awaitsContinue()
 	c.releaseBody()
-	if rejected.immediate {
+	if rejected.immediate || bodyUnread {
 		c.Header().Set("Connection", "close") // or net/http would read the body before it sends the refusal
 	}
 	g.sendRefusal(c, result{
