peer: replace connections without a request when others need their place

What callers saw: nothing at once; beside 64 clients that connect to the listener of instances and send nothing, no other instance could connect, so that a new one learned nothing from it.

Cause: each accepted connection took one of 64 places for 2 to 5 s, whatever it sent. Connections beyond were closed, those of instances like the others.

Change: at the bound, a new connection replaces the oldest one without a valid request of the address that has most of them. If no address has more than the new one, the oldest has to have had 100 ms for its request, or the new one is closed: of many instances that connect at once, those that came first are about to make theirs. The listener has the receive buffers and keep-alives of the others.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for administration")
 	}
-	peerListener, err := i.controlPlane.listenPeers()
+	peerListener, err := i.controlPlane.listenPeers(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
@@ -266,14 +267,14 @@
 }
 
 // listenPeers opens the listener for other instances. It returns nil if the settings have no peer_listen.
-func (c *controlPlane) listenPeers() (net.Listener, error) {
+func (c *controlPlane) listenPeers(ctx context.Context) (net.Listener, error) {
 	if c.settings.PeerListen == "" {
 		return nil, nil
 	}
 	if _, err := netip.ParseAddrPort(c.settings.PeerListen); err != nil {
 		return nil, eris.Wrap(err, "peer_listen must be ip:port")
 	}
-	l, err := net.Listen("tcp", c.settings.PeerListen)
+	l, err := sockets.ListenConfig().Listen(ctx, "tcp", c.settings.PeerListen)
 	return l, eris.Wrap(err, "listen for peers")
 }
 
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -122,6 +122,7 @@
 	readLimit int // maximum size of a received message in bytes
 	dec       *gob.Decoder
 	traffic   *trafficCounter // nil if frames are not counted
+	onRequest func() error    // called after each valid request was read, unless it is nil
 	// firstErr is the first read or write error. It is kept because rpc.Server does not return errors of writing a reply.
 	firstErr error
 }
@@ -182,6 +183,9 @@
 	if err := decodeBody(c.dec, body); err != nil {
 		return c.recordError(err)
 	}
+	if c.onRequest != nil && body != nil {
+		return c.recordError(c.onRequest())
+	}
 	return nil
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -38,7 +38,8 @@
 	// IdleTimeout is the time after which an accepted connection without a complete request is closed. maxFollowWait is
 	// added to it, because the deadline also covers the reply.
 	IdleTimeout time.Duration
-	// MaxConnections is the maximum number of accepted connections. Further connections are closed.
+	// MaxConnections is the maximum number of accepted connections. A further one replaces one without a request, or is
+	// closed.
 	MaxConnections int
 }
 
@@ -90,7 +91,7 @@
 	onTargetLeaving   func(membership.Sign)
 	startTime         time.Time
 	startID           string
-	connectionSlots   chan struct{} // limits accepted connections
+	connections       *connections  // accepted ones
 	contactSlots      chan struct{} // limits concurrent contacts
 	firstExchange     chan struct{} // closed after the first complete exchange that this instance started
 	firstExchangeOnce sync.Once
@@ -168,8 +169,8 @@
 	n := &Node{
 		cfg: cfg, docs: docs, crashes: crashes, metrics: m, log: log, onTargetLeaving: onTargetLeaving,
 		startTime: time.Now(), startID: startID,
-		connectionSlots: make(chan struct{}, cfg.MaxConnections),
-		contactSlots:    make(chan struct{}, maxConcurrentContacts), firstExchange: make(chan struct{}),
+		connections:  newConnections(cfg.MaxConnections, requestWait),
+		contactSlots: make(chan struct{}, maxConcurrentContacts), firstExchange: make(chan struct{}),
 		state: membership.New(membership.Config{
 			Self: cfg.Self, Start: startID, Zone: cfg.Zone, Seeds: cfg.Seeds, CrossZoneRounds: cfg.CrossZoneRounds,
 		}),
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// handleConnection serves a connection in the background. It closes connections from unknown addresses and those above
-// the limit at once.
+// handleConnection serves a connection in the background. It closes connections from unknown addresses at once, and one
+// above the limit, or the one that this replaces.
 func (n *Node) handleConnection(ctx context.Context, conn net.Conn) {
 	if !n.isAllowed(conn.RemoteAddr()) {
 		n.metrics.droppedConnections.WithLabelValues("unknown-sender").Inc()
@@ -39,22 +39,25 @@
 		_ = conn.Close()
 		return
 	}
-	select {
-	case n.connectionSlots <- struct{}{}:
-	default:
+	replaced, ok := n.connections.add(conn)
+	if !ok {
+		replaced = conn
+	}
+	if replaced != nil {
 		n.metrics.droppedConnections.WithLabelValues("too-many").Inc()
-		_ = conn.Close()
+		_ = replaced.Close()
+	}
+	if !ok {
 		return
 	}
 	go func() {
 		defer n.recoverPanic("serve peer", conn.RemoteAddr().String())
 		relay := n.isRelay(conn)
 		if relay && n.relays != nil {
-			<-n.connectionSlots
+			n.connections.remove(conn, false)
 			n.relays.pass(conn)
 			return
 		}
-		defer func() { <-n.connectionSlots }()
 		defer conn.Close()
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		defer stop()
@@ -73,12 +76,21 @@
 
 // serveConnection handles the requests on a connection one after another. Any error ends the connection.
 func (n *Node) serveConnection(ctx context.Context, conn net.Conn) {
+	proven := false
+	defer func() { n.connections.remove(conn, proven) }()
 	server := rpc.NewServer()
 	if err := server.RegisterName("Peer", &peerService{node: n, ctx: ctx, remote: conn.RemoteAddr()}); err != nil {
 		n.log.Error(err, "cannot register peer service")
 		return
 	}
 	c := n.newCountedCodec(conn, maxRequestSize)
+	c.onRequest = func() error {
+		if !proven && !n.connections.prove(conn) {
+			return net.ErrClosed
+		}
+		proven = true
+		return nil
+	}
 	for {
 		if err := conn.SetDeadline(time.Now().Add(n.cfg.IdleTimeout + maxFollowWait)); err != nil {
 			return
@@ -96,7 +108,7 @@
 
 // recordDrop counts and logs why a connection ended. A clean end between requests is not an error.
 func (n *Node) recordDrop(ctx context.Context, conn net.Conn, err error) {
-	if errors.Is(err, io.EOF) || ctx.Err() != nil {
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 		return
 	}
 	reason := "malformed"
