gateway: end long responses that a caller takes too slowly

What callers saw: nothing. Found while listing what has no end.

Cause: each write of a response has 10 s. A caller that takes a long response in small parts could keep the slot of a target for hours.

Change: in addition, a caller has to take 4 KiB a second over all writes. Time in which the target provides the response is not counted.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -111,7 +111,7 @@
 // Closing a connection with unread bytes resets it, and a caller that sends its whole request before it reads would then
 // not see the refusal.
 func (c *call) discardBody() {
-	if c.control.Flush() != nil {
+	if c.flush() != nil {
 		return
 	}
 	httpserver.FromContext(c.r.Context()).DiscardBody()
--- a/pkg/gateway/deliver.go
+++ b/pkg/gateway/deliver.go
@@ -25,10 +25,16 @@
 	callerFailed                // the caller disconnected or reads too slowly
 )
 
-// callerWriter writes to a caller with a timeout on each write, so that a caller that does not read cannot occupy a
-// slot of the target.
+// minDeliveryRate is the lowest rate, in bytes per second, at which a caller may take a long response.
+const minDeliveryRate = 4 << 10
+
+// callerWriter writes to a caller with a timeout on each write and a lowest rate over all, so that a caller that does not
+// read, or only a little, cannot occupy a slot of the target. The time in which the target provides the response is not
+// the caller's.
 type callerWriter struct {
 	http.ResponseWriter
+	written      int64         // bytes
+	spent        time.Duration // in writes
 	control      *http.ResponseController
 	writeTimeout time.Duration
 	dialect      wire.Dialect
@@ -48,7 +54,7 @@
 	if c.stop.requested() {
 		c.Header().Set("Connection", "close")
 	}
-	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	defer c.beginWrite()()
 	c.ResponseWriter.WriteHeader(status)
 }
 
@@ -57,8 +63,24 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
-	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-	return c.ResponseWriter.Write(b)
+	defer c.beginWrite()()
+	n, err := c.ResponseWriter.Write(b)
+	c.written += int64(n)
+	return n, err
+}
+
+// flush sends what was written within the write timeout.
+func (c *callerWriter) flush() error {
+	defer c.beginWrite()()
+	return c.control.Flush()
+}
+
+// beginWrite sets the deadline of a write. The returned function ends the write.
+func (c *callerWriter) beginWrite() (end func()) {
+	began := time.Now()
+	left := c.writeTimeout + time.Duration(c.written)*time.Second/minDeliveryRate - c.spent
+	_ = c.control.SetWriteDeadline(began.Add(min(left, c.writeTimeout)))
+	return func() { c.spent += time.Since(began) }
 }
 
 // writeHeaders forwards the status and the end-to-end headers of a response.
@@ -100,7 +122,7 @@
 		}
 	}
 	// Without a flush, net/http sets a length on a short body and drops the trailers.
-	if len(resp.Trailer) > 0 && c.control.Flush() != nil {
+	if len(resp.Trailer) > 0 && c.flush() != nil {
 		return callerFailed
 	}
 	wire.SanitizeResponse(resp.Trailer)
@@ -128,7 +150,7 @@
 		if err != nil {
 			return targetFailed
 		}
-		if c.control.Flush() != nil {
+		if c.flush() != nil {
 			return callerFailed
 		}
 	}
