settings: collect garbage more often near the memory of the process

What callers saw: nothing. Found while adding up what an instance of 184 MB may hold.

Cause: with the default gc_percent of 100, garbage may take as much memory as what is held, and the bounds on what clients make an instance hold add up to half of memory.process.

Change: memory.limit is 7/10 of memory.process unless it is set.

Result: TestMemoryLimitFollowsProcess.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -93,11 +93,18 @@
 // in flight itself before the platform kills the process.
 const stopLimitFraction = 0.9
 
+// memoryLimitFraction is the default of memory.limit as a fraction of memory.process. What the garbage collector does not
+// see, such as received bytes that were not read, needs the rest.
+const memoryLimitFraction = 0.7
+
 // setDerivedDefaults sets the defaults that depend on other keys.
 func (c *checker) setDerivedDefaults() {
 	if _, given := c.valuePositions["stop_limit"]; !given && c.settings.KillAfter > 0 {
 		c.settings.StopLimit = Duration(stopLimitFraction * float64(c.settings.KillAfter))
 	}
+	if _, given := c.valuePositions["memory.limit"]; !given {
+		c.settings.Memory.Limit = Size(memoryLimitFraction * float64(c.settings.Memory.Process))
+	}
 }
 
 // checkCombinations checks required keys, addresses and names, and keys against each other. It skips checks that
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -225,7 +225,8 @@
 
 // Memory bounds the memory of the process.
 type Memory struct {
-	// Limit is the memory size near which the garbage collector runs more often. Default 0B: none.
+	// Limit is the memory size near which the garbage collector runs more often. Default 7/10 of Process, or none if that is
+	// unknown.
 	Limit Size `toml:"limit"`
 	// GCPercent is the growth of the heap, in percent, at which the garbage collector runs. Default 100.
 	GCPercent int `toml:"gc_percent"`
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -193,3 +193,18 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, len(files), 10)
 }
+
+// Guards against garbage that takes a process beyond the memory at which it is killed, although what it holds is bounded.
+func TestMemoryLimitFollowsProcess(t *testing.T) {
+	const required = "zone = \"a\"\nlisten = \"127.0.0.1:1\"\nplatform = \"http://127.0.0.1:2\"\n[memory]\n"
+	for text, want := range map[string]Size{
+		"gc_percent = 25":                         0,
+		"process = \"100MiB\"":                    70 << 20,
+		"process = \"100MiB\"\nlimit = \"90MiB\"": 90 << 20,
+		"process = \"100MiB\"\nlimit = \"0B\"":    0,
+	} {
+		s, err := Parse("test", []byte(required+text))
+		require.NoError(t, err)
+		require.Equal(t, want, s.Memory.Limit, text)
+	}
+}
