--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
+	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
@@ -62,10 +63,11 @@
 }
 
 func newConfigStore(
-	s settings.Settings, a Adapter, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
+	s settings.Settings, a Adapter, capacity clientCapacity, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
 ) *discovery.ConfigStore {
+	maxBody := min(s.MaxBody(), callermemory.MaxBody(capacity.memory))
 	return discovery.NewConfigStore(a.ParseDocument, log, m, func(docs []*rules.Document) {
-		g.SetDocuments(rules.WithLimits(docs, s.Deadline.Max.Std(), s.MaxBody()))
+		g.SetDocuments(rules.WithLimits(docs, s.Deadline.Max.Std(), maxBody))
 	})
 }
 
