discovery: keep only the latest version of a document for followers

Cause: the history for followers was bounded by the number of changes, 640, and each change of a configuration holds its text.

Change: a newer version of a document replaces the former one in the history. Followers apply the newest only anyway.

--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -36,8 +36,8 @@
 	complete   bool
 	// graceUntil is the end of the grace period for missing entries after an outage.
 	graceUntil time.Duration
-	// history holds all changes with a revision above compactedRevision, in the order in which they were applied. A
-	// snapshot applies its items by key, so revisions do not always rise.
+	// history holds all changes with a revision above compactedRevision, in the order in which they were applied, but of
+	// documents only the latest of each key. A snapshot applies its items by key, so revisions do not always rise.
 	history           []Item
 	compactedRevision uint64
 	newestChange      uint64 // highest revision in history
@@ -114,6 +114,9 @@
 
 // recordChange adds a change to the history.
 func (v *View) recordChange(item Item) {
+	if v.entries[item.Key].Document != nil {
+		v.dropDocument(item.Key)
+	}
 	v.history = append(v.history, item)
 	v.newestChange = max(v.newestChange, item.Revision)
 	limit := max(minHistoryItems, historyItemsPerEntry*len(v.entries))
@@ -125,6 +128,17 @@
 	}
 }
 
+// dropDocument removes the last version of a document from the history before a newer one is added. A follower that has
+// missed both needs only the newer one, and each can be a megabyte.
+func (v *View) dropDocument(key string) {
+	for n, item := range slices.Backward(v.history) {
+		if item.Key == key && item.Document != nil {
+			v.history = slices.Delete(v.history, n, n+1)
+			return
+		}
+	}
+}
+
 // ApplySnapshot replaces the view by a snapshot, or ignores one that is older than the view. It reports whether
 // anything changed; the first snapshot always counts as a change.
 func (v *View) ApplySnapshot(now time.Duration, s Snapshot) (changed bool) {
--- a/pkg/discovery/view_test.go
+++ b/pkg/discovery/view_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -196,3 +198,68 @@
 	}
 	require.Len(t, v.entries["a"].revisions, maxRevisions)
 }
+
+// Guards against a history that keeps each version of a configuration for followers, so that instances exceed their memory
+// after some hundred versions; and against followers that get no version, or an older one, because one was dropped.
+func TestHistoryKeepsLatestDocumentOnly(t *testing.T) {
+	const versions, size = 2000, 1 << 20
+	v := NewView()
+	document := func(revision uint64) Item {
+		return Item{Key: "configuration", Revision: revision, Document: bytes.Repeat([]byte{byte(revision)}, size)}
+	}
+	require.True(t, v.ApplySnapshot(0, Snapshot{Items: []Item{document(1)}, Revision: 1}))
+	follower := NewView()
+	follower.ApplySnapshot(0, v.Snapshot(0))
+	for revision := uint64(2); revision <= versions; revision++ {
+		items := []Item{document(revision)}
+		if revision%10 == 0 {
+			items = append(items, Item{Key: fmt.Sprint("t", revision), Revision: revision, Target: &Instance{Address: "a"}})
+		}
+		require.True(t, v.ApplyChanges(0, Changes{Items: items, Revision: revision}))
+		held := 0
+		for _, item := range v.history {
+			held += len(item.Document)
+		}
+		require.LessOrEqual(t, held, size)
+		if revision%97 == 0 {
+			changes, ok := v.Since(0, follower.Revision())
+			require.True(t, ok)
+			require.True(t, follower.ApplyChanges(0, changes))
+			require.Equal(t, v.Snapshot(0), follower.Snapshot(0))
+		}
+	}
+	v.ApplyChanges(0, Changes{Items: []Item{{Key: "configuration", Revision: versions + 1, Removed: true}}, Revision: versions + 1})
+	changes, ok := v.Since(0, follower.Revision())
+	require.True(t, ok)
+	follower.ApplyChanges(0, changes)
+	require.Equal(t, v.Snapshot(0), follower.Snapshot(0))
+	for _, item := range v.history {
+		require.Nil(t, item.Document)
+	}
+}
+
+// BenchmarkHistoryOfDocuments shows the time to apply one version of a document, and the bytes that the view holds after
+// 2,000 versions.
+func BenchmarkHistoryOfDocuments(b *testing.B) {
+	for _, size := range []int{10 << 10, 100 << 10, 1 << 20} {
+		b.Run(fmt.Sprint(size>>10, "KiB"), func(b *testing.B) {
+			const versions = 2000
+			v, revision := NewView(), uint64(1)
+			v.ApplySnapshot(0, Snapshot{Revision: revision})
+			apply := func(n int) {
+				for range n {
+					revision++
+					v.ApplyChanges(0, Changes{Items: []Item{{Key: "configuration", Revision: revision, Document: make([]byte, size)}}, Revision: revision})
+				}
+			}
+			apply(versions)
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ResetTimer()
+			apply(b.N)
+			b.ReportMetric(float64(m.HeapAlloc), "bytes-held")
+			runtime.KeepAlive(v)
+		})
+	}
+}
