--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -41,6 +41,9 @@
 	history           []Item
 	compactedRevision uint64
 	newestChange      uint64 // highest revision in history
+	// copyRevision is the highest revision that an item of the copy can have from which the source was last restored; 0 if it
+	// was not restored.
+	copyRevision uint64
 	// removed holds the last revisions of removed entries by key, oldest first, removedOrder their keys, oldest first.
 	removed      map[string][]uint64
 	removedOrder []string
@@ -149,11 +152,15 @@
 	restored := v.complete && s.Generation > v.generation
 	s.Items = v.withoutEndedOrders(s, restored)
 	if restored {
-		s.Items = v.withoutReverts(s.Items)
+		v.copyRevision = s.Revision
+		for _, item := range s.Items {
+			v.copyRevision = max(v.copyRevision, item.Revision)
+		}
 		v.extendGrace(now, recoveryGrace)
 		v.history, v.newestChange, v.compactedRevision = nil, 0, s.Revision
 		changed = true // an equal revision may be that of another change
 	}
+	s.Items = v.withoutReverts(s.Items)
 	v.generation = s.Generation
 	if !v.complete {
 		v.compactedRevision = s.Revision
@@ -176,10 +183,18 @@
 
 // withoutReverts returns the items of a restored source without those that are known to be outdated: entries that were
 // removed after the copy was made, and targets that were live then and have announced since that they are leaving. The
-// source has lost both until the writers repeat them. Orders are handled by withoutEndedOrders.
+// source has lost both until the writers repeat them, so each snapshot contains them again. Orders are handled by
+// withoutEndedOrders.
 func (v *View) withoutReverts(items []Item) []Item {
+	if v.copyRevision == 0 {
+		return items
+	}
 	var list []Item
 	for _, item := range items {
+		if item.Revision > v.copyRevision {
+			list = append(list, item) // written since the restore
+			continue
+		}
 		if slices.Contains(v.removed[item.Key], item.Revision) && !item.isOrder() {
 			continue
 		}
--- a/pkg/discovery/view_test.go
+++ b/pkg/discovery/view_test.go
@@ -189,6 +189,38 @@
 	}
 }
 
+// Guards against a target that has left and is used again because an instance reads a restored source more than once, or from
+// another instance that has read the copy; and against one that is not used although it has written its entry again since.
+func TestFurtherReadsOfRestoredSourceBringNothingBack(t *testing.T) {
+	v := NewView()
+	v.ApplySnapshot(0, Snapshot{Items: []Item{live("left", 2), live("leaving", 3), live("stays", 4)}, Revision: 4})
+	v.ApplyChanges(0, Changes{Items: []Item{removed("left", 6), leaving("leaving", 7)}, Revision: 7})
+	copied := []Item{live("leaving", 3), live("left", 2), live("stays", 4)}
+	states := func() map[string]InstanceState {
+		list := make(map[string]InstanceState)
+		for _, i := range v.Instances().Instances {
+			list[i.ID] = i.State
+		}
+		return list
+	}
+	want := map[string]InstanceState{"leaving": StateLeaving, "stays": StateLive}
+	v.ApplySnapshot(0, Snapshot{Items: copied, Revision: 5, Generation: 1})
+	require.Equal(t, want, states())
+	v.ApplySnapshot(0, Snapshot{Items: copied, Revision: 5, Generation: 1})
+	require.Equal(t, want, states())
+	v.ApplySnapshot(0, Snapshot{Items: copied, Revision: 8, Generation: 1})
+	require.Equal(t, want, states())
+	v.ApplySnapshot(0, Snapshot{Items: copied, Revision: 5, Generation: 2})
+	require.Equal(t, want, states(), "a further restore")
+
+	v.ApplyChanges(0, Changes{Items: []Item{live("left", 9)}, Revision: 9})
+	want["left"] = StateLive
+	require.Equal(t, want, states(), "written again")
+	v.ApplySnapshot(0, Snapshot{Items: []Item{live("leaving", 10), live("left", 9), live("stays", 4)}, Revision: 10, Generation: 2})
+	want["leaving"] = StateLive
+	require.Equal(t, want, states(), "started again")
+}
+
 // Guards against a list of revisions that grows with each change of an entry.
 func TestRevisionsOfEntryAreBounded(t *testing.T) {
 	v := NewView()
