discovery: a watch that is cut is no outage from its beginning

Cause: a cut watch counts as a failed call, and the outage counted from the last answer. A watch that waits for 0.95 s and the pause after it exceed the second from which an outage starts a grace period for missing entries.

Change: if the other side closes or resets the connection, the outage counts from then. Silence, refusals and failed connects count from the last answer as before.

--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -82,7 +84,9 @@
 	confirmedAt time.Duration
 	answeredAt  time.Duration // time of the latest answer of the source
 	failures    int           // consecutive failed calls of the source
-	readFrom    string        // name of the source or instance that answered last
+	// failingSince is the time from which the source may have been away, if failures is above 0.
+	failingSince time.Duration
+	readFrom     string // name of the source or instance that answered last
 }
 
 // NewWatcher returns a watcher that passes its results to sink. If peers is nil, it always reads the source itself.
@@ -270,8 +274,8 @@
 }
 
 // recordResult counts a call that began at a time, updates the time of the last confirmation, and logs when the source fails
-// and recovers. A recovery can start a grace period for missing entries: the source may have been away from its last answer
-// to the start of the call that it answers again. ErrHistoryGone counts as an answer, but confirms nothing.
+// and recovers. A recovery can start a grace period for missing entries: the source may have been away to the start of the
+// call that it answers again. ErrHistoryGone counts as an answer, but confirms nothing.
 func (w *Watcher) recordResult(ctx context.Context, c sourceChoice, operation string, began, confirmed time.Duration, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -285,6 +289,12 @@
 			w.log.V(1).Info("read from peer failed", "peer", c.name, "error", err.Error())
 			return err
 		}
+		if w.failures == 0 {
+			w.failingSince = w.answeredAt
+			if isConnectionEnd(err) {
+				w.failingSince = w.now() // the source was there until it closed the connection
+			}
+		}
 		w.failures++
 		if w.failures&(w.failures-1) == 0 { // the 1st, 2nd, 4th and so on: an outage can last for hours
 			w.log.Info("store call failed", "operation", operation, "failures", w.failures, "error", err.Error(),
@@ -294,7 +304,7 @@
 	}
 	w.metrics.countRead(fromSource, "ok")
 	if fromSource && w.failures > 0 {
-		outage := began - w.answeredAt
+		outage := max(began-w.failingSince, 0)
 		w.view.SourceRecovered(w.now(), outage)
 		w.log.Info("store is back", "operation", operation, "failures", w.failures, "away", outage.String())
 		w.failures = 0
@@ -313,6 +323,11 @@
 	return err
 }
 
+// isConnectionEnd reports whether a call failed because the other side has closed or reset its connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // publish passes the view to the sink and wakes the waiting calls of Since. The caller holds w.mu.
 func (w *Watcher) publish(cause, from string) {
 	w.notifyWaiters()
--- a/pkg/discovery/watcher_test.go
+++ b/pkg/discovery/watcher_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -29,6 +30,7 @@
 	panics      bool // the next read or watch panics
 	// cutAfter, if set, is the time after which watches that wait are cut.
 	cutAfter time.Duration
+	cutErr   error // of a watch that is cut; nil for one that says nothing
 	calls    int
 }
 
@@ -80,7 +82,7 @@
 	})
 	for {
 		if !cutAt.IsZero() && time.Now().After(cutAt) {
-			return discovery.Changes{}, errors.New("cut")
+			return discovery.Changes{}, cmp.Or(s.cutErr, errors.New("cut"))
 		}
 		if c, done, err := s.changesSince(after); done || time.Now().After(deadline) || ctx.Err() != nil {
 			return c, err
