discovery: a grace period belongs to instances that were without the store

Cause: an instance that the store has refused keeps missing entries for 2.2 s, and passed that time on with its answers. Instances that had read the store meanwhile took it over.

Change: a grace period is passed on with the age of the outage to which it belongs. An instance whose view was confirmed later than the beginning of that outage and a second does not take it over. Older builds send no age; nothing changes for theirs.

--- a/pkg/discovery/grace_test.go
+++ b/pkg/discovery/grace_test.go
@@ -1,7 +1,10 @@
 package discovery_test
 
 import (
+	"context"
+	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,3 +29,70 @@
 	s.remove("leaves")
 	require.Eventually(t, func() bool { return r.count() == 1 }, time.Second, time.Millisecond)
 }
+
+// refusedSource is a source that refuses one instance for a time.
+type refusedSource struct {
+	*fakeSource
+	refused atomic.Bool
+}
+
+var errRefused = errors.New("status 503")
+
+func (s *refusedSource) Read(ctx context.Context) (discovery.Snapshot, error) {
+	if s.refused.Load() {
+		return discovery.Snapshot{}, errRefused
+	}
+	return s.fakeSource.Read(ctx)
+}
+
+func (s *refusedSource) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
+	if s.refused.Load() {
+		return discovery.Changes{}, errRefused
+	}
+	changes, err := s.fakeSource.Watch(ctx, after, wait)
+	if s.refused.Load() {
+		return discovery.Changes{}, errRefused
+	}
+	return changes, err
+}
+
+// Guards against a grace period that passes from an instance which the source has refused to one that has read the source
+// meanwhile, and against a grace period that does not pass after an outage for both.
+func TestGraceBelongsToInstancesWithoutSource(t *testing.T) {
+	for name, tc := range map[string]struct {
+		follower, removed bool // refused like the root; removed at once after the outage
+	}{
+		"source was there": {follower: false, removed: true},
+		"source was away":  {follower: true, removed: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			content := &fakeSource{}
+			content.set("stays", "leaves")
+			ofRoot, ofFollower := &refusedSource{fakeSource: content}, &refusedSource{fakeSource: content}
+			newMetrics := func() *discovery.Metrics { return discovery.NewMetrics(prometheus.NewRegistry()) }
+			cfg := watcherConfig
+			cfg.MaxAge = 1400 * time.Millisecond
+			root := discovery.NewWatcher(cfg, ofRoot, nil, &recorder{}, newMetrics(), logr.Discard())
+			r := &recorder{}
+			follower := discovery.NewWatcher(cfg, ofFollower, &fakePeers{parent: peerSource{Watcher: root}}, r, newMetrics(), logr.Discard())
+			go root.Run(t.Context())
+			go follower.Run(t.Context())
+			require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+
+			ofRoot.refused.Store(true)
+			ofFollower.refused.Store(tc.follower)
+			time.Sleep(2800 * time.Millisecond)
+			content.remove("leaves")
+			ofRoot.refused.Store(false)
+			ofFollower.refused.Store(false)
+			gone := func() bool { return r.count() == 1 }
+			if tc.removed {
+				require.Eventually(t, gone, 1500*time.Millisecond, time.Millisecond)
+				return
+			}
+			require.Never(t, gone, 1200*time.Millisecond, 10*time.Millisecond)
+			require.Eventually(t, gone, 10*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -59,6 +59,9 @@
 	Age time.Duration
 	// Grace is how much longer to keep entries that went missing during an outage of the platform.
 	Grace time.Duration
+	// OutageAge is the time since the beginning of the outage to which Grace belongs. It is 0 without an outage, and from
+	// instances of older builds.
+	OutageAge time.Duration
 }
 
 // Changes holds the items that changed. A key that changed several times can be listed several times, in the order of
@@ -69,8 +72,8 @@
 	Revision uint64
 	// Generation is as in Snapshot. If it differs from that of the snapshot, the changes do not continue the snapshot.
 	Generation uint64
-	// Age and Grace are as in Snapshot.
-	Age, Grace time.Duration
+	// Age, Grace and OutageAge are as in Snapshot.
+	Age, Grace, OutageAge time.Duration
 	// Incomplete is set if the revision rose although the answer has no changes. The caller has to read a full snapshot.
 	Incomplete bool
 }
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -34,8 +34,8 @@
 	revision   uint64
 	generation uint64 // revisions are of this generation
 	complete   bool
-	// graceUntil is the end of the grace period for missing entries after an outage.
-	graceUntil time.Duration
+	// graceUntil is the end of the grace period for missing entries after an outage, which began at outageBegan.
+	graceUntil, outageBegan time.Duration
 	// history holds all changes with a revision above compactedRevision, in the order in which they were applied, but of
 	// documents only the latest of each key. A snapshot applies its items by key, so revisions do not always rise.
 	history           []Item
@@ -77,19 +77,32 @@
 // missing entries.
 func (v *View) SourceRecovered(now, outage time.Duration) {
 	if outage >= minOutage {
-		v.graceUntil = now + recoveryGrace
+		v.graceUntil, v.outageBegan = now+recoveryGrace, now-outage
 	}
 }
 
 // Grace returns how much longer missing entries are kept.
 func (v *View) Grace(now time.Duration) time.Duration { return max(v.graceUntil-now, 0) }
 
-// extendGrace keeps missing entries for at least the given time from now on.
-func (v *View) extendGrace(now, grace time.Duration) { v.graceUntil = max(v.graceUntil, now+grace) }
+// takeOverGrace keeps missing entries for at least the given time from now on, after an outage that began before the given
+// age. It is the grace period of another instance.
+func (v *View) takeOverGrace(now, grace, outageAge time.Duration) {
+	if until := now + grace; grace > 0 && until > v.graceUntil {
+		v.graceUntil, v.outageBegan = until, now-outageAge
+	}
+}
+
+// outageAge returns the time since the outage began to which the grace period belongs, or 0 without a grace period.
+func (v *View) outageAge(now time.Duration) time.Duration {
+	if v.Grace(now) == 0 {
+		return 0
+	}
+	return now - v.outageBegan
+}
 
 // Snapshot returns all entries that are not missing, sorted by key.
 func (v *View) Snapshot(now time.Duration) Snapshot {
-	s := Snapshot{Revision: v.revision, Generation: v.generation, Grace: v.Grace(now)}
+	s := Snapshot{Revision: v.revision, Generation: v.generation, Grace: v.Grace(now), OutageAge: v.outageAge(now)}
 	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
 		if e := v.entries[key]; !e.missing {
 			s.Items = append(s.Items, e.Item)
@@ -103,7 +116,7 @@
 	if !v.complete || after < v.compactedRevision {
 		return Changes{}, false
 	}
-	c := Changes{Revision: v.revision, Generation: v.generation, Grace: v.Grace(now)}
+	c := Changes{Revision: v.revision, Generation: v.generation, Grace: v.Grace(now), OutageAge: v.outageAge(now)}
 	if v.newestChange <= after {
 		return c, true // most calls only ask for confirmation
 	}
@@ -148,7 +161,7 @@
 	if v.complete && (s.Generation < v.generation || s.Generation == v.generation && s.Revision < v.revision) {
 		return false
 	}
-	v.extendGrace(now, s.Grace)
+	v.takeOverGrace(now, s.Grace, s.OutageAge)
 	restored := v.complete && s.Generation > v.generation
 	s.Items = v.withoutEndedOrders(s, restored)
 	if restored {
@@ -156,7 +169,7 @@
 		for _, item := range s.Items {
 			v.copyRevision = max(v.copyRevision, item.Revision)
 		}
-		v.extendGrace(now, recoveryGrace)
+		v.takeOverGrace(now, recoveryGrace, 0)
 		v.history, v.newestChange, v.compactedRevision = nil, 0, s.Revision
 		changed = true // an equal revision may be that of another change
 	}
@@ -223,7 +236,7 @@
 
 // ApplyChanges applies changes of the generation of the view. It reports whether anything changed.
 func (v *View) ApplyChanges(now time.Duration, c Changes) (changed bool) {
-	v.extendGrace(now, c.Grace)
+	v.takeOverGrace(now, c.Grace, c.OutageAge)
 	for _, item := range c.Items {
 		if old, ok := v.entries[item.Key]; item.Revision <= v.revision || ok && item.Revision < old.Revision {
 			continue // already applied, possibly together with later changes
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -199,7 +199,7 @@
 
 // read fetches a full snapshot and applies it.
 func (w *Watcher) read(ctx context.Context, c sourceChoice) error {
-	began := w.now()
+	began, confirmedBefore := w.now(), w.confirmed()
 	callCtx, cancel := context.WithTimeout(ctx, maxCallsPerRead*w.cfg.Timeout)
 	defer cancel()
 	snapshot, err := c.source.Read(callCtx)
@@ -216,6 +216,7 @@
 			"revision", snapshot.Revision, "revision_before", w.view.Revision())
 		w.offered = nil // revisions are assigned again
 	}
+	snapshot.Grace = w.justifiedGrace(snapshot.Grace, snapshot.OutageAge, confirmedBefore)
 	if w.view.ApplySnapshot(w.now(), snapshot) {
 		w.publish("read", c.name)
 	}
@@ -226,6 +227,7 @@
 // watch waits for changes and applies them.
 func (w *Watcher) watch(ctx context.Context, c sourceChoice) (changes Changes, err error) {
 	began, after, wait := w.now(), w.revision(), cmp.Or(c.wait, w.cfg.PeerWait)
+	confirmedBefore := w.confirmed()
 	if c.name == sourceName {
 		// Shorten the wait by the age of the last confirmation, because an answer with changes confirms the view only
 		// as of the start of the call.
@@ -260,12 +262,31 @@
 			"revision", after, "risen_to", changes.Revision)
 		return changes, nil
 	}
+	changes.Grace = w.justifiedGrace(changes.Grace, changes.OutageAge, confirmedBefore)
 	if w.view.ApplyChanges(w.now(), changes) {
 		w.publish("watch", c.name)
 	}
 	return changes, nil
 }
 
+// confirmed returns the latest time at which the view is known to have matched the source.
+func (w *Watcher) confirmed() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmedAt
+}
+
+// justifiedGrace returns the grace period of another instance, or 0 if the view was confirmed during the outage to which it
+// belongs: then the source was there, and only that instance was without it. Confirmations before the outage differ by up
+// to minOutage between instances. The caller holds w.mu.
+func (w *Watcher) justifiedGrace(grace, outageAge, confirmedBefore time.Duration) time.Duration {
+	if grace > 0 && outageAge > 0 && confirmedBefore > w.now()-outageAge+minOutage {
+		w.log.V(1).Info("grace period of another instance is not taken over", "grace", grace.String(), "outage_age", outageAge.String())
+		return 0
+	}
+	return grace
+}
+
 // isFailing reports whether the latest call of the source has failed.
 func (w *Watcher) isFailing() bool {
 	w.mu.Lock()
--- a/pkg/peer/follow.go
+++ b/pkg/peer/follow.go
@@ -18,14 +18,14 @@
 		s, err := feed.Snapshot()
 		*reply = Update{
 			Items: n.toPeerItems(s.Items, request), Revision: s.Revision, Generation: s.Generation,
-			Age: s.Age, Grace: s.Grace, Gone: err != nil, FeedVersion: feedVersion,
+			Age: s.Age, Grace: s.Grace, OutageAge: s.OutageAge, Gone: err != nil, FeedVersion: feedVersion,
 		}
 		return nil
 	}
 	c, err := feed.Since(ctx, request.After, request.Wait)
 	*reply = Update{
 		Items: n.toPeerItems(c.Items, request), Revision: c.Revision, Generation: c.Generation,
-		Age: c.Age, Grace: c.Grace, Gone: err != nil, FeedVersion: feedVersion,
+		Age: c.Age, Grace: c.Grace, OutageAge: c.OutageAge, Gone: err != nil, FeedVersion: feedVersion,
 	}
 	return nil
 }
@@ -92,14 +92,14 @@
 // Read implements discovery.Source.
 func (f *Follower) Read(ctx context.Context) (discovery.Snapshot, error) {
 	u, items, err := f.call(ctx, &Follow{All: true, AcceptsCompressed: true, FeedVersion: feedVersion})
-	return discovery.Snapshot{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace}, err
+	return discovery.Snapshot{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace, OutageAge: u.OutageAge}, err
 }
 
 // Watch implements discovery.Source.
 func (f *Follower) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
 	request := &Follow{After: after, Wait: min(wait, maxFollowWait), AcceptsCompressed: true, FeedVersion: feedVersion}
 	u, items, err := f.call(ctx, request)
-	return discovery.Changes{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace}, err
+	return discovery.Changes{Items: items, Revision: u.Revision, Generation: u.Generation, Age: u.Age, Grace: u.Grace, OutageAge: u.OutageAge}, err
 }
 
 // Reset implements discovery.Source.
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -149,6 +149,8 @@
 	Age time.Duration
 	// Grace is how much longer targets are kept whose entries went missing while the platform was unavailable.
 	Grace time.Duration
+	// OutageAge is the time since the beginning of the outage to which Grace belongs.
+	OutageAge time.Duration
 	// FeedVersion is the feedVersion of the sender.
 	FeedVersion int
 }
@@ -248,7 +250,7 @@
 }
 
 func (u *Update) validate() error {
-	if u.Age < 0 || u.Grace < 0 {
+	if u.Age < 0 || u.Grace < 0 || u.OutageAge < 0 {
 		return eris.New("age or grace period of update is negative")
 	}
 	for _, i := range u.Items {
