quarantine: crashes of the same moment are one piece of evidence

Cause: three targets that crashed under the same content counted as three pieces of evidence, also if its requests had been in flight together.

Change: a crash is recorded with the time for which its request had been in flight. Crashes count if they came one after the other, each under an attempt that began after the crash before.

Tests that call RecordCrash pass the new argument, 0.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
@@ -52,7 +51,7 @@
 }
 
 // checkCrash reports a crash of the target if it broke off an attempt and refuses connections since.
-func (e *engine) checkCrash(c *target.Client, p *pendingRequest, id core.TargetID, err error) {
+func (e *engine) checkCrash(c *target.Client, p *pendingRequest, state *attemptState, err error) {
 	var failure *target.Error
 	if !errors.As(err, &failure) || !failure.BrokeOff {
 		return
@@ -63,8 +62,8 @@
 		return
 	}
 	e.metrics.crashes.WithLabelValues(e.name).Inc()
-	e.log.Info("target crashed during a request", "request", p.attemptTemplate.RequestID, "fingerprint", p.fingerprint.get().String(), "target", id,
+	e.log.Info("target crashed during a request", "request", p.attemptTemplate.RequestID, "fingerprint", p.fingerprint.get().String(), "target", state.target,
 		"error", err.Error())
 	p.crashed.Store(true)
-	e.quarantine.RecordCrash(p.fingerprint.get(), string(id))
+	e.quarantine.RecordCrash(p.fingerprint.get(), string(state.target), time.Since(state.start))
 }
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -280,7 +280,7 @@
 		}
 		buffered.close()
 	}
-	e.checkCrash(c, p, state.target, err)
+	e.checkCrash(c, p, state, err)
 	ev := newFailedEvent(p.id, id, err)
 	if ev.Unreachable {
 		e.metrics.unconnected.WithLabelValues(e.name, connectFailureCause(err)).Inc()
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -62,9 +63,9 @@
 	return blocked
 }
 
-// RecordCrash records that a target, with its start, has crashed during a request.
-func (q *Quarantine) RecordCrash(f quarantine.Fingerprint, target string) {
-	q.dispatch(quarantine.CrashObserved{Fingerprint: f, Target: target})
+// RecordCrash records that a target, with its start, has crashed during a request that had been in flight for some time.
+func (q *Quarantine) RecordCrash(f quarantine.Fingerprint, target string, ran time.Duration) {
+	q.dispatch(quarantine.CrashObserved{Fingerprint: f, Target: target, Ran: ran})
 }
 
 // RecordEnd records the end of a request during which a target has crashed.
--- a/pkg/peer/crash_reports_test.go
+++ b/pkg/peer/crash_reports_test.go
@@ -67,13 +67,13 @@
 	requireContact(t, []*testNode{n, n})
 	for content := range uint64(3) {
 		f := quarantine.Fingerprint{Content: content + 1, Caller: 1}
-		n.crashes.RecordCrash(f, "t1")
+		n.crashes.RecordCrash(f, "t1", 0)
 		n.crashes.RecordEnd(f)
 		receive(t, old.crashes, f.Content)
 	}
 	verdict := quarantine.Fingerprint{Content: 4, Caller: 1}
 	for _, target := range []string{"t1", "t2", "t3"} {
-		n.crashes.RecordCrash(verdict, target)
+		n.crashes.RecordCrash(verdict, target, 0)
 	}
 	receive(t, old.crashes, verdict.Content)
 	calls := n.metrics.traffic.messages.WithLabelValues("crashes", "out", "own")
--- a/pkg/peer/crash_test.go
+++ b/pkg/peer/crash_test.go
@@ -75,7 +75,7 @@
 	requireContact(t, nodes)
 	suspect := quarantine.Fingerprint{Content: 1, Caller: 2}
 	for i, n := range nodes[:3] {
-		n.crashes.RecordCrash(suspect, fmt.Sprint(i))
+		n.crashes.RecordCrash(suspect, fmt.Sprint(i), 0)
 		n.crashes.RecordEnd(suspect)
 	}
 	eventually(t, "verdict", func() bool { return len(nodes[5].crashes.VerdictRecords()) > 0 })
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -235,8 +235,8 @@
 		if len(r.Crashes) > quarantine.MaxCrashes || r.Age < 0 {
 			return eris.New("crash record has too many crashes or a negative age")
 		}
-		if slices.ContainsFunc(r.Crashes, func(c quarantine.Crash) bool { return c.Age < 0 }) {
-			return eris.New("crash has a negative age")
+		if slices.ContainsFunc(r.Crashes, func(c quarantine.Crash) bool { return c.Age < 0 || c.Ran < 0 }) {
+			return eris.New("crash has a negative time")
 		}
 	}
 	return nil
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -9,13 +11,16 @@
 )
 
 const (
-	// crashLimit is the number of targets that have to crash under a request before it is quarantined. All requests in
-	// flight on a target that crashes are suspects, and one that shares a target with the cause twice is not rare.
+	// crashLimit is the number of independent crashes under a request after which it is quarantined; see
+	// record.independentCrashes. All requests in flight on a target that crashes are suspects, and one that shares a target
+	// with the cause twice is not rare.
 	crashLimit = 3
 	// suspectTTL is how long a request that is not quarantined stays a suspect after the last crash.
 	suspectTTL = time.Hour
 	// quarantineTTL is how long a request stays quarantined after its last repeat.
 	quarantineTTL = 24 * time.Hour
+	// transferTime is how much later a crash seems to be at an instance that was told of it: the time of the message.
+	transferTime = 5 * time.Millisecond
 	// expiryInterval is the time between two searches for expired records.
 	expiryInterval = time.Minute
 	// recentTime is how long a record counts as recently changed.
@@ -41,6 +46,9 @@
 	// Age is the time since the crash. Builds that do not know the field send none, which makes the crash seem to be later
 	// than it was, so that fewer responses acquit it.
 	Age time.Duration
+	// Ran is the time for which the request had been in flight at the crash. Builds that do not know the field send none,
+	// which makes the crash seem independent of others.
+	Ran time.Duration
 }
 
 func (c Crash) compare(other Crash) int {
@@ -88,6 +96,8 @@
 	Fingerprint Fingerprint
 	// Target is the identity of the target, which includes its start.
 	Target string
+	// Ran is Crash.Ran.
+	Ran time.Duration
 }
 
 // ResponseReceived reports that a target has responded to a request, so that the request does not crash it.
@@ -140,9 +150,9 @@
 // record is what this instance knows of one request. Times are values of Input.Now.
 type record struct {
 	content uint64
-	crashes []Crash // sorted, with Age 0
-	// crashedAt are the times of the crashes.
-	crashedAt []time.Duration
+	crashes []Crash // sorted, with Age and Ran 0
+	// times are those of the crashes.
+	times []crashTime
 	// verdict is Record.Verdict; quarantined is set while requests of any caller are withheld.
 	verdict, quarantined bool
 	// unreported is set while the collectors lack a crash that this instance observed, reported once they or another
@@ -152,6 +162,9 @@
 	seenAt, changedAt time.Duration
 }
 
+// crashTime is the time of a crash, and the beginning of the attempt that was in flight then.
+type crashTime struct{ began, crashed time.Duration }
+
 // State is what one instance knows of requests that crash targets. Records of instances merge in any order to the same
 // result. It is not safe for concurrent use.
 type State struct {
@@ -189,7 +202,7 @@
 // observeCrash adds a crash that this instance has seen. One with a second target is reported immediately, because the
 // caller may repeat the request at another instance within milliseconds.
 func (s *State) observeCrash(now time.Duration, ev CrashObserved, out []Effect) []Effect {
-	crash := Crash{Target: xxhash.Sum64String(ev.Target), Caller: ev.Fingerprint.Caller}
+	crash := Crash{Target: xxhash.Sum64String(ev.Target), Caller: ev.Fingerprint.Caller, Ran: ev.Ran}
 	r, changed, out := s.merge(now, Record{Content: ev.Fingerprint.Content, Crashes: []Crash{crash}}, out)
 	if !changed {
 		return out
@@ -259,7 +272,7 @@
 		if len(r.crashes) == 0 || r.expired(now) {
 			return nil, false, out
 		}
-		r.crashes, r.crashedAt, r.quarantined = nil, nil, false
+		r.crashes, r.times, r.quarantined = nil, nil, false
 		out = s.makeRoom(out)
 		s.records[r.content] = r
 	}
@@ -273,8 +286,8 @@
 	for i := range r.crashes {
 		c := &r.crashes[i]
 		old := *c
-		c.ContentAcquitted = c.ContentAcquitted || s.answers.since(r.content, r.crashedAt[i])
-		c.CallerAcquitted = c.CallerAcquitted || s.answers.since(callerKey(Fingerprint{Content: r.content, Caller: c.Caller}), r.crashedAt[i])
+		c.ContentAcquitted = c.ContentAcquitted || s.answers.since(r.content, r.times[i].crashed)
+		c.CallerAcquitted = c.CallerAcquitted || s.answers.since(callerKey(Fingerprint{Content: r.content, Caller: c.Caller}), r.times[i].crashed)
 		changed = changed || *c != old
 	}
 	return changed
@@ -336,8 +349,8 @@
 // that the result does not depend on the order of merges.
 func (r *record) mergeCrashes(now time.Duration, crashes []Crash) (changed bool) {
 	for _, c := range crashes {
-		at := now - c.Age
-		c.Age = 0
+		at := crashTime{began: now - c.Age - c.Ran, crashed: now - c.Age}
+		c.Age, c.Ran = 0, 0
 		i, found := slices.BinarySearchFunc(r.crashes, c, Crash.compare)
 		switch {
 		case found:
@@ -345,32 +358,55 @@
 			merged.CallerAcquitted = merged.CallerAcquitted || c.CallerAcquitted
 			merged.ContentAcquitted = merged.ContentAcquitted || c.ContentAcquitted
 			changed = changed || merged != r.crashes[i]
-			r.crashes[i], r.crashedAt[i] = merged, min(r.crashedAt[i], at)
+			r.crashes[i] = merged
+			r.times[i] = crashTime{min(r.times[i].began, at.began), min(r.times[i].crashed, at.crashed)}
 		case i < MaxCrashes:
-			r.crashes, r.crashedAt = slices.Insert(r.crashes, i, c), slices.Insert(r.crashedAt, i, at)
+			r.crashes, r.times = slices.Insert(r.crashes, i, c), slices.Insert(r.times, i, at)
 			kept := min(len(r.crashes), MaxCrashes)
-			r.crashes, r.crashedAt = r.crashes[:kept], r.crashedAt[:kept]
+			r.crashes, r.times = r.crashes[:kept], r.times[:kept]
 			changed = true
 		}
 	}
 	return changed
 }
 
-// blocks reports whether requests of a caller are withheld: crashLimit targets crashed under its own requests, or under
-// those of several callers. Crashes under the requests of one other caller do not block it, since the cause may be
+// blocks reports whether requests of a caller are withheld: crashLimit targets crashed independently under its own requests,
+// or under those of several callers. Crashes under the requests of one other caller do not block it, since the cause may be
 // something about that caller.
 func (r *record) blocks(caller uint64) bool {
-	own, all := 0, make([]Crash, 0, MaxCrashes)
-	for _, c := range r.crashes {
-		if c.Caller == caller && !c.CallerAcquitted {
-			own++
+	own := func(c Crash) bool { return c.Caller == caller && !c.CallerAcquitted }
+	all := func(c Crash) bool { return !c.ContentAcquitted }
+	return r.independentCrashes(own) >= crashLimit || r.hasSeveralCallers(all) && r.independentCrashes(all) >= crashLimit
+}
+
+func (r *record) hasSeveralCallers(include func(Crash) bool) bool {
+	first := slices.IndexFunc(r.crashes, include)
+	return first >= 0 && slices.ContainsFunc(r.crashes[first:], func(c Crash) bool { return include(c) && c.Caller != r.crashes[first].Caller })
+}
+
+// independentCrashes returns the largest number of targets that crashed one after the other, each in an attempt that began
+// after the crash before. Targets that crash at the same moment, for any cause, take the requests with them that were in
+// flight then: that is one piece of evidence against a request, however many copies of it there were.
+func (r *record) independentCrashes(include func(Crash) bool) int {
+	byTarget := make(map[uint64]crashTime, len(r.crashes))
+	for i, c := range r.crashes {
+		if !include(c) {
+			continue
+		}
+		at := r.times[i]
+		if other, known := byTarget[c.Target]; known {
+			at = crashTime{min(at.began, other.began), min(at.crashed, other.crashed)}
 		}
-		if !c.ContentAcquitted {
-			all = append(all, c)
+		byTarget[c.Target] = at
+	}
+	byCrash := slices.SortedFunc(maps.Values(byTarget), func(a, b crashTime) int { return cmp.Compare(a.crashed, b.crashed) })
+	n, last := 0, time.Duration(math.MinInt64)
+	for _, at := range byCrash {
+		if at.began+transferTime >= last {
+			n, last = n+1, at.crashed
 		}
 	}
-	ofSeveralCallers := slices.ContainsFunc(all, func(c Crash) bool { return c.Caller != all[0].Caller })
-	return own >= crashLimit || ofSeveralCallers && countTargets(all) >= crashLimit
+	return n
 }
 
 // isQuarantined reports whether requests of any caller are withheld.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -131,6 +131,58 @@
 	}
 }
 
+// Guards against innocent requests that are withheld because several targets crashed at the same moment, and against requests
+// that go on crashing targets because copies of them were in flight at the same time.
+func TestCrashesOfTheSameMomentAreOnePieceOfEvidence(t *testing.T) {
+	const ms = time.Millisecond
+	type observed struct {
+		at, ran time.Duration
+		target  int
+		caller  Fingerprint
+	}
+	for name, c := range map[string]struct {
+		crashes []observed
+		blocked bool
+	}{
+		"four targets at once, several callers": {[]observed{
+			{100 * ms, 80 * ms, 1, suspect}, {100 * ms, 30 * ms, 2, otherCaller}, {101 * ms, 60 * ms, 3, thirdCaller}, {103 * ms, 20 * ms, 4, suspect},
+		}, false},
+		"four targets at once, one caller": {[]observed{
+			{100 * ms, 80 * ms, 1, suspect}, {100 * ms, 30 * ms, 2, suspect}, {101 * ms, 60 * ms, 3, suspect}, {103 * ms, 20 * ms, 4, suspect},
+		}, false},
+		"one after the other": {[]observed{{10 * ms, 10 * ms, 1, suspect}, {25 * ms, 14 * ms, 2, suspect}, {40 * ms, 15 * ms, 3, suspect}}, true},
+		"one after the other, at different instances": {[]observed{
+			{10 * ms, 10 * ms, 1, suspect}, {25 * ms, 17 * ms, 2, otherCaller}, {40 * ms, 16 * ms, 3, suspect},
+		}, true},
+		"two at once, then one": {[]observed{{10 * ms, 10 * ms, 1, suspect}, {10 * ms, 10 * ms, 2, otherCaller}, {30 * ms, 20 * ms, 3, suspect}}, false},
+		"two at once, three times": {[]observed{
+			{10 * ms, 10 * ms, 1, suspect}, {10 * ms, 10 * ms, 2, otherCaller}, {30 * ms, 20 * ms, 3, suspect}, {30 * ms, 20 * ms, 4, otherCaller},
+			{50 * ms, 20 * ms, 5, suspect}, {50 * ms, 20 * ms, 6, otherCaller},
+		}, true},
+		"a long attempt beside two others": {[]observed{{10 * ms, 10 * ms, 1, suspect}, {25 * ms, 15 * ms, 2, suspect}, {40 * ms, 40 * ms, 3, suspect}}, false},
+		"one target of two callers": {[]observed{
+			{10 * ms, 10 * ms, 1, suspect}, {25 * ms, 15 * ms, 2, suspect}, {40 * ms, 15 * ms, 2, otherCaller},
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole, parts := New(), New()
+			for _, o := range c.crashes {
+				ev := CrashObserved{Fingerprint: o.caller, Target: fmt.Sprint(o.target), Ran: o.ran}
+				reduce(whole, o.at, ev)
+				one := New()
+				reduce(one, o.at, ev)
+				reduce(parts, time.Second, RecordsReceived{one.Records(time.Second)})
+			}
+			require.Equal(t, c.blocked, whole.Blocks(suspect))
+			require.Equal(t, c.blocked, parts.Blocks(suspect), "told by others")
+			told := New()
+			reduce(told, 3*time.Second, RecordsReceived{whole.Records(2 * time.Second)})
+			require.Equal(t, c.blocked, told.Blocks(suspect), "told by one that knows all")
+			require.Equal(t, whole.Digest(), told.Digest())
+		})
+	}
+}
+
 // Guards against records that never end, and against a quarantine that ends while the request is repeated.
 func TestRecordsExpire(t *testing.T) {
 	s := New()
--- a/pkg/quarantine/records.go
+++ b/pkg/quarantine/records.go
@@ -100,7 +100,7 @@
 			missing := r.export(now)
 			if !r.quarantined {
 				missing.Crashes = slices.DeleteFunc(missing.Crashes, func(c Crash) bool {
-					c.Age = 0
+					c.Age, c.Ran = 0, 0
 					return slices.Contains(o.crashes, c)
 				})
 			}
@@ -150,8 +150,8 @@
 // export returns the record as it is sent to other instances.
 func (r *record) export(now time.Duration) Record {
 	crashes := slices.Clone(r.crashes)
-	for i, at := range r.crashedAt {
-		crashes[i].Age = max(now-at, 0)
+	for i, at := range r.times {
+		crashes[i].Age, crashes[i].Ran = max(now-at.crashed, 0), at.crashed-at.began
 	}
 	return Record{Content: r.content, Crashes: crashes, Age: max(now-r.seenAt, 0), Verdict: r.verdict}
 }
