--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -295,7 +295,7 @@
 }
 
 func (g *Gateway) reject(c *call, rejected rejection) {
-	// Before the body is matched and accepted, no rejection waits for it, or the caller could keep the connection.
+	// A rejection before the body is read does not wait for it, which might never arrive.
 	bodyUnread := rejected.bodyUnread || c.r.ContentLength != 0 && c.memory == nil
 	discards := bodyUnread && !c.awaitsContinue()
 	c.releaseBody()
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -290,7 +290,7 @@
 }
 
 // errRefused ends the read of a request that was refused. http.Server closes the connection without a response after it.
-var errRefused = &net.OpError{Op: "read", Err: errors.New("request was refused")}
+var errRefused error = &net.OpError{Op: "read", Err: errors.New("request was refused")}
 
 // headError returns the error for a head that is not complete, and responds if the client took too long.
 func (c *Conn) headError(err error) error {
--- a/pkg/httpserver/limits.go
+++ b/pkg/httpserver/limits.go
@@ -65,7 +65,7 @@
 	ReasonIdle Reason = "idle"
 )
 
-// Times in seconds after which a refused request may be sent again. A head that is too large stays so.
+// Times after which a refused request may be sent again. A head that is too large stays so.
 const (
 	retryAfterShort = time.Second
 	retryAfterLong  = time.Minute
