gateway: hold the memory of a head as long as an attempt

What callers saw: nothing. Found while reading the change.

Cause: the memory of a head was released when its connection became idle or closed. An attempt that outlives its request, such as a cancelled one that still ends, holds the head beyond that, as it holds the body.

Change: the pending request is a holder of the head's memory too. A log line of the stop names the listener's address as such.

Result: TestRetainedHeadOutlivesRequest; TestHeadMemoryIsReleased fails if the release is left out.

--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -195,7 +195,7 @@
 	memory, r := f.bodyMemory.open("127.0.0.1"), httptest.NewRequest(http.MethodPost, "/u/1", nil)
 	require.NoError(t, memory.grow(9000))
 	template := target.Attempt{Method: r.Method, URL: r.URL, Deadline: time.Now().Add(10 * time.Second)}
-	f.engine("registry").submit(core.RequestArrived{Class: core.ClassOnce}, template, &fingerprinter{request: r}, memory)
+	f.engine("registry").submit(core.RequestArrived{Class: core.ClassOnce}, template, &fingerprinter{request: r}, memory, nil)
 	memory.release()
 	<-began
 	require.EqualValues(t, 9000, f.heldBytes())
@@ -203,6 +203,25 @@
 	f.requireNoBytesHeld(t)
 }
 
+// Guards against memory of heads that is never released: the instance would refuse every large head and body in the end.
+func TestHeadMemoryIsReleased(t *testing.T) {
+	arrived, end := make(chan struct{}), make(chan struct{})
+	f := newUploadFixture(t, 1<<20, Config{}, newHandlerTarget(t, func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-end
+	}))
+	c := f.dialFrom(t, "127.0.0.1")
+	_, err := io.WriteString(c, "POST /u/1 HTTP/1.1\r\nHost: registry\r\nk: "+strings.Repeat("v", 40<<10)+"\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	<-arrived
+	require.Greater(t, f.bodyMemory.budget.Used(), int64(40<<10))
+	close(end)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	f.requireNoBytesHeld(t)
+}
+
 // Guards against a refusal that a caller cannot read because it is still sending its body: it would have to count its
 // request as one that may have run. net/http alone closes the connection 0.5 s after the response, and delays the response
 // until a body of up to 256 KB has arrived. Also guards against memory that is held until the body has been discarded.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
 
@@ -47,7 +48,8 @@
 	id              core.RequestID
 	attemptTemplate target.Attempt // copied for each attempt
 	fingerprint     *fingerprinter
-	memory          *heldMemory   // of the body; nil if there is none
+	memory          *heldMemory // of the body; nil if there is none
+	head            *httpserver.RetainedHead
 	decisionCh      chan decision // has a buffer of one, because it receives exactly one decision
 	attempts        map[core.AttemptID]*attemptState
 	decided         bool        // the decision has been sent
@@ -112,14 +114,14 @@
 
 // submit starts a request. It sets the event's request ID and deadline, and whether the request is quarantined. The
 // request is pending before it is checked, so that refuseQuarantined finds it if it is quarantined after the check. Until
-// it is no longer pending, it is a holder of the memory of its body.
-func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter, memory *heldMemory) *pendingRequest {
+// it is no longer pending, it is a holder of the memory of its head and body.
+func (e *engine) submit(ev core.RequestArrived, a target.Attempt, f *fingerprinter, memory *heldMemory, head *httpserver.RetainedHead) *pendingRequest {
 	e.quarantine.prepare(f)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastID++
 	p := &pendingRequest{
-		id: e.lastID, attemptTemplate: a, fingerprint: f, memory: memory.retain(), decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
+		id: e.lastID, attemptTemplate: a, fingerprint: f, memory: memory.retain(), head: head, decisionCh: make(chan decision, 1), attempts: make(map[core.AttemptID]*attemptState),
 	}
 	e.pending[p.id] = p
 	submitted := false
@@ -258,6 +260,7 @@
 	}
 	delete(e.pending, p.id)
 	p.memory.release()
+	p.head.Release()
 	if p.crashed.Load() {
 		e.quarantine.RecordEnd(p.fingerprint.get())
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -57,7 +57,8 @@
 		return
 	}
 	e := g.engine(c.service)
-	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), c.newFingerprinter(body), c.memory)
+	head := httpserver.FromContext(c.r.Context()).RetainHead()
+	p := e.submit(c.arrivedEvent(g.clock), c.newAttemptTemplate(body), c.newFingerprinter(body), c.memory, head)
 	g.respond(c, e, p)
 }
 
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -238,7 +238,7 @@
 	s := newStopFixture(t, Config{})
 	s.drain()
 	a := target.Attempt{Deadline: time.Now().Add(10 * time.Second)}
-	p := s.engine("later").submit(core.RequestArrived{}, a, &fingerprinter{}, nil)
+	p := s.engine("later").submit(core.RequestArrived{}, a, &fingerprinter{}, nil, nil)
 	require.Equal(t, core.ReasonStopping, (<-p.decisionCh).refusal.Reason)
 }
 
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -282,6 +282,33 @@
 	c.reservation, c.reserved = nil, 0
 }
 
+// RetainedHead is the memory of a head beyond its request. A nil RetainedHead holds nothing.
+type RetainedHead struct {
+	reservation *callermemory.Reservation
+	now         func() time.Duration
+}
+
+// RetainHead keeps the memory of the current head reserved until Release, also if the request ends before.
+func (c *Conn) RetainHead() *RetainedHead {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reservation == nil {
+		return nil
+	}
+	c.reservation.Retain()
+	return &RetainedHead{reservation: c.reservation, now: c.server.cfg.Now}
+}
+
+// Release ends the hold on the memory. It must be called once.
+func (h *RetainedHead) Release() {
+	if h != nil {
+		h.reservation.Release(h.now())
+	}
+}
+
 func (c *Conn) remoteIP() string {
 	if ip, _, err := net.SplitHostPort(c.RemoteAddr().String()); err == nil {
 		return ip
--- a/pkg/httpserver/conn_test.go
+++ b/pkg/httpserver/conn_test.go
@@ -246,6 +246,23 @@
 	require.Eventually(t, func() bool { return memory.Used() == 0 }, testTimeout, time.Millisecond)
 }
 
+// Guards against memory that is given to others while an attempt, which outlives its request, still holds the head.
+func TestRetainedHeadOutlivesRequest(t *testing.T) {
+	memory := callermemory.New(1 << 20)
+	retained := make(chan *RetainedHead, 1)
+	_, address := startLimited(t, Config{Memory: memory}, func(_ http.ResponseWriter, r *http.Request) {
+		retained <- FromContext(r.Context()).RetainHead()
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nk: "+strings.Repeat("v", 40<<10)+"\r\n\r\n")
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, r)
+	require.NoError(t, err)
+	require.Never(t, func() bool { return memory.Used() == 0 }, 50*time.Millisecond, time.Millisecond)
+	(<-retained).Release()
+	require.Eventually(t, func() bool { return memory.Used() == 0 }, testTimeout, time.Millisecond)
+}
+
 // Guards against a bound on connections that shuts ordinary callers out, or closes connections in the wrong order: those
 // that have sent nothing go first, then idle ones, then those with a request that has begun; a request that is served is
 // never dropped.
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -126,7 +126,7 @@
 // keep arriving until then.
 func (s *Server) drainListener(ctx context.Context, listener net.Listener) {
 	defer listener.Close()
-	log := s.log.V(1).WithValues("listener", listener.Addr().String())
+	log := s.log.V(1).WithValues("address", listener.Addr().String())
 	socket, isSocket := listener.(syscall.Conn)
 	if isSocket {
 		if err := sockets.RefuseConnections(socket); err != nil {
