discovery: an outage counts from the first call that failed

Cause: an outage counted from the instance's last answer of the store.

Change: it counts from the beginning of the first call that failed.

--- a/pkg/discovery/grace_test.go
+++ b/pkg/discovery/grace_test.go
@@ -33,7 +33,8 @@
 // refusedSource is a source that refuses one instance for a time.
 type refusedSource struct {
 	*fakeSource
-	refused atomic.Bool
+	refused  atomic.Bool
+	refusals atomic.Int64
 }
 
 var errRefused = errors.New("status 503")
@@ -47,6 +48,7 @@
 
 func (s *refusedSource) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Changes, error) {
 	if s.refused.Load() {
+		s.refusals.Add(1)
 		return discovery.Changes{}, errRefused
 	}
 	changes, err := s.fakeSource.Watch(ctx, after, wait)
@@ -96,3 +98,27 @@
 		})
 	}
 }
+
+// Guards against an instance that follows another one, and takes the time since its own last call of the source for an outage
+// when a single call fails.
+func TestFailedCallOfFollowerIsNoOutage(t *testing.T) {
+	content := &fakeSource{}
+	content.set("stays", "leaves")
+	ofRoot, ofFollower := &refusedSource{fakeSource: content}, &refusedSource{fakeSource: content}
+	newMetrics := func() *discovery.Metrics { return discovery.NewMetrics(prometheus.NewRegistry()) }
+	cfg := watcherConfig
+	root := discovery.NewWatcher(cfg, ofRoot, nil, &recorder{}, newMetrics(), logr.Discard())
+	r := &recorder{}
+	follower := discovery.NewWatcher(cfg, ofFollower, &fakePeers{parent: peerSource{Watcher: root}}, r, newMetrics(), logr.Discard())
+	go root.Run(t.Context())
+	go follower.Run(t.Context())
+	require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+	time.Sleep(1500 * time.Millisecond) // follows the root
+
+	ofFollower.refused.Store(true)
+	ofRoot.refused.Store(true)
+	require.Eventually(t, func() bool { return ofFollower.refusals.Load() > 0 }, 10*time.Second, time.Millisecond)
+	ofFollower.refused.Store(false)
+	content.remove("leaves")
+	require.Eventually(t, func() bool { return r.count() == 1 }, 1800*time.Millisecond, time.Millisecond)
+}
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -82,8 +82,7 @@
 	changed   chan struct{}     // closed when the view changes or is confirmed
 	// confirmedAt is the latest time at which the view is known to have matched the source.
 	confirmedAt time.Duration
-	answeredAt  time.Duration // time of the latest answer of the source
-	failures    int           // consecutive failed calls of the source
+	failures    int // consecutive failed calls of the source
 	// failingSince is the time from which the source may have been away, if failures is above 0.
 	failingSince time.Duration
 	readFrom     string // name of the source or instance that answered last
@@ -311,7 +310,7 @@
 			return err
 		}
 		if w.failures == 0 {
-			w.failingSince = w.answeredAt
+			w.failingSince = began // an instance that follows another one may not have called for long
 			if isConnectionEnd(err) {
 				w.failingSince = w.now() // the source was there until it closed the connection
 			}
@@ -330,9 +329,6 @@
 		w.log.Info("store is back", "operation", operation, "failures", w.failures, "away", outage.String())
 		w.failures = 0
 	}
-	if fromSource {
-		w.answeredAt = w.now()
-	}
 	if err == nil && confirmed > w.confirmedAt {
 		w.confirmedAt = confirmed
 		w.notifyWaiters()
