--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -70,6 +70,12 @@
 	return &Cluster{binaryDir: binaryDir, workDir: workDir}
 }
 
+// BuildPrograms compiles all programs into dir.
+func BuildPrograms(dir string) error {
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "github.com/burdockpitch/burdockpitch/cmd/...").CombinedOutput()
+	return eris.Wrapf(err, "build programs: %s", out)
+}
+
 // Start starts a program of the binary directory. The kernel kills the process when this process dies.
 func (c *Cluster) Start(program string, args ...string) (*Process, error) {
 	return c.StartWith(StartOptions{}, program, args...)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -58,6 +58,14 @@
 	return optErr
 }
 
+// RemoteIP returns the IP of an address of the form "ip:port", or the address itself if it has another form.
+func RemoteIP(address string) string {
+	if ip, _, err := net.SplitHostPort(address); err == nil {
+		return ip
+	}
+	return address
+}
+
 var errNoSocket = eris.New("connection is no socket")
 
 // PeekByte waits for the first byte to read, within the read deadline, without consuming it.
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -84,9 +84,8 @@
 // Grace returns how much longer missing entries are kept.
 func (v *View) Grace(now time.Duration) time.Duration { return max(v.graceUntil-now, 0) }
 
-// takeOverGrace keeps missing entries for at least the given time from now on, after an outage that began before the given
-// age. It is the grace period of another instance.
-func (v *View) takeOverGrace(now, grace, outageAge time.Duration) {
+// extendGrace keeps missing entries for at least the given time from now on, because of an outage that began outageAge ago.
+func (v *View) extendGrace(now, grace, outageAge time.Duration) {
 	if until := now + grace; grace > 0 && until > v.graceUntil {
 		v.graceUntil, v.outageBegan = until, now-outageAge
 	}
@@ -161,7 +160,7 @@
 	if v.complete && (s.Generation < v.generation || s.Generation == v.generation && s.Revision < v.revision) {
 		return false
 	}
-	v.takeOverGrace(now, s.Grace, s.OutageAge)
+	v.extendGrace(now, s.Grace, s.OutageAge)
 	restored := v.complete && s.Generation > v.generation
 	s.Items = v.withoutEndedOrders(s, restored)
 	if restored {
@@ -169,7 +168,7 @@
 		for _, item := range s.Items {
 			v.copyRevision = max(v.copyRevision, item.Revision)
 		}
-		v.takeOverGrace(now, recoveryGrace, 0)
+		v.extendGrace(now, recoveryGrace, 0)
 		v.history, v.newestChange, v.compactedRevision = nil, 0, s.Revision
 		changed = true // an equal revision may be that of another change
 	}
@@ -236,7 +235,7 @@
 
 // ApplyChanges applies changes of the generation of the view. It reports whether anything changed.
 func (v *View) ApplyChanges(now time.Duration, c Changes) (changed bool) {
-	v.takeOverGrace(now, c.Grace, c.OutageAge)
+	v.extendGrace(now, c.Grace, c.OutageAge)
 	for _, item := range c.Items {
 		if old, ok := v.entries[item.Key]; item.Revision <= v.revision || ok && item.Revision < old.Revision {
 			continue // already applied, possibly together with later changes
--- a/pkg/discovery/watcher.go
+++ b/pkg/discovery/watcher.go
@@ -215,7 +215,7 @@
 			"revision", snapshot.Revision, "revision_before", w.view.Revision())
 		w.offered = nil // revisions are assigned again
 	}
-	snapshot.Grace = w.justifiedGrace(snapshot.Grace, snapshot.OutageAge, confirmedBefore)
+	snapshot.Grace = w.justifiedGrace(c, snapshot.Grace, snapshot.OutageAge, confirmedBefore)
 	if w.view.ApplySnapshot(w.now(), snapshot) {
 		w.publish("read", c.name)
 	}
@@ -261,7 +261,7 @@
 			"revision", after, "risen_to", changes.Revision)
 		return changes, nil
 	}
-	changes.Grace = w.justifiedGrace(changes.Grace, changes.OutageAge, confirmedBefore)
+	changes.Grace = w.justifiedGrace(c, changes.Grace, changes.OutageAge, confirmedBefore)
 	if w.view.ApplyChanges(w.now(), changes) {
 		w.publish("watch", c.name)
 	}
@@ -278,9 +278,9 @@
 // justifiedGrace returns the grace period of another instance, or 0 if the view was confirmed during the outage to which it
 // belongs: then the source was there, and only that instance was without it. Confirmations before the outage differ by up
 // to minOutage between instances. The caller holds w.mu.
-func (w *Watcher) justifiedGrace(grace, outageAge, confirmedBefore time.Duration) time.Duration {
+func (w *Watcher) justifiedGrace(c sourceChoice, grace, outageAge, confirmedBefore time.Duration) time.Duration {
 	if grace > 0 && outageAge > 0 && confirmedBefore > w.now()-outageAge+minOutage {
-		w.log.V(1).Info("grace period of another instance is not taken over", "grace", grace.String(), "outage_age", outageAge.String())
+		w.log.V(1).Info("grace period of another instance is not taken over", "peer", c.name, "grace", grace.String(), "outage_age", outageAge.String())
 		return 0
 	}
 	return grace
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -23,7 +23,7 @@
 func (g *Gateway) readBody(c *call) ([]byte, *rejection) {
 	c.memory = g.bodyMemory.openRequest(c.callerIP())
 	conn := httpserver.FromContext(c.r.Context())
-	received := conn.AwaitBody()
+	endWait := conn.AwaitBody()
 	readDeadline := c.arrived.Add(c.rule.Deadline)
 	_ = c.control.SetReadDeadline(readDeadline)
 	detach := g.stop.onBegin(func(latest time.Time) {
@@ -46,7 +46,7 @@
 		err = c.memory.grow(httpserver.HeaderParsedBytes(c.r.Trailer))
 	}
 	detach()
-	received()
+	endWait()
 	if conn.Evicted() {
 		return nil, &rejectConnectionLimit
 	}
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/quarantine"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
@@ -39,11 +39,7 @@
 	if c.relayed != nil {
 		return c.relayed.CallerIP
 	}
-	ip, _, err := net.SplitHostPort(c.r.RemoteAddr)
-	if err != nil {
-		return c.r.RemoteAddr
-	}
-	return ip
+	return sockets.RemoteIP(c.r.RemoteAddr)
 }
 
 func (c *call) newFingerprinter(body []byte) *fingerprinter {
--- a/pkg/gateway/reasons.go
+++ b/pkg/gateway/reasons.go
@@ -9,7 +9,7 @@
 )
 
 // Reasons for refusing a request before it reaches the reducer. Together with the reasons of package core they form a
-// closed set.
+// closed set, to which httpserver.Reason adds those for requests that are refused before they are read whole.
 const (
 	ReasonNoConfiguration core.Reason = "no-configuration"
 	ReasonNoRule          core.Reason = "no-rule"
@@ -19,9 +19,6 @@
 	ReasonBodyMemory      core.Reason = "body-memory" // no memory is available for the body
 	ReasonUpgrade         core.Reason = "upgrade"
 	ReasonConnect         core.Reason = "connect"
-	ReasonHeadTooLarge    core.Reason = core.Reason(httpserver.ReasonHeadTooLarge)
-	ReasonHeadSlow        core.Reason = core.Reason(httpserver.ReasonHeadSlow)
-	ReasonHeadMemory      core.Reason = core.Reason(httpserver.ReasonHeadMemory)      // no memory is available for the head
 	ReasonConnectionLimit core.Reason = core.Reason(httpserver.ReasonConnectionLimit) // a new connection has replaced this one
 	ReasonRelayLimit      core.Reason = "relay-limit"                                 // too many requests of other instances are in progress
 )
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -26,7 +26,7 @@
 	phaseHead                 // the rest of a head
 	phaseBody                 // the body, for which the handler waits
 	phaseServing              // the handler
-	phaseRefused              // the client, which may still send and then reads the refusal
+	phaseRefused              // the client, which may still send before it reads the refusal
 )
 
 const (
@@ -100,8 +100,8 @@
 	c.setDeadline()
 }
 
-// setDeadline sets the read deadline of the phase. The caller holds the lock. In other phases than these, the deadline
-// belongs to the handler.
+// setDeadline sets the read deadline of a phase that waits for a head, and clears it when the handler takes over. In all
+// other phases, the deadline belongs to the handler. The caller holds the lock.
 func (c *Conn) setDeadline() {
 	limits := c.server.currentLimits()
 	switch {
@@ -260,7 +260,7 @@
 		c.reserved = max(c.reserved, n)
 		return 0
 	}
-	caller := c.remoteIP()
+	caller := sockets.RemoteIP(c.RemoteAddr().String())
 	if c.reservation == nil {
 		c.reservation, _ = m.Reserve(caller, 0)
 	}
@@ -309,13 +309,6 @@
 	}
 }
 
-func (c *Conn) remoteIP() string {
-	if ip, _, err := net.SplitHostPort(c.RemoteAddr().String()); err == nil {
-		return ip
-	}
-	return c.RemoteAddr().String()
-}
-
 // errRefused ends the read of a request that was refused. http.Server closes the connection without a response after it.
 var errRefused error = &net.OpError{Op: "read", Err: errors.New("request was refused")}
 
@@ -423,7 +416,8 @@
 // connKey is the context key of the Conn of a request.
 type connKey struct{}
 
-// FromContext returns the connection of a request that a Server serves, or nil.
+// FromContext returns the connection of a request that a Server serves, or nil. The methods of Conn for handlers (AwaitBody,
+// DiscardBody, Evicted, Reset and RetainHead) accept nil.
 func FromContext(ctx context.Context) *Conn {
 	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
--- a/pkg/httpserver/metrics.go
+++ b/pkg/httpserver/metrics.go
@@ -12,10 +12,10 @@
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "burdockpitch_client_connections", Help: "Open connections of clients, by listener.",
+			Namespace: "burdockpitch", Name: "client_connections", Help: "Open connections of clients, by listener.",
 		}, []string{"listener"}),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "burdockpitch_client_connections_ended_total",
+			Namespace: "burdockpitch", Name: "client_connections_ended_total",
 			Help: "Connections that were ended because of a limit on clients, by listener and reason.",
 		}, []string{"listener", "reason"}),
 	}
--- a/pkg/peer/connections.go
+++ b/pkg/peer/connections.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/burdockpitch/burdockpitch/internal/sockets"
 )
 
 // requestWait is how long a connection without a request is kept at the bound. It is several times what a request takes, so
@@ -35,7 +37,7 @@
 func (c *connections) add(conn net.Conn) (replaced net.Conn, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	added := acceptedConn{time.Now(), remoteIP(conn)}
+	added := acceptedConn{time.Now(), sockets.RemoteIP(conn.RemoteAddr().String())}
 	if c.proven+len(c.accepted) >= c.most {
 		replaced = c.replaceable(added)
 		if replaced == nil {
@@ -74,14 +76,6 @@
 	return first
 }
 
-func remoteIP(conn net.Conn) string {
-	ip, _, err := net.SplitHostPort(conn.RemoteAddr().String())
-	if err != nil {
-		return ""
-	}
-	return ip
-}
-
 // prove notes the first request on a connection. It returns false if the connection was replaced meanwhile.
 func (c *connections) prove(conn net.Conn) bool {
 	c.mu.Lock()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// handleConnection serves a connection in the background. It closes connections from unknown addresses at once, and one
-// above the limit, or the one that this replaces.
+// handleConnection serves a connection in the background. It closes one from an unknown address at once. At the limit, it
+// closes either the new connection or the one that it replaces.
 func (n *Node) handleConnection(ctx context.Context, conn net.Conn) {
 	if !n.isAllowed(conn.RemoteAddr()) {
 		n.metrics.droppedConnections.WithLabelValues("unknown-sender").Inc()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -132,6 +132,8 @@
 	c.require(s.Retry.MaxAttempts > 1 || s.Hedge.Ratio == 0 && s.Hedge.Floor == 0 && s.Retry.Ratio == 0 && s.Retry.Floor == 0,
 		"ratios and floors of 0 with one attempt, or more attempts",
 		"retries or hedges are allowed, but retry.max_attempts allows one attempt", "retry.max_attempts", "hedge.ratio", "hedge.floor", "retry.ratio", "retry.floor")
+	c.require(s.Limits.Connections == 0 || s.Limits.Connections >= MinConnections, fmt.Sprintf("0, or at least %d", MinConnections),
+		"limits.connections leaves none for callers", "limits.connections")
 	c.checkMemory()
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -247,6 +247,9 @@
 	FirstAttemptShare float64 `toml:"first_share"`
 }
 
+// MinConnections is the lowest bound on connections that leaves some for callers.
+const MinConnections = 64
+
 // Limits bounds what a caller can send.
 type Limits struct {
 	// Body caps the body limits of rules. Default 64MiB.
@@ -258,7 +261,7 @@
 	// IdleTimeout is how long a caller's connection stays open between two requests. Default 10m.
 	IdleTimeout Duration `toml:"idle_timeout"`
 	// Connections bounds the open connections of all listeners together. Default 0: half of Descriptors, or a quarter of
-	// the memory of the process, whichever is reached first.
+	// the memory of the process, whichever is reached first. Another value is at least MinConnections.
 	Connections int `toml:"connections"`
 	// Descriptors is the number of file descriptors that the process may have open. Default 0: the limit of the system.
 	Descriptors int `toml:"descriptors"`
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -59,6 +59,7 @@
 		{`peer_listen = "10.0.0.1:8080"`, `4:15: listen and peer_listen take the same port`},
 		{`peer_listen = ":9900"`, `4:15: admin_listen and peer_listen take the same port`},
 		{`memory.process = "413KiB"`, `4:18: memory.process is too small for an instance`},
+		{`limits.connections = 63`, `4:22: limits.connections leaves none for callers`},
 		{`memory.process = 413`, `4:18: bad value for memory.process`},
 		{`memory.body_share = 25`, `4:21: memory.body_share is out of range`},
 		{`memory.body_share = 0.5`, `4:21: memory.body_share has no effect without memory.process`},
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -50,8 +50,8 @@
 	closed           bool
 	reused           bool        // leased again after an earlier attempt
 	idleTimer        *time.Timer // closes the connection after Config.IdleTimeout
-	// refusedIDs holds hashes of the IDs of the requests that the target has declared not to have run on this connection. A faulty
-	// target may send such a response once more, so that none of these requests may be sent on the connection again.
+	// refusedIDs holds hashes of the IDs of the requests that the target has declared not to have run on this connection. A
+	// faulty target may send such a response once more, so that none of these requests may be sent on the connection again.
 	refusedIDs []requestKey
 }
 
