memorybudget: rename callermemory, which will also bound the heads of responses

Reservations have an account, which is the caller so far. The estimate of what a parsed head takes moves next to the budget that it is reserved from.

--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -13,10 +13,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/discovery"
 	"github.com/burdockpitch/burdockpitch/pkg/gateway"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 	"github.com/burdockpitch/burdockpitch/pkg/peer"
 	"github.com/burdockpitch/burdockpitch/pkg/peer/membership"
 	"github.com/burdockpitch/burdockpitch/pkg/relay"
@@ -65,7 +65,7 @@
 func newConfigStore(
 	s settings.Settings, a Adapter, capacity clientCapacity, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
 ) *discovery.ConfigStore {
-	maxBody := min(s.MaxBody(), callermemory.MaxBody(capacity.memory))
+	maxBody := min(s.MaxBody(), memorybudget.MaxBody(capacity.memory))
 	return discovery.NewConfigStore(a.ParseDocument, log, m, func(docs []*rules.Document) {
 		g.SetDocuments(rules.WithLimits(docs, s.Deadline.Max.Std(), maxBody))
 	})
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 )
 
@@ -43,7 +44,7 @@
 		body, err = readGrowing(nil, limited, c.rule.BodyLimit+1, c.memory)
 	}
 	if err == nil && len(c.r.Trailer) > 0 {
-		err = c.memory.grow(httpserver.HeaderParsedBytes(c.r.Trailer))
+		err = c.memory.grow(memorybudget.HeaderParsedBytes(c.r.Trailer))
 	}
 	detach()
 	endWait()
--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -17,8 +17,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
@@ -350,7 +350,7 @@
 func TestRelayWithoutMemoryGoesElsewhere(t *testing.T) {
 	server := newHandlerTarget(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
 	full, fullAddress := startRelayTest(t, server)
-	full.bodyMemory.budget = callermemory.New(1)
+	full.bodyMemory.budget = memorybudget.New(1)
 	_, other := startRelayTest(t, server)
 	g := startCutOff(t, fullAddress, other)
 	refused := full.metrics.refusals.WithLabelValues("s", string(ReasonBodyMemory))
--- a/pkg/gateway/bodymemory.go
+++ b/pkg/gateway/bodymemory.go
@@ -4,7 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
 // errNoMemory is returned if there is no memory for a body.
@@ -13,13 +13,13 @@
 // bodyMemory hands out the memory for request bodies and buffered response bodies. It is safe for concurrent use.
 type bodyMemory struct {
 	clock     clock
-	budget    *callermemory.Budget
+	budget    *memorybudget.Budget
 	allowance int64 // bytes of each request body that are not counted
 	held      prometheus.Gauge
 }
 
 func newBodyMemory(ck clock, bytes, allowance int64, m *Metrics) *bodyMemory {
-	return &bodyMemory{clock: ck, budget: callermemory.New(bytes), allowance: allowance, held: m.bodyBytes}
+	return &bodyMemory{clock: ck, budget: memorybudget.New(bytes), allowance: allowance, held: m.bodyBytes}
 }
 
 // openRequest is open for a request body.
@@ -40,14 +40,14 @@
 type heldMemory struct {
 	memory      *bodyMemory
 	caller      string
-	reservation *callermemory.Reservation
+	reservation *memorybudget.Reservation
 	granted     bool // bytes have been reserved
 	// allowance is the number of further bytes that need no reservation.
 	allowance int64
 	// lack says what was refused last. It belongs to the goroutine that grows the reservation.
 	lack struct {
 		bytes  int64
-		reason callermemory.Reason
+		reason memorybudget.Reason
 	}
 }
 
@@ -57,7 +57,7 @@
 		return nil
 	}
 	counted := max(n-h.allowance, 0)
-	if reason := h.reservation.Grow(counted); reason != callermemory.Granted {
+	if reason := h.reservation.Grow(counted); reason != memorybudget.Granted {
 		h.lack.bytes, h.lack.reason = counted, reason
 		return errNoMemory
 	}
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
 // phase is what a connection waits for.
@@ -56,7 +56,7 @@
 	unread      bool      // received holds bytes of a further request
 	ended       bool      // a stop closes the connection; what is read from now on is dropped
 	evicted     bool      // the connection is replaced by a new one; reads fail
-	reservation *callermemory.Reservation
+	reservation *memorybudget.Reservation
 	reserved    int64 // bytes, HeadAllowance included
 }
 
@@ -255,7 +255,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.server.cfg.Memory
-	more := n - max(c.reserved, HeadAllowance)
+	more := n - max(c.reserved, memorybudget.HeadAllowance)
 	if m == nil || more <= 0 {
 		c.reserved = max(c.reserved, n)
 		return 0
@@ -264,7 +264,7 @@
 	if c.reservation == nil {
 		c.reservation, _ = m.Reserve(caller, 0)
 	}
-	if reason := c.reservation.Grow(more); reason != callermemory.Granted {
+	if reason := c.reservation.Grow(more); reason != memorybudget.Granted {
 		return m.RetryAfter(c.server.cfg.Now(), caller, more, reason)
 	}
 	c.reserved = n
@@ -284,7 +284,7 @@
 
 // RetainedHead is the memory of a head beyond its request. A nil RetainedHead holds nothing.
 type RetainedHead struct {
-	reservation *callermemory.Reservation
+	reservation *memorybudget.Reservation
 	now         func() time.Duration
 }
 
--- a/pkg/httpserver/conn_test.go
+++ b/pkg/httpserver/conn_test.go
@@ -18,7 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
 const testTimeout = 10 * time.Second
@@ -62,7 +62,7 @@
 // Guards against requests that are lost, mixed up or cut because of how their bytes are split: heads and bodies that arrive
 // in pieces, several requests in one piece, and heads that are larger than the buffers of http.Server.
 func TestRequestsArriveInAnyPieces(t *testing.T) {
-	memory := callermemory.New(1 << 20)
+	memory := memorybudget.New(1 << 20)
 	s, address := startLimited(t, Config{Memory: memory}, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		_, _ = fmt.Fprintf(w, "%s %d %s", r.URL.Path, len(r.Header["K"]), body)
@@ -173,8 +173,8 @@
 				taken := int64(heapBytes()-before) / count
 				runtime.KeepAlive(kept)
 				t.Logf("%d lines: %d bytes taken, %d estimated", scanner.lines, taken, scanner.parsedBytes())
-				require.LessOrEqual(t, taken, max(scanner.parsedBytes(), HeadAllowance))
-				require.InDelta(t, scanner.parsedBytes(), HeaderParsedBytes(kept[0]), float64(scanner.lines*20+700))
+				require.LessOrEqual(t, taken, max(scanner.parsedBytes(), memorybudget.HeadAllowance))
+				require.InDelta(t, scanner.parsedBytes(), memorybudget.HeaderParsedBytes(kept[0]), float64(scanner.lines*20+700))
 			})
 		}
 	}
@@ -199,7 +199,7 @@
 // Guards against clients with large heads that keep small ones out, and against a head that is refused without a promise
 // that the request has not run.
 func TestHeadsShareMemory(t *testing.T) {
-	memory := callermemory.New(1 << 20)
+	memory := memorybudget.New(1 << 20)
 	release := make(chan struct{})
 	refusal := func(h http.Header, reason Reason, retryAfter time.Duration) {
 		h.Set("Reason", string(reason))
@@ -248,7 +248,7 @@
 
 // Guards against memory that is given to others while an attempt, which outlives its request, still holds the head.
 func TestRetainedHeadOutlivesRequest(t *testing.T) {
-	memory := callermemory.New(1 << 20)
+	memory := memorybudget.New(1 << 20)
 	retained := make(chan *RetainedHead, 1)
 	_, address := startLimited(t, Config{Memory: memory}, func(_ http.ResponseWriter, r *http.Request) {
 		retained <- FromContext(r.Context()).RetainHead()
--- a/pkg/httpserver/head.go
+++ b/pkg/httpserver/head.go
@@ -1,6 +1,10 @@
 package httpserver
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
+)
 
 // headScanner finds the end of a request head and measures the head, without keeping or parsing it. The zero value is at
 // the start of a head. Sizes are in bytes and include line breaks.
@@ -62,4 +66,6 @@
 }
 
 // parsedBytes estimates the memory that the head takes once it has been parsed.
-func (s *headScanner) parsedBytes() int64 { return ParsedBytes(s.requestLine+s.fields, s.lines) }
+func (s *headScanner) parsedBytes() int64 {
+	return memorybudget.ParsedBytes(s.requestLine+s.fields, s.lines)
+}
--- a/pkg/httpserver/limits.go
+++ b/pkg/httpserver/limits.go
@@ -7,7 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
 // Limits bounds what one client can send, and how long it can take.
@@ -35,8 +35,9 @@
 	// MaxConnections bounds the open connections; zero means no bound. At the bound, a new connection replaces the one that
 	// has waited for its client for the longest time.
 	MaxConnections int
-	// Memory bounds the heads of all connections together; nil means no bound. HeadAllowance bytes of each are not counted.
-	Memory *callermemory.Budget
+	// Memory bounds the heads of all connections together; nil means no bound. memorybudget.HeadAllowance bytes of each are
+	// not counted.
+	Memory *memorybudget.Budget
 	// Now is the time for Memory.
 	Now func() time.Duration
 	// SetRefusalHeaders sets the headers of a response that refuses a request before it is read whole; nil sets none. Such
@@ -71,34 +72,6 @@
 	retryAfterLong  = time.Minute
 )
 
-// HeadAllowance is the memory for the head of a request that each connection has of its own. It covers ordinary heads, so
-// that clients with large ones cannot keep the memory from others.
-const HeadAllowance = 12 << 10
-
 // ConnectionBytes is the memory that a connection takes at most, apart from what Config.Memory counts: buffers, stacks,
-// HeadAllowance, and the bytes that were received and not read yet.
-const ConnectionBytes = 28<<10 + HeadAllowance + sockets.ReceiveBufferBytes
-
-// Bytes that a parsed head takes for each of its bytes and for each header line: the values and the names, the entries of
-// two maps, of the request and of the one to the target, and what the maps leave behind as they grow.
-const (
-	parsedBytesPerByte = 3
-	parsedBytesPerLine = 256
-)
-
-// ParsedBytes estimates the memory that a head, or a trailer, takes once it has been parsed.
-func ParsedBytes(size, lines int) int64 {
-	return parsedBytesPerByte*int64(size) + parsedBytesPerLine*int64(lines)
-}
-
-// HeaderParsedBytes is ParsedBytes for header lines that have been parsed.
-func HeaderParsedBytes(h http.Header) int64 {
-	size, lines := 0, 0
-	for name, values := range h {
-		for _, value := range values {
-			size += len(name) + len(value)
-			lines++
-		}
-	}
-	return ParsedBytes(size, lines)
-}
+// memorybudget.HeadAllowance, and the bytes that were received and not read yet.
+const ConnectionBytes = 28<<10 + memorybudget.HeadAllowance + sockets.ReceiveBufferBytes
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
 const (
@@ -192,7 +193,7 @@
 		}
 		var retryAfter time.Duration
 		if c != nil {
-			retryAfter = c.reserveHead(HeaderParsedBytes(r.Header))
+			retryAfter = c.reserveHead(memorybudget.HeaderParsedBytes(r.Header))
 		}
 		if retryAfter == 0 {
 			handler.ServeHTTP(w, r)
--- a/pkg/callermemory/budget.go
+++ b/pkg/memorybudget/budget.go
@@ -1,6 +1,7 @@
-// Package callermemory bounds the bytes of heads and bodies that an instance holds for its callers. It has no clock and no
-// I/O: the time is an argument, as an offset from the start of the process. Nothing waits for memory.
-package callermemory
+// Package memorybudget bounds the bytes of heads and bodies that an instance holds for others: for callers, or for servers
+// whose responses it reads. Each of them has an account. The package has no clock and no I/O: the time is an argument, as an
+// offset from the start of the process. Nothing waits for memory.
+package memorybudget
 
 import (
 	"math"
@@ -16,17 +17,17 @@
 	Granted Reason = ""
 	// Full means that the total bound leaves no room.
 	Full Reason = "full"
-	// CallerShare means that the caller holds its share, and that most of the total is in use.
-	CallerShare Reason = "caller-share"
+	// AccountShare means that the account holds its share, and that most of the total is in use.
+	AccountShare Reason = "account-share"
 	// Released means that the reservation has been released before.
 	Released Reason = "released"
 )
 
-// Parts of the total. While more than the shared part is in use, a caller gets no memory beyond its own part. One caller
+// Parts of the total. While more than the shared part is in use, an account gets no memory beyond its own part. One account
 // alone can therefore hold the shared part, and leaves the rest to others.
 const (
-	sharedDivisor = 2
-	callerDivisor = 4
+	sharedDivisor  = 2
+	accountDivisor = 4
 )
 
 // MaxBody returns the size of the largest body that can be held within a total.
@@ -43,10 +44,10 @@
 type Budget struct {
 	total int64
 
-	mu       sync.Mutex
-	used     int64
-	byCaller map[string]int64 // bytes held, only of callers that hold any
-	releases releaseRate
+	mu        sync.Mutex
+	used      int64
+	byAccount map[string]int64 // bytes held, only of accounts that hold any
+	releases  releaseRate
 }
 
 // New returns a budget of a number of bytes; 0 means no bound.
@@ -54,27 +55,27 @@
 	if total <= 0 {
 		total = math.MaxInt64
 	}
-	return &Budget{total: total, byCaller: make(map[string]int64)}
+	return &Budget{total: total, byAccount: make(map[string]int64)}
 }
 
-// Reservation is memory that a caller holds. It has one holder at first; the memory is free once all of them have
+// Reservation is memory that an account holds. It has one holder at first; the memory is free once all of them have
 // released it.
 type Reservation struct {
 	budget  *Budget
-	caller  string
+	account string
 	bytes   int64 // guarded by budget.mu, as is holders
 	holders int
 }
 
-// Reserve reserves n bytes for a caller, or returns nil and the reason why they are not available. Zero bytes are always
+// Reserve reserves n bytes for an account, or returns nil and the reason why they are not available. Zero bytes are always
 // available.
-func (b *Budget) Reserve(caller string, n int64) (*Reservation, Reason) {
+func (b *Budget) Reserve(account string, n int64) (*Reservation, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if reason := b.check(caller, n); reason != Granted {
+	if reason := b.check(account, n); reason != Granted {
 		return nil, reason
 	}
-	r := &Reservation{budget: b, caller: caller, holders: 1}
+	r := &Reservation{budget: b, account: account, holders: 1}
 	r.add(n)
 	return r, Granted
 }
@@ -86,7 +87,7 @@
 	if r.holders == 0 {
 		return Released
 	}
-	reason := r.budget.check(r.caller, n)
+	reason := r.budget.check(r.account, n)
 	if reason == Granted {
 		r.add(n)
 	}
@@ -128,18 +129,18 @@
 	return b.used
 }
 
-// RetryAfter returns the time after which n bytes are likely to be available to a caller that was refused them for a
+// RetryAfter returns the time after which n bytes are likely to be available to an account that was refused them for a
 // reason, at the rate at which bytes were released lately.
-func (b *Budget) RetryAfter(now time.Duration, caller string, n int64, reason Reason) time.Duration {
+func (b *Budget) RetryAfter(now time.Duration, account string, n int64, reason Reason) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	rate := b.releases.perSecond(now)
 	seconds := secondsUntil(b.used-b.total+n, rate)
-	if reason == CallerShare {
-		// Either less than the shared part is in use again, or the caller's part of the releases brings it below its own.
-		held := b.byCaller[caller]
+	if reason == AccountShare {
+		// Either less than the shared part is in use again, or the account's part of the releases brings it below its own.
+		held := b.byAccount[account]
 		shared := secondsUntil(b.used-b.total/sharedDivisor+n, rate)
-		own := secondsUntil(held-b.total/callerDivisor+n, rate*float64(held)/float64(max(b.used, 1)))
+		own := secondsUntil(held-b.total/accountDivisor+n, rate*float64(held)/float64(max(b.used, 1)))
 		seconds = max(seconds, min(shared, own))
 	}
 	if seconds >= maxRetryAfter.Seconds() {
@@ -159,15 +160,15 @@
 	return float64(bytes) / rate
 }
 
-// check returns Granted if n bytes are available to a caller. The caller holds the lock.
-func (b *Budget) check(caller string, n int64) Reason {
+// check returns Granted if n bytes are available to an account. The caller holds the lock.
+func (b *Budget) check(account string, n int64) Reason {
 	switch {
 	case n <= 0:
 		return Granted
 	case n > b.total-b.used:
 		return Full
-	case b.used+n > b.total/sharedDivisor && b.byCaller[caller]+n > b.total/callerDivisor:
-		return CallerShare
+	case b.used+n > b.total/sharedDivisor && b.byAccount[account]+n > b.total/accountDivisor:
+		return AccountShare
 	}
 	return Granted
 }
@@ -177,8 +178,8 @@
 	b := r.budget
 	r.bytes += n
 	b.used += n
-	b.byCaller[r.caller] += n
-	if b.byCaller[r.caller] == 0 {
-		delete(b.byCaller, r.caller)
+	b.byAccount[r.account] += n
+	if b.byAccount[r.account] == 0 {
+		delete(b.byAccount, r.account)
 	}
 }
--- a/pkg/callermemory/budget_test.go
+++ b/pkg/memorybudget/budget_test.go
@@ -1,4 +1,4 @@
-package callermemory
+package memorybudget
 
 import (
 	"testing"
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against more memory than the total, a caller that gets more than its share while most of the total is in use,
+// Guards against more memory than the total, an account that gets more than its share while most of the total is in use,
 // and bytes that are counted wrongly after any sequence of steps, repeated releases included.
 func TestBudgetHoldsInEverySequence(t *testing.T) {
 	const total = 1000
@@ -18,20 +18,20 @@
 		bytes := make(map[*Reservation]int64) // as they should be counted
 		holders := make(map[*Reservation]int)
 		var all []*Reservation
-		held := func(caller string) (n int64) {
+		held := func(account string) (n int64) {
 			for r := range bytes {
-				if holders[r] > 0 && (caller == "" || r.caller == caller) {
+				if holders[r] > 0 && (account == "" || r.account == account) {
 					n += bytes[r]
 				}
 			}
 			return n
 		}
-		expected := func(caller string, n int64) Reason {
+		expected := func(account string, n int64) Reason {
 			switch {
 			case held("")+n > total:
 				return Full
-			case held("")+n > total/2 && held(caller)+n > total/4:
-				return CallerShare
+			case held("")+n > total/2 && held(account)+n > total/4:
+				return AccountShare
 			}
 			return Granted
 		}
@@ -39,9 +39,9 @@
 			step := rapid.IntRange(0, 3).Draw(t, "step")
 			n := sizes.Draw(t, "n")
 			if step == 0 || len(all) == 0 {
-				caller := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")
-				want := expected(caller, n)
-				r, reason := b.Reserve(caller, n)
+				account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+				want := expected(account, n)
+				r, reason := b.Reserve(account, n)
 				require.Equal(t, want, reason)
 				if reason == Granted {
 					all, bytes[r], holders[r] = append(all, r), n, 1
@@ -55,7 +55,7 @@
 				require.Equal(t, Released, r.Grow(n))
 				require.Zero(t, r.Release(0))
 			case step == 1:
-				want := expected(r.caller, n)
+				want := expected(r.account, n)
 				require.Equal(t, want, r.Grow(n))
 				if want == Granted {
 					bytes[r] += n
@@ -81,12 +81,12 @@
 		r, _ := b.Reserve("a", 20)
 		r.Release(now + time.Duration(s-9)*time.Second)
 	}
-	for _, caller := range []string{"a", "b", "c", "d"} {
-		_, reason := b.Reserve(caller, 250)
+	for _, account := range []string{"a", "b", "c", "d"} {
+		_, reason := b.Reserve(account, 250)
 		require.Equal(t, Granted, reason)
 	}
 	require.Equal(t, 3*time.Second, b.RetryAfter(now, "e", 60, Full))
 	require.Equal(t, minRetryAfter, b.RetryAfter(now, "e", 1, Full))
-	require.Equal(t, 4*time.Second, b.RetryAfter(now, "d", 20, CallerShare), "a quarter of the releases are the caller's")
+	require.Equal(t, 4*time.Second, b.RetryAfter(now, "d", 20, AccountShare), "a quarter of the releases are the account's")
 	require.Equal(t, maxRetryAfter, b.RetryAfter(now+10*time.Second, "e", 60, Full), "the releases are long ago")
 }
--- /dev/null
+++ b/pkg/memorybudget/head.go
@@ -0,0 +1,31 @@
+package memorybudget
+
+import "net/http"
+
+// HeadAllowance is the memory for a head that needs no reservation. It covers ordinary heads, so that large ones of others
+// cannot keep the memory from them.
+const HeadAllowance = 12 << 10
+
+// Bytes that a parsed head takes for each of its bytes and for each header line: the values and the names, the entries of
+// two maps, as it was received and as it is passed on, and what the maps leave behind as they grow.
+const (
+	parsedBytesPerByte = 3
+	parsedBytesPerLine = 256
+)
+
+// ParsedBytes estimates the memory that a head, or a trailer, takes once it has been parsed.
+func ParsedBytes(size, lines int) int64 {
+	return parsedBytesPerByte*int64(size) + parsedBytesPerLine*int64(lines)
+}
+
+// HeaderParsedBytes is ParsedBytes for header lines that have been parsed.
+func HeaderParsedBytes(h http.Header) int64 {
+	size, lines := 0, 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value)
+			lines++
+		}
+	}
+	return ParsedBytes(size, lines)
+}
--- a/pkg/callermemory/rate.go
+++ b/pkg/memorybudget/rate.go
@@ -1,4 +1,4 @@
-package callermemory
+package memorybudget
 
 import "time"
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -11,9 +11,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/burdockpitch/burdockpitch/pkg/callermemory"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 	"github.com/burdockpitch/burdockpitch/pkg/rules"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 	"github.com/burdockpitch/burdockpitch/pkg/tomldoc"
@@ -361,7 +361,7 @@
 // is less.
 func (s Settings) MaxBody() int64 {
 	if bound := s.BodyMemory(); bound > 0 {
-		return min(int64(s.Limits.Body), callermemory.MaxBody(bound))
+		return min(int64(s.Limits.Body), memorybudget.MaxBody(bound))
 	}
 	return int64(s.Limits.Body)
 }
