httpclient, target: a reset during an upload truncates the response

Seen by callers: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a body without a length is whole when its connection ends without an error. The reset puts an error on the socket, which the next system call takes. If that is the write of the upload, which waits at that moment, the read that follows sees an end.

Change: pkg/httpclient decides whether a response is whole, below net/http. It writes and reads under one lock, so that a failed write is known before a read sees the end that the write has left. After a failed write, the end of a connection completes no response. It follows the framing of each response, so that nothing after its end is read as the next one. pkg/target keeps what concerns attempts.

--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -58,6 +59,9 @@
 	Body   []byte
 	// Trailer is sent after the body.
 	Trailer http.Header
+	// Memory is what the head and the trailer of the response may take, beyond memorybudget.HeadAllowance; nil means no
+	// bound.
+	Memory *memorybudget.Reservation
 	// RequestID is the ID that the response must repeat if the dialect requires it.
 	RequestID string
 	// TargetIdentity is the identity of the intended target, or empty if unknown.
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -1,46 +1,33 @@
 package target
 
 import (
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
-	"github.com/burdockpitch/burdockpitch/internal/sockets"
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
+	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
-// Errors that a conn returns to the HTTP client that reads from it and writes to it.
+// Errors that a conn returns to the HTTP client that writes to it.
 var (
 	errDeadlinePassed = eris.New("deadline passed before the first byte was written")
 	errOutdated       = eris.New("the decision to send is out of date")
-	errConnUnusable   = eris.New("target closed the connection or sent unsolicited bytes before the first byte was written")
 	errAttemptEnded   = eris.New("write after the attempt has ended")
-	errUnsolicited    = eris.New("target sent bytes without a request")
 )
 
 // conn is an HTTP/1.1 connection that carries one attempt at a time. It counts the bytes written for the attempt. Only
 // a count of zero proves core.OutcomeNotSent.
 type conn struct {
-	net.Conn
+	*httpclient.Conn
 	http *http.ClientConn
 	pool *pool
 
 	write         atomic.Pointer[writeState] // of the attempt in progress; nil while idle
 	lastReadNanos atomic.Int64               // time since processStart of the last byte received
-	raw           syscall.RawConn
-	tryReadFunc   func(fd uintptr) bool // tryRead, bound once to avoid an allocation for each Read
-	result        readResult
-
-	mu          sync.Mutex // acquired before pool.mu
-	unsolicited bool       // bytes arrived without a request; guarded by mu
-	ended       bool       // the target closed or reset the connection; guarded by mu
 
 	// The fields below are guarded by pool.mu.
 
@@ -57,6 +44,8 @@
 
 // writeState holds the checks before the first write of an attempt and counts its bytes.
 type writeState struct {
+	method        string
+	memory        *memorybudget.Reservation // Attempt.Memory
 	deadline      time.Time
 	isCurrent     func() bool // Attempt.IsCurrent; may be nil
 	attemptStart  time.Time
@@ -72,22 +61,38 @@
 	return s.bytesWritten.Load() > 0
 }
 
-func (c *conn) beginAttempt(deadline time.Time, isCurrent func() bool) *writeState {
-	s := &writeState{deadline: deadline, isCurrent: isCurrent, attemptStart: time.Now()}
+// newConn returns the connection of a pool on a socket.
+func newConn(p *pool, socket net.Conn) (*conn, error) {
+	c := &conn{pool: p, leased: true}
+	responses, err := httpclient.NewConn(socket, httpclient.ConnConfig{HeadBytes: maxResponseHeadBytes, OnRead: c.onRead})
+	if err != nil {
+		return nil, err
+	}
+	c.Conn = responses
+	c.recordRead()
+	return c, nil
+}
+
+// onRead records when bytes arrive.
+func (c *conn) onRead(waits bool) {
+	if !waits {
+		c.recordRead()
+	}
+	c.pool.setReading(c, waits)
+}
+
+func (c *conn) beginAttempt(a Attempt) *writeState {
+	s := &writeState{method: a.Method, memory: a.Memory, deadline: a.Deadline, isCurrent: a.IsCurrent, attemptStart: time.Now()}
 	c.write.Store(s)
 	return s
 }
 
-// endAttempt ends the attempt in progress. Bytes received from now on are unsolicited.
-func (c *conn) endAttempt() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.write.Store(nil)
-}
+// endAttempt ends the attempt in progress. Nothing more of it is written.
+func (c *conn) endAttempt() { c.write.Store(nil) }
 
 // Write writes bytes of the attempt in progress and counts them. Before the first byte it checks that the deadline has
-// not passed on either clock, that the target was not selected from an outdated view, and that the target has neither
-// closed the connection nor sent unsolicited bytes.
+// not passed on either clock, that the target was not selected from an outdated view, and that the connection can carry a
+// request.
 func (c *conn) Write(b []byte) (int, error) {
 	s := c.write.Load()
 	if s == nil {
@@ -103,10 +108,8 @@
 
 // countWrite counts n bytes that are about to be written. An error means that they must not be written.
 func (c *conn) countWrite(s *writeState, n int) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if s.bytesWritten.Load() == 0 {
-		if err := c.checkFirstWrite(s); err != nil {
+		if err := c.Begin(s.method, s.memory, s.mayBegin); err != nil {
 			s.firstWriteErr.Store(&err)
 			return err
 		}
@@ -119,77 +122,16 @@
 	return nil
 }
 
-func (c *conn) checkFirstWrite(s *writeState) error {
+func (s *writeState) mayBegin() error {
 	if deadlinePassed(s.deadline) {
 		return errDeadlinePassed
 	}
 	if s.isCurrent != nil && !s.isCurrent() {
 		return errOutdated
 	}
-	if c.unsolicited || sockets.Peek(c.raw) != sockets.Idle {
-		return errConnUnusable
-	}
 	return nil
 }
 
-// Read records when bytes arrive. Bytes that arrive before a request is written cannot be its response, so Read returns
-// an error for them, and the connection is not used again. An unsolicited response that arrives after the next request
-// was written cannot be distinguished from the response to that request, because HTTP/1.1 has no request IDs.
-func (c *conn) Read(b []byte) (int, error) {
-	c.pool.setReading(c, true)
-	c.result = readResult{into: b}
-	if err := c.raw.Read(c.tryReadFunc); err != nil {
-		return 0, err
-	}
-	if c.result.err != nil {
-		return 0, c.result.err
-	}
-	return c.result.n, nil
-}
-
-// readResult holds the buffer and result of a tryRead. One per connection is enough, because its Reads do not overlap.
-type readResult struct {
-	into []byte
-	n    int
-	err  error
-}
-
-// tryRead reads without blocking and reports whether the read is done. It holds the lock from the read to the check of
-// bytesWritten: an attempt that started writing in between would read unsolicited bytes as its response.
-func (c *conn) tryRead(fd uintptr) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n, err := unix.Read(int(fd), c.result.into)
-	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
-		return false
-	case err != nil:
-		c.ended = true
-		c.result.err = os.NewSyscallError("read", err)
-		return true
-	case n == 0:
-		c.ended = true
-		c.result.err = io.EOF
-		return true
-	}
-	c.result.n = n
-	c.recordRead()
-	if s := c.write.Load(); s == nil || s.bytesWritten.Load() == 0 {
-		c.unsolicited = true
-		c.result.err = errUnsolicited
-		return true
-	}
-	c.pool.setReading(c, false)
-	return true
-}
-
-// endedByTarget reports whether a read found that the target has closed or reset the connection.
-func (c *conn) endedByTarget() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
 // Close closes the connection and removes it from the pool. The HTTP client calls it for every broken connection.
 func (c *conn) Close() error {
 	c.pool.remove(c)
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -8,12 +8,12 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 )
 
 // Errors of the pool. Each ends an attempt before it is sent.
@@ -22,8 +22,8 @@
 	errNoConnection = eris.New("no connection became free within the wait limit")
 )
 
-// maxResponseHeaderBytes bounds the status line and headers of a response, including preceding 1xx responses.
-const maxResponseHeaderBytes = 1 << 20
+// maxResponseHeadBytes bounds the status line and headers of a response, including preceding 1xx responses.
+const maxResponseHeadBytes = 1 << 20
 
 // pool holds the connections to one target. Each connection is leased to one attempt, idle or closed.
 type pool struct {
@@ -156,7 +156,7 @@
 	var c *conn
 	transport := &http.Transport{
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: httpclient.TransportHeadBytes(maxResponseHeadBytes),
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			dialer := sockets.Dialer()
 			if p.cfg.LocalIP.IsValid() {
@@ -166,7 +166,9 @@
 			if err != nil {
 				return nil, err
 			}
-			c, err = p.newConn(nc)
+			if c, err = newConn(p, nc); err != nil {
+				_ = nc.Close()
+			}
 			return c, err
 		},
 	}
@@ -183,18 +185,6 @@
 	return nil, eris.Wrapf(err, "connect to %s", p.addr)
 }
 
-func (p *pool) newConn(nc net.Conn) (*conn, error) {
-	raw, err := nc.(syscall.Conn).SyscallConn()
-	if err != nil {
-		_ = nc.Close()
-		return nil, err
-	}
-	c := &conn{Conn: nc, pool: p, raw: raw, leased: true}
-	c.tryReadFunc = c.tryRead
-	c.recordRead()
-	return c, nil
-}
-
 // recordRefusal records that the target has declared on a connection that it did not run a request. It returns false if the
 // connection must not be used again. Probes have no ID; a copy of a response to one is only taken for that to another.
 func (p *pool) recordRefusal(c *conn, requestID string) bool {
--- a/pkg/target/send.go
+++ b/pkg/target/send.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/burdockpitch/burdockpitch/pkg/core"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
@@ -21,10 +19,6 @@
 	drainTimeout    = 500 * time.Millisecond
 )
 
-// errInformationalStatus is returned for a 1xx status in place of a final response, such as an unrequested protocol
-// switch.
-var errInformationalStatus = eris.New("target sent a 1xx status in place of a final response")
-
 // Client sends attempts to one target. It is safe for concurrent use.
 type Client struct {
 	pool *pool
@@ -55,7 +49,7 @@
 }
 
 func (c *Client) newRoundTrip(ctx context.Context, conn *conn, a Attempt) *roundTrip {
-	rt := &roundTrip{pool: c.pool, conn: conn, callerCtx: ctx, write: conn.beginAttempt(a.Deadline, a.IsCurrent)}
+	rt := &roundTrip{pool: c.pool, conn: conn, callerCtx: ctx, write: conn.beginAttempt(a)}
 	rt.ctx, rt.cancelCtx = context.WithDeadline(context.WithoutCancel(ctx), a.Deadline)
 	rt.detachCaller = context.AfterFunc(ctx, rt.cancelCtx)
 	return rt
@@ -79,10 +73,6 @@
 	if err != nil {
 		return nil, rt.fail(err)
 	}
-	if httpResp.StatusCode < http.StatusOK {
-		_ = httpResp.Body.Close()
-		return nil, rt.fail(errInformationalStatus)
-	}
 	return rt.newResponse(httpResp, a)
 }
 
@@ -188,7 +178,7 @@
 		failure.Failed = !silent || !rt.conn.reused
 		rt.pool.closeIdleSilentSince(rt.write.attemptStart)
 	default:
-		failure.BrokeOff = rt.conn.endedByTarget()
+		failure.BrokeOff = rt.conn.EndedByServer()
 	}
 	return failure
 }
--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 	"github.com/burdockpitch/burdockpitch/pkg/wire"
 )
 
@@ -313,7 +315,7 @@
 		"wall clock only":    {time.Now().Add(-time.Second).Round(0), nil, false, errDeadlinePassed},
 		"current view":       {time.Now().Add(time.Hour), func() bool { return true }, false, nil},
 		"outdated view":      {time.Now().Add(time.Hour), func() bool { return false }, false, errOutdated},
-		"closed by target":   {time.Now().Add(time.Hour), nil, true, errConnUnusable},
+		"closed by target":   {time.Now().Add(time.Hour), nil, true, httpclient.ErrUnusable},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -325,12 +327,14 @@
 			nc, err := net.Dial("tcp", s.addr)
 			require.NoError(t, err)
 			defer nc.Close()
-			c, err := newPool(s.addr, DefaultConfig()).newConn(nc)
+			c, err := newConn(newPool(s.addr, DefaultConfig()), nc)
 			require.NoError(t, err)
 			if tc.closed {
-				require.Eventually(t, func() bool { return sockets.Peek(c.raw) == sockets.Closed }, eventTimeout, time.Millisecond)
+				raw, err := nc.(syscall.Conn).SyscallConn()
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return sockets.Peek(raw) == sockets.Closed }, eventTimeout, time.Millisecond)
 			}
-			write := c.beginAttempt(tc.deadline, tc.isCurrent)
+			write := c.beginAttempt(Attempt{Method: http.MethodGet, Deadline: tc.deadline, IsCurrent: tc.isCurrent})
 			_, err = c.Write([]byte("GET"))
 			require.ErrorIs(t, err, tc.want)
 			require.Equal(t, tc.want == nil, write.stop())
