httpclient: refuse heads that are no response, or whose length is ambiguous

Seen by callers: the name of a field with a blank was passed on. With "Content-Length :" the body ended with the connection instead of at the length, with a line feed before a name the rest of the head became the body. So did a status of 600 and above, a length beside chunks, and trailers with such names. A rejection in a broken head was believed: the booking was sent to a second server.

Cause: net/http parses heads liberally, and nothing else looked at them.

Change: pkg/httpclient passes a head on only if it is valid (RFC 9112): tokens as names, no control bytes, one kind of line break, no continued lines, a status from 100 to 599, one length. The trailer is held to the same.

--- a/pkg/httpclient/head.go
+++ b/pkg/httpclient/head.go
@@ -12,6 +12,7 @@
 	versionPrefix    = "HTTP/1."
 	statusOffset     = len("HTTP/1.1 ")
 	statusEnd        = statusOffset + len("200")
+	statusMax        = 599
 	maxContentLength = 18 // digits, which fit into an int64
 )
 
@@ -73,11 +74,13 @@
 		h.lineBreak = ending
 	}
 	switch {
+	case ending != h.lineBreak:
+		return malformed("line breaks of two kinds")
 	case h.status == 0:
 		return h.parseStatusLine(text)
 	case len(text) == 0:
 		h.complete = true
-		return nil
+		return h.checkFraming()
 	}
 	h.fields++
 	return h.parseField(text)
@@ -103,7 +106,7 @@
 		}
 		status = 10*status + int(digit-'0')
 	}
-	if status < http.StatusContinue {
+	if status < http.StatusContinue || status > statusMax {
 		return malformed("status " + strconv.Itoa(status))
 	}
 	if status == http.StatusSwitchingProtocols {
@@ -148,13 +151,22 @@
 	return nil
 }
 
+// checkFraming refuses a head from which two recipients could conclude different lengths.
+func (h *head) checkFraming() error {
+	if h.chunked && h.hasLength {
+		return malformed("content length of a chunked body")
+	}
+	return nil
+}
+
 // isInterim reports whether another head follows.
 func (h *head) isInterim() bool { return h.status < http.StatusOK }
 
-// splitField splits a field line.
+// splitField splits a field line. A line that begins with a blank would continue the one before it; this is obsolete
+// (RFC 9112, section 5.2), and what it hides from one recipient another one sees.
 func splitField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found {
+	if !found || !validName(name) {
 		return nil, nil, malformed("field name")
 	}
 	if !validValue(value) {
@@ -163,6 +175,16 @@
 	return name, bytes.Trim(value, " \t"), nil
 }
 
+// validName reports whether name is a token.
+func validName(name []byte) bool {
+	for _, c := range name {
+		if !isLetter(c) && !isDigit(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // validValue reports whether value has no control characters except tabs.
 func validValue(value []byte) bool {
 	for _, c := range value {
@@ -174,3 +196,5 @@
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
