gateway, httpclient: bound the memory of response heads over all connections together

Reported by other operators: a server sent heads without end, and the machine that had called it ran out of memory.

Cause: what servers make an instance hold was bounded for each connection only, 1 MiB for a head. net/http parses lines as they arrive, and a line of six bytes takes two hundred.

Change: a head is held as it arrived until it is complete, and its memory is reserved before net/http parses it, as for heads of callers. The budget is an eighth of the memory of the process, with an account for each target. Probes read their bodies without keeping them. broken_responses_total counts by cause.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -87,7 +87,8 @@
 		},
 		CallerConnections: c.callers, RelayConnections: c.relays,
 		PeerAddress: s.PeerListen, BodyMemory: c.memory, BodyAllowance: bodyAllowance,
-		HoldUntilSynced: s.Adapter == "", // the project's own platform may be behind the other instances
+		ResponseHeadMemory: c.responseHeads,
+		HoldUntilSynced:    s.Adapter == "", // the project's own platform may be behind the other instances
 	}
 }
 
--- a/pkg/app/clients.go
+++ b/pkg/app/clients.go
@@ -27,18 +27,21 @@
 const (
 	connectionDescriptorDivisor = 2 // the rest is for targets, peers, the store and files
 	connectionMemoryDivisor     = 4
+	responseHeadMemoryDivisor   = 8
 	relayDivisor                = 8 // of all connections
 	// minCallerConnections is the smallest bound on the connections of callers, however small the process is.
 	minCallerConnections = 16
 )
 
-// clientCapacity is what clients of all listeners can make the instance hold together.
+// clientCapacity is what clients of all listeners can make the instance hold together, and what servers can.
 type clientCapacity struct {
 	// callers, relays and local bound the connections of callers, of instances that relay requests, and of the clients of
 	// each of the other HTTP listeners.
 	callers, relays, local int
 	// memory bounds the bytes of heads and bodies, in addition to httpserver.ConnectionBytes for each connection.
 	memory int64
+	// responseHeads bounds the bytes of the heads of responses, in addition to memorybudget.HeadAllowance for each.
+	responseHeads int64
 }
 
 // newClientCapacity divides what the process may have. Where the settings don't say how much that is, it is what the
@@ -73,6 +76,7 @@
 	callers := max(total-relays-2*localConnections, minCallerConnections)
 	return clientCapacity{
 		callers: int(callers), relays: int(relays), local: localConnections, memory: int64(float64(process) * s.Memory.BodyShare),
+		responseHeads: process / responseHeadMemoryDivisor,
 	}
 }
 
--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -49,12 +49,19 @@
 // requireNoBytesHeld waits until no request is in progress and requires that nothing is reserved.
 func (f *fixture) requireNoBytesHeld(t *testing.T) {
 	t.Helper()
-	idle := func() bool { return f.Active() == 0 && f.bodyMemory.budget.Used() == 0 }
-	require.Eventually(t, idle, 10*time.Second, time.Millisecond, "%d bytes", f.bodyMemory.budget.Used())
-	require.Zero(t, f.heldBytes())
-	for _, e := range f.engines {
-		require.Empty(t, e.pending)
+	idle := func() bool {
+		for _, e := range f.engines {
+			e.mu.Lock()
+			pending := len(e.pending)
+			e.mu.Unlock()
+			if pending > 0 {
+				return false
+			}
+		}
+		return f.Active() == 0 && f.bodyMemory.budget.Used() == 0 && f.bodyMemory.responses.Used() == 0 && f.heldBytes() == 0
 	}
+	require.Eventually(t, idle, 10*time.Second, time.Millisecond, "%d bytes of callers, %d of targets", f.bodyMemory.budget.Used(),
+		f.bodyMemory.responses.Used())
 }
 
 // dialFrom connects from a loopback address, by which the instance tells callers apart.
--- a/pkg/gateway/bodymemory.go
+++ b/pkg/gateway/bodymemory.go
@@ -10,16 +10,21 @@
 // errNoMemory is returned if there is no memory for a body.
 var errNoMemory = eris.New("no memory is available for the body")
 
-// bodyMemory hands out the memory for request bodies and buffered response bodies. It is safe for concurrent use.
+// bodyMemory hands out the memory for request bodies and buffered response bodies, in the accounts of callers, and for the
+// heads of responses, in the accounts of targets. It is safe for concurrent use.
 type bodyMemory struct {
 	clock     clock
 	budget    *memorybudget.Budget
+	responses *memorybudget.Budget
 	allowance int64 // bytes of each request body that are not counted
 	held      prometheus.Gauge
 }
 
-func newBodyMemory(ck clock, bytes, allowance int64, m *Metrics) *bodyMemory {
-	return &bodyMemory{clock: ck, budget: memorybudget.New(bytes), allowance: allowance, held: m.bodyBytes}
+func newBodyMemory(ck clock, cfg Config, m *Metrics) *bodyMemory {
+	return &bodyMemory{
+		clock: ck, budget: memorybudget.New(cfg.BodyMemory), responses: memorybudget.New(cfg.ResponseHeadMemory),
+		allowance: cfg.BodyAllowance, held: m.bodyBytes,
+	}
 }
 
 // openRequest is open for a request body.
@@ -35,13 +40,27 @@
 	return &heldMemory{memory: m, caller: caller, reservation: r}
 }
 
+// openResponse is open for the response of a target to a caller.
+func (m *bodyMemory) openResponse(caller, target string) *heldMemory {
+	h := m.open(caller)
+	h.head = m.openHead(target)
+	return h
+}
+
+// openHead returns a reservation of no bytes for the head of a response.
+func (m *bodyMemory) openHead(target string) *memorybudget.Reservation {
+	r, _ := m.responses.Reserve(target, 0)
+	return r
+}
+
 // heldMemory is memory that is reserved for a body of one caller. A nil heldMemory reserves nothing and grants
 // everything.
 type heldMemory struct {
 	memory      *bodyMemory
 	caller      string
 	reservation *memorybudget.Reservation
-	granted     bool // bytes have been reserved
+	head        *memorybudget.Reservation // of the response to which the body belongs; nil for a request
+	granted     bool                      // bytes have been reserved
 	// allowance is the number of further bytes that need no reservation.
 	allowance int64
 	// lack says what was refused last. It belongs to the goroutine that grows the reservation.
@@ -77,8 +96,12 @@
 
 // release ends the use by one holder. The memory is free after the last one.
 func (h *heldMemory) release() {
-	if h != nil {
-		h.memory.held.Sub(float64(h.reservation.Release(h.memory.clock.now())))
+	if h == nil {
+		return
+	}
+	h.memory.held.Sub(float64(h.reservation.Release(h.memory.clock.now())))
+	if h.head != nil {
+		h.head.Release(h.memory.clock.now())
 	}
 }
 
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/burdockpitch/burdockpitch/pkg/core"
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 	"github.com/burdockpitch/burdockpitch/pkg/httpserver"
 	"github.com/burdockpitch/burdockpitch/pkg/target"
 )
@@ -182,19 +183,31 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	connectCtx, withdraw := context.WithCancel(ctx)
 	state = &attemptState{
-		target: effect.Target, start: time.Now(), cancel: cancel, withdraw: withdraw, memory: e.bodyMemory.open(p.fingerprint.callerIP),
+		target: effect.Target, start: time.Now(), cancel: cancel, withdraw: withdraw,
+		memory: e.bodyMemory.openResponse(p.fingerprint.callerIP, responseAccount(effect)),
 	}
 	p.attempts[effect.Attempt] = state
 	p.attemptsStarted++
 	p.lastTarget = effect.Target
 	a = p.attemptTemplate
-	a.Fresh, a.ConnectContext = effect.FreshConnection, connectCtx
+	a.Fresh, a.ConnectContext, a.Memory = effect.FreshConnection, connectCtx, state.memory.head
 	if at := e.clock.timeAt(effect.At); at.Before(a.Deadline) {
 		a.Deadline = at
 	}
 	return ctx, p, state, a
 }
 
+// relayAccount is the account of the heads of relayed responses, whose instance is chosen later.
+const relayAccount = "instances"
+
+// responseAccount returns the account that the head of the response to an attempt is held for.
+func responseAccount(effect core.Effect) string {
+	if effect.Kind == core.RelayAttempt {
+		return relayAccount
+	}
+	return string(effect.Target)
+}
+
 func (e *engine) startAttempt(effect core.Effect) {
 	ctx, p, state, a := e.newAttempt(effect)
 	generation := e.pauses.generation()
@@ -283,6 +296,7 @@
 		}
 		buffered.close()
 	}
+	e.countBrokenResponse(err)
 	e.checkCrash(c, p, state, err)
 	ev := newFailedEvent(p.id, id, err)
 	if ev.Unreachable {
@@ -291,6 +305,13 @@
 	e.endAttempt(p, id, ev)
 }
 
+// countBrokenResponse counts an error that says what a target or another instance sent in place of a response.
+func (e *engine) countBrokenResponse(err error) {
+	if broken := (*httpclient.Error)(nil); errors.As(err, &broken) {
+		e.metrics.broken.WithLabelValues(e.name, string(broken.Cause)).Inc()
+	}
+}
+
 // bufferResponse reads the first bytes of a response into memory of the attempt.
 func (e *engine) bufferResponse(response *target.Response, state *attemptState) *bufferedResponse {
 	buffered := bufferResponse(response, state.memory)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// means no bound. BodyAllowance bytes of each request body are not counted, so that callers with large bodies cannot
 	// keep the memory from others.
 	BodyMemory, BodyAllowance int64
+	// ResponseHeadMemory bounds the bytes of response heads that are held at a time, beyond memorybudget.HeadAllowance for
+	// each; zero means no bound. A target gets no more than a quarter of it while most of it is in use.
+	ResponseHeadMemory int64
 	// HoldUntilSynced makes requests wait until MarkSynced, or until their deadlines. Without it, an instance that has
 	// just started may send requests to targets of which only the other instances know that they are leaving.
 	HoldUntilSynced bool
@@ -103,7 +106,7 @@
 		minFleetSize: cfg.Policy.InstanceCount, engines: make(map[string]*engine), stop: newStopState(), synced: make(chan struct{}),
 	}
 	g.relays = newRelays(ck, cfg)
-	g.bodyMemory = newBodyMemory(ck, cfg.BodyMemory, cfg.BodyAllowance, m)
+	g.bodyMemory = newBodyMemory(ck, cfg, m)
 	g.servers.limits = cfg.Limits
 	g.quarantine = newQuarantine(ck, m, log, g.refuseQuarantined)
 	if !cfg.HoldUntilSynced {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -30,6 +30,7 @@
 	unbuffered   *prometheus.CounterVec
 	unreachable  *prometheus.GaugeVec
 	unconnected  *prometheus.CounterVec
+	broken       *prometheus.CounterVec
 	aborted      prometheus.Counter
 	panics       *prometheus.CounterVec
 
@@ -61,6 +62,7 @@
 		leaving:      counter("leaving_targets_total", "Targets that began to leave by the source of the first signal.", "service", "source"),
 		relays:       counter("relays_total", "Requests relayed to other instances by zone and by what became of them.", "service", "zone", "result"),
 		exhausted:    counter("relays_exhausted_total", "Requests that no further instance was asked to serve.", "service"),
+		broken:       counter("broken_responses_total", "Attempts and probes that found no whole response, by cause.", "service", "cause"),
 		unconnected:  counter("failed_connects_total", "Attempts and probes without a connection to their target.", "service", "cause"),
 		crashes:      counter("target_crashes_total", "Attempts that a target broke off, after which it refused connections.", "service"),
 		unbuffered:   counter("unbuffered_responses_total", "Responses passed on without a buffer for lack of memory.", "service"),
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -20,8 +21,14 @@
 	deadline := e.clock.timeAt(effect.At)
 	go func() {
 		defer e.recoverProbe(effect.Target)
-		ev, err := runProbe(client, effect.Target, identity, e.probePath.Load(), deadline)
+		memory := e.bodyMemory.openHead(string(effect.Target))
+		defer func() { memory.Release(e.clock.now()) }()
+		ev, err := runProbe(client, effect.Target, target.Attempt{
+			Method: http.MethodGet, URL: &url.URL{Path: e.probePath.Load()}, Host: string(effect.Target), Header: make(http.Header),
+			Deadline: deadline, TargetIdentity: identity, Memory: memory,
+		})
 		e.metrics.probes.WithLabelValues(e.name, probeResult(ev)).Inc()
+		e.countBrokenResponse(err)
 		if ev.Unreachable {
 			e.metrics.unconnected.WithLabelValues(e.name, connectFailureCause(err)).Inc()
 		}
@@ -62,28 +69,24 @@
 	errProbeOtherTarget = eris.New("response came from another target at the same address")
 )
 
-// runProbe sends a GET request. The error, nil for a successful probe, says why the probe failed. Any status below 500
+// runProbe sends a probe of a target. The error, nil for a successful probe, says why the probe failed. Any status below 500
 // is a success. A response with another identity means that another target has taken over the address, so the expected
 // target counts as leaving. A target that declares that it sheds load or drains is alive, so the probe succeeds.
-func runProbe(client *target.Client, id core.TargetID, identity, path string, deadline time.Time) (core.ProbeEnded, error) {
+func runProbe(client *target.Client, id core.TargetID, probe target.Attempt) (core.ProbeEnded, error) {
 	start := time.Now()
 	ev := core.ProbeEnded{Target: id}
-	response, err := client.Send(context.Background(), target.Attempt{
-		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: string(id), Header: make(http.Header), Deadline: deadline,
-		TargetIdentity: identity,
-	})
+	response, err := client.Send(context.Background(), probe)
 	ev.Latency = time.Since(start)
 	var failure *target.Error
 	switch {
 	case err == nil:
-		buffered := bufferResponse(response, nil)
-		buffered.close()
-		ev.OK = buffered.err == nil && response.Status < http.StatusInternalServerError
+		err = discardProbeBody(response)
+		ev.OK = err == nil && response.Status < http.StatusInternalServerError
 		ev.Load, ev.Statement = loadReport(response.Metadata), statement(response.Metadata)
-		if err = buffered.err; err == nil && !ev.OK {
+		if err == nil && !ev.OK {
 			err = errProbeServerError
 		}
-		if other := response.Metadata.TargetIdentity; identity != "" && other != "" && other != identity {
+		if other := response.Metadata.TargetIdentity; probe.TargetIdentity != "" && other != "" && other != probe.TargetIdentity {
 			ev.OK, ev.Statement, err = false, core.Statement{Leaving: true}, errProbeOtherTarget
 		}
 	case errors.As(err, &failure) && failure.Outcome == core.OutcomeRefused:
@@ -94,3 +97,16 @@
 	}
 	return ev, err
 }
+
+// discardProbeBody reads the body of a response to a probe, or the first maxBufferedBytes of it, so that its connection can
+// be used again. The error says why the body is not whole.
+func discardProbeBody(response *target.Response) error {
+	defer response.Body.Close()
+	if response.CloseDelimited {
+		return errCloseDelimited
+	}
+	if _, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes); err != io.EOF {
+		return err
+	}
+	return nil
+}
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"testing"
 	"time"
 
@@ -50,7 +51,9 @@
 			id := core.TargetID(server.Listener.Addr().String())
 			client := target.NewClient(string(id), target.DefaultConfig())
 			defer client.Close()
-			got, err := runProbe(client, id, "", "/health", time.Now().Add(10*time.Second))
+			got, err := runProbe(client, id, target.Attempt{
+				Method: http.MethodGet, URL: &url.URL{Path: "/health"}, Header: make(http.Header), Deadline: time.Now().Add(10 * time.Second),
+			})
 			require.Equal(t, got.OK, err == nil, "%v", err)
 			got.Latency = 0
 			tc.want.Target = id
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -115,6 +115,7 @@
 	}
 	response, err := client.Send(ctx, a)
 	if err != nil {
+		e.countBrokenResponse(err)
 		e.endRelay(p, id, peer, resultOfFailure(err), newRelayFailedEvent(p.id, id, err))
 		return
 	}
@@ -131,6 +132,7 @@
 	buffered := e.bufferResponse(response, state)
 	if buffered.err != nil {
 		buffered.close()
+		e.countBrokenResponse(buffered.err)
 		e.endRelay(p, id, peer, resultOfFailure(buffered.err), newRelayFailedEvent(p.id, id, buffered.err))
 		return
 	}
