sockets: bound the unread bytes of dialed connections

Cause: ReceiveBufferBytes was set on accepted connections only.

Change: dialed connections have it too. Those are the connections to targets, and to instances that requests are relayed to.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -2,6 +2,7 @@
 package sockets
 
 import (
+	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -18,39 +19,29 @@
 // keepAlive detects an unreachable peer of an idle connection within about 20 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 2}
 
-// ReceiveBufferBytes bounds the bytes that an accepted connection has received and that were not read yet. Without it, Linux
-// lets a sender fill megabytes while its request is served.
+// ReceiveBufferBytes bounds the bytes that a connection has received and that were not read yet. Without it, Linux lets a
+// sender fill megabytes while its request is served, or its response is passed on.
 const ReceiveBufferBytes = 32 << 10
 
-// Dialer returns a dialer that sets UserTimeout and the keep-alive options.
-func Dialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout} }
+// Dialer returns a dialer that sets UserTimeout, the keep-alive options and ReceiveBufferBytes.
+func Dialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive, Control: setOptions} }
 
 // ListenConfig returns a listen configuration that sets UserTimeout, the keep-alive options and ReceiveBufferBytes. Accepted
 // sockets inherit them from the listener. It turns off Multipath TCP, whose sockets do not support RefuseConnections.
 func ListenConfig() *net.ListenConfig {
-	c := &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setListenerOptions}
+	c := &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setOptions}
 	c.SetMultipathTCP(false)
 	return c
 }
 
-func setListenerOptions(network, address string, raw syscall.RawConn) error {
-	if err := setUserTimeout(network, address, raw); err != nil {
-		return err
-	}
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes)
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets the options that have to be set before a socket connects or listens.
+func setOptions(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+		optErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes),
+		)
 	})
 	if err != nil {
 		return err
