discovery, platform: read responses of the store through httpclient

A response of the store that was shorter than its length, or without its last chunk, was taken as whole if a JSON value had ended before; what followed the value was skipped. Names with a blank were accepted. A redirect made an instance read another place. Seen in tests only.

Change: httpclient.NewClient reads through a Conn and follows no redirects, ReadBody reads a body to its end. An instance list with other data behind it is an error.

--- a/pkg/discovery/instancelist.go
+++ b/pkg/discovery/instancelist.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
@@ -45,7 +46,13 @@
 			return err
 		}
 	}
-	return p.expect('}')
+	if err := p.expect('}'); err != nil {
+		return err
+	}
+	if _, err := p.dec.Token(); err != io.EOF {
+		return eris.Errorf("list is followed by other data at byte %d", p.dec.InputOffset())
+	}
+	return nil
 }
 
 func (p *listParser) expect(delim json.Delim) error {
--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 )
 
 const (
@@ -101,8 +104,7 @@
 func newClient(cfg ReaderConfig) *http.Client {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: cfg.Timeout, Interval: time.Second, Count: 3}
 	dialer := &net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: keepAlive}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 4, IdleConnTimeout: time.Minute}
-	return &http.Client{Transport: transport}
+	return httpclient.NewClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 4, IdleConnTimeout: time.Minute})
 }
 
 // Synced returns a channel that is closed after the platform's index, all its documents and the instance list were read
@@ -321,12 +323,12 @@
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 		return nil, "status", eris.Errorf("read %s: status %d", path, resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
+	text, err := httpclient.ReadBody(resp, limit)
+	switch {
+	case errors.Is(err, httpclient.ErrBodyTooLarge):
+		return nil, "too-large", eris.Wrapf(err, "read %s, at most %d bytes", path, limit)
+	case err != nil:
 		return nil, "failed", eris.Wrapf(err, "read %s", path)
 	}
-	if int64(len(text)) > limit {
-		return nil, "too-large", eris.Errorf("read %s: more than %d bytes", path, limit)
-	}
 	return text, "ok", nil
 }
--- a/pkg/discovery/reader_test.go
+++ b/pkg/discovery/reader_test.go
@@ -192,8 +192,18 @@
 	eventually(t, "document that matches", func() bool { return f.revision() == 3 })
 }
 
-// Guards against a response of any size being read into memory, and against an error response taken for a document.
+// Guards against a response of any size being read into memory, and against an error response, or a broken one, that is
+// taken for an index or a list.
 func TestBadResponsesAreRejected(t *testing.T) {
+	const empty = `{"sequence":1,"entries":[],"instances":[]}`
+	raw := func(head, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			require.NoError(t, err)
+			defer c.Close()
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+	}
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
@@ -204,6 +214,16 @@
 		{"reset", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "failed"},
 		{"silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "failed"},
 		{"cut short", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "100") }, "failed"},
+		{"blank in a name", raw("A b: c\r\n", empty), "failed"},
+		{"large head", raw(strings.Repeat("k: v\r\n", 100_000), empty), "failed"},
+		{"two values", raw("", empty+empty), "ok"},
+		{"another place", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/elsewhere" {
+				_, _ = w.Write([]byte(empty))
+				return
+			}
+			http.Redirect(w, r, "/elsewhere", http.StatusFound)
+		}, "status"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/httpclient/conn.go
+++ b/pkg/httpclient/conn.go
@@ -100,6 +100,13 @@
 	return nil
 }
 
+// awaitsResponse reports whether a request has begun whose response is not complete.
+func (c *Conn) awaitsResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaited
+}
+
 // EndedByServer reports whether a read found that the server has closed or reset the connection.
 func (c *Conn) EndedByServer() bool {
 	c.mu.Lock()
@@ -285,10 +292,3 @@
 	}
 	return &Error{CauseTruncated, err.Error()}
 }
-
-// TransportHeadBytes returns the limit on heads of an http.Transport that reads from a Conn with the given limit. The Conn
-// refuses a larger head first; net/http also counts bytes of the body that it has read ahead.
-func TransportHeadBytes(headBytes int64) int64 { return headBytes + readAheadBytes }
-
-// readAheadBytes is the size of the read buffer of an http.Transport.
-const readAheadBytes = 4 << 10
