discovery, platform: bound what responses of the store take once they are decoded

An array of 3 MiB with empty items or numbers takes a hundred times its size once it is decoded; each invalid entry of an instance list kept an error with its stack. An instance may have 184 MiB.

--- a/pkg/discovery/instancelist.go
+++ b/pkg/discovery/instancelist.go
@@ -7,11 +7,22 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 )
 
-// parseInstanceList parses an instance list. An entry that is not valid, for example one of another writer, is left out, and
-// its error is among invalid. Any other fault fails the whole list.
-func parseInstanceList(text []byte) (list InstanceList, invalid []error, err error) {
+// invalidEntries says which entries of an instance list were left out.
+type invalidEntries struct {
+	count int64
+	first error // of the first one
+}
+
+// parseInstanceList parses an instance list. An entry that is not valid, for example one of another writer, is left out and
+// counted. Any other fault fails the whole list.
+func parseInstanceList(text []byte) (list InstanceList, invalid invalidEntries, err error) {
+	if err := httpclient.CheckJSON(text); err != nil {
+		return list, invalid, eris.Wrap(err, "decode instance list")
+	}
 	p := listParser{text: text, dec: json.NewDecoder(bytes.NewReader(text))}
 	p.dec.UseNumber() // a number that is too large is no error of the list
 	err = p.parse(&list)
@@ -22,7 +33,7 @@
 type listParser struct {
 	text    []byte
 	dec     *json.Decoder
-	invalid []error
+	invalid invalidEntries
 }
 
 func (p *listParser) parse(list *InstanceList) error {
@@ -55,6 +66,14 @@
 	return nil
 }
 
+// add counts the entry with a number, from 1.
+func (i *invalidEntries) add(number int, err error) {
+	if i.count == 0 {
+		i.first = eris.Wrapf(err, "entry %d", number)
+	}
+	i.count++
+}
+
 func (p *listParser) expect(delim json.Delim) error {
 	token, err := p.dec.Token()
 	if err == nil && token != delim {
@@ -77,7 +96,7 @@
 		}
 		text := bytes.TrimLeft(p.text[start:p.dec.InputOffset()], ", \t\r\n")
 		if entry, err := parseEntry(text); err != nil {
-			p.invalid = append(p.invalid, eris.Wrapf(err, "entry %d", n))
+			p.invalid.add(n, err)
 		} else {
 			entries = append(entries, entry)
 		}
--- a/pkg/discovery/instancelist_test.go
+++ b/pkg/discovery/instancelist_test.go
@@ -32,7 +32,8 @@
 		t.Run(name, func(t *testing.T) {
 			list, invalid, err := parseInstanceList([]byte(`{"other":[1,{}], "sequence":4, "instances":[` + first + ",\n " + odd + " , " + last + `]}`))
 			require.NoError(t, err)
-			require.Len(t, invalid, 1)
+			require.EqualValues(t, 1, invalid.count)
+			require.Error(t, invalid.first)
 			require.Equal(t, InstanceList{Sequence: 4, Instances: valid}, list)
 		})
 	}
@@ -48,7 +49,7 @@
 	for _, none := range []string{"[]", "null"} {
 		list, invalid, err := parseInstanceList([]byte(`{"sequence":4,"instances":` + none + `}`))
 		require.NoError(t, err)
-		require.Empty(t, invalid)
+		require.Zero(t, invalid)
 		require.Equal(t, InstanceList{Sequence: 4}, list)
 	}
 }
--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -273,7 +272,7 @@
 	if err != nil {
 		return err
 	}
-	return eris.Wrapf(json.Unmarshal(text, into), "decode %s", path)
+	return eris.Wrapf(httpclient.DecodeJSON(text, into), "decode %s", path)
 }
 
 // readInstanceList reads the instance list, or waits for a change of it. It logs the number of invalid entries when that changes.
@@ -283,8 +282,8 @@
 		return InstanceList{}, err
 	}
 	list, invalid, err := parseInstanceList(text)
-	if n := int64(len(invalid)); err == nil && r.invalidEntries.Swap(n) != n && n > 0 {
-		r.log.Info("ignoring entries of the instance list that are not valid", "entries", n, "error", invalid[0].Error())
+	if n := invalid.count; err == nil && r.invalidEntries.Swap(n) != n && n > 0 {
+		r.log.Info("ignoring entries of the instance list that are not valid", "entries", n, "error", invalid.first.Error())
 	}
 	return list, err
 }
--- a/pkg/discovery/reader_test.go
+++ b/pkg/discovery/reader_test.go
@@ -217,6 +217,7 @@
 		{"blank in a name", raw("A b: c\r\n", empty), "failed"},
 		{"large head", raw(strings.Repeat("k: v\r\n", 100_000), empty), "failed"},
 		{"two values", raw("", empty+empty), "ok"},
+		{"many values", raw("", strings.Replace(empty, "[]", "["+strings.Repeat("{},", 1<<18)+"{}]", 2)), "ok"},
 		{"another place", func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/elsewhere" {
 				_, _ = w.Write([]byte(empty))
--- a/pkg/httpclient/client.go
+++ b/pkg/httpclient/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 const (
 	// clientHeadBytes bounds the head of a response to a client of NewClient.
 	clientHeadBytes = 64 << 10
+	// maxJSONValues bounds the values of a JSON text. Each can take a hundred times its size once it is decoded.
+	maxJSONValues = 1 << 17
 	// readAheadBytes is the size of the read buffer of an http.Transport.
 	readAheadBytes = 4 << 10
 	// firstBodyBytes is the size of the first buffer of a body without a length.
@@ -78,3 +81,19 @@
 	}
 	return body.Bytes(), nil
 }
+
+// DecodeJSON decodes a text that holds one JSON value, after CheckJSON.
+func DecodeJSON(text []byte, into any) error {
+	if err := CheckJSON(text); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
+
+// CheckJSON refuses a text with so many values that it would take too much memory once it is decoded.
+func CheckJSON(text []byte) error {
+	if bytes.Count(text, []byte(",")) >= maxJSONValues {
+		return eris.Errorf("more than %d values", maxJSONValues)
+	}
+	return nil
+}
