peer: bound the documents of an update once they are decompressed

Found in the same search: an update of another instance has at most 2 MiB, and each of its documents decompresses to at most 1 MiB. A document of zeros takes 1 KB, so that one update could take 2 GB. Seen in a test only.

Change: the documents of an update take at most 16 MiB together. One that takes more is an error, after which the instance reads elsewhere.

Evidence: TestDocumentsOfUpdateAreBounded, which fails without the bound.

--- a/pkg/peer/follow.go
+++ b/pkg/peer/follow.go
@@ -54,13 +54,18 @@
 	return list
 }
 
+// toDiscoveryItems converts the items of an update. It fails if their documents take more than maxUpdateDocuments bytes.
 func toDiscoveryItems(items []Item) ([]discovery.Item, error) {
+	size := 0
 	list := make([]discovery.Item, len(items))
 	for i, item := range items {
 		document, err := originalDocument(item.Document, item.Compressed)
 		if err != nil {
 			return nil, eris.Wrapf(err, "item %s", item.Key)
 		}
+		if size += len(document); size > maxUpdateDocuments {
+			return nil, eris.Errorf("documents of the update take more than %d bytes", maxUpdateDocuments)
+		}
 		list[i] = discovery.Item{
 			Key: item.Key, Revision: item.Revision, Removed: item.Removed, Document: document, Target: item.Target,
 			EvacuatedZone: item.EvacuatedZone, Retained: item.Retained,
--- a/pkg/peer/follow_test.go
+++ b/pkg/peer/follow_test.go
@@ -214,3 +214,21 @@
 	_, err = originalDocument(nil, valid[:len(valid)-3])
 	require.ErrorContains(t, err, "decompress")
 }
+
+// Guards against an update that decompresses to more than an instance can hold.
+func TestDocumentsOfUpdateAreBounded(t *testing.T) {
+	compressed := deflate(make([]byte, maxDocumentSize))
+	items := func(count int) []Item {
+		list := make([]Item, count)
+		for n := range list {
+			list[n] = Item{Key: "k", Compressed: compressed}
+		}
+		return list
+	}
+	const most = maxUpdateDocuments / maxDocumentSize
+	got, err := toDiscoveryItems(items(most))
+	require.NoError(t, err)
+	require.Len(t, got, most)
+	_, err = toDiscoveryItems(items(most + 1))
+	require.Error(t, err)
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -32,7 +32,10 @@
 	maxNameLength    = 256     // bytes
 	maxKeyLength     = 512     // bytes, of a key of the platform's store; it can contain a name
 	maxDocumentSize  = 1 << 20 // bytes
-	maxOrders        = 256     // to evacuate zones
+	// maxUpdateDocuments is the maximum size in bytes of all documents of an Update, once they are decompressed. It has the
+	// latest version of each.
+	maxUpdateDocuments = 16 << 20
+	maxOrders          = 256 // to evacuate zones
 	// maxFollowWait is the maximum wait of a Follow. It is below the time after which a connection without a request is
 	// closed.
 	maxFollowWait = time.Second
