admin: read responses of an instance through httpclient

The command line read the administration API as the store's reader did: a response that was cut off after its first JSON value was taken as whole.

--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/burdockpitch/burdockpitch/pkg/httpclient"
 )
 
 const (
@@ -24,7 +25,9 @@
 
 // NewClient returns a client for the instance whose administration API is at addr ("ip:port").
 func NewClient(addr string) *Client {
-	return &Client{baseURL: "http://" + strings.TrimPrefix(addr, "http://"), http: &http.Client{Timeout: clientTimeout}}
+	client := httpclient.NewClient(&http.Transport{DialContext: (&net.Dialer{}).DialContext, IdleConnTimeout: clientTimeout})
+	client.Timeout = clientTimeout
+	return &Client{baseURL: "http://" + strings.TrimPrefix(addr, "http://"), http: client}
 }
 
 // Status combines the parts of the administration API for one instance.
@@ -82,6 +85,9 @@
 	if resp.StatusCode != http.StatusOK && (path != PathReady || resp.StatusCode != http.StatusServiceUnavailable) {
 		return eris.Errorf("read %s: status %d", path, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(dst)
-	return eris.Wrapf(err, "decode %s", path)
+	text, err := httpclient.ReadBody(resp, maxResponseBytes)
+	if err != nil {
+		return eris.Wrapf(err, "read %s", path)
+	}
+	return eris.Wrapf(httpclient.DecodeJSON(text, dst), "decode %s", path)
 }
