httpserver: a stop waits for the connection that is being accepted

A caller of a planned stop would lose its request.

Cause: the kernel has handed the last connection over, so that none waits to be accepted, and the server does not know it yet. Shutdown then finds no connection, ends, and closes what was accepted meanwhile.

Change: after it has closed the listener, Shutdown waits until Serve has returned. All accepted connections are known then.

--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -41,6 +41,7 @@
 	log      logr.Logger
 	limits   atomic.Pointer[Limits]
 	listener net.Listener
+	served   chan struct{} // closed once no connection of listener is being accepted any more
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*Conn]struct{} // until http.Server is done with them
@@ -90,8 +91,10 @@
 // Serve accepts connections from l until Shutdown or Close. It always returns an error, http.ErrServerClosed after
 // these.
 func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.served = l, served
 	s.mu.Unlock()
 	err := s.Server.Serve(&limitedListener{Listener: l, server: s})
 	if s.stopping.Load() {
@@ -107,10 +110,15 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.mu.Lock()
-	listener := s.listener
+	listener, served := s.listener, s.served
 	s.mu.Unlock()
 	if listener != nil {
 		s.drainListener(ctx, listener)
+		select {
+		case <-served:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	for began := time.Now(); !s.closeUnused(time.Since(began) > firstRequestTime); {
 		select {
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -222,6 +222,38 @@
 	}
 }
 
+// lateListener returns each connection some time after the kernel has handed it over.
+type lateListener struct{ *net.TCPListener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(2 * handshakeTime)
+	}
+	return c, err
+}
+
+// Guards against a stop that ends while a connection is being accepted: it waits in no queue any more, and is not known yet.
+func TestShutdownAwaitsConnectionThatIsBeingAccepted(t *testing.T) {
+	l, err := sockets.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var answered atomic.Bool
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		answered.Store(true)
+	}), Config{Log: logr.Discard()})
+	defer s.Close()
+	go s.Serve(lateListener{l.(*net.TCPListener)})
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.listener != nil }, 10*time.Second, time.Millisecond)
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, get("/"))
+	require.NoError(t, err)
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.True(t, answered.Load(), "the stop has ended before the request was served")
+}
+
 // lockFilter makes the kernel refuse a filter for a listener with "operation not permitted".
 func lockFilter(t *testing.T, listener syscall.Conn) {
 	raw, err := listener.SyscallConn()
