--- a/pkg/httpclient/conn.go
+++ b/pkg/httpclient/conn.go
@@ -15,9 +15,6 @@
 	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
 )
 
-// firstHeadBytes is the size of the buffer of a head that does not arrive at once. It is below memorybudget.HeadAllowance.
-const firstHeadBytes = 8 << 10
-
 // ErrUnusable is returned by Conn.Begin if the server has closed the connection, has sent bytes without a request, or has
 // not ended its last response.
 var ErrUnusable = eris.New("server closed the connection or sent unsolicited bytes before the request")
@@ -202,17 +199,14 @@
 
 // grow returns a larger buffer with the same content. The first one replaces the buffer of net/http, b.
 func (c *Conn) grow(buffer, b []byte) ([]byte, error) {
-	size := 2 * len(buffer)
-	if &buffer[0] == &b[0] {
-		size = max(firstHeadBytes, size)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// The former buffer is garbage from now on, but still takes memory.
-	if err := c.response.reserve(int64(size + len(buffer))); err != nil {
-		return nil, err
-	}
-	return append(make([]byte, 0, size), buffer...)[:size], nil
+	var err error
+	larger := memorybudget.GrowHead(buffer, &buffer[0] == &b[0], func(n int64) bool {
+		err = c.response.reserve(n)
+		return err == nil
+	})
+	return larger, err
 }
 
 // accept passes received bytes to the response, and returns how many of them may be delivered.
--- a/pkg/httpclient/response.go
+++ b/pkg/httpclient/response.go
@@ -78,9 +78,8 @@
 
 // reserve makes sure that n bytes are reserved for the response.
 func (r *response) reserve(n int64) error {
-	more := n - max(r.reserved, memorybudget.HeadAllowance)
-	if r.memory != nil && more > 0 {
-		if reason := r.memory.Grow(more); reason != memorybudget.Granted {
+	if missing := memorybudget.MissingForHead(n, r.reserved); r.memory != nil && missing > 0 {
+		if reason := r.memory.Grow(missing); reason != memorybudget.Granted {
 			return &Error{CauseHeadMemory, string(reason)}
 		}
 	}
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -33,8 +33,6 @@
 	// refusalTimeout bounds the time in which a client takes a refusal, and in which what it still sends is discarded.
 	// Closing a connection with unread bytes resets it, and the client would not see the refusal.
 	refusalTimeout = time.Second
-	// firstHeadBytes is the size of the buffer of a head that does not arrive at once. It is below HeadAllowance.
-	firstHeadBytes = 8 << 10
 )
 
 // Conn is a connection of a client. http.Server reads from it; the bytes of a head reach http.Server only once the head
@@ -214,15 +212,11 @@
 // growHead returns a larger buffer with the same content, or the time after which there may be memory for one. The first
 // one replaces the buffer of http.Server, b.
 func (c *Conn) growHead(buffer, b []byte) (larger []byte, retryAfter time.Duration) {
-	size := 2 * len(buffer)
-	if &buffer[0] == &b[0] {
-		size = max(firstHeadBytes, size)
-	}
-	// The former buffer is garbage from now on, but still takes memory.
-	if retryAfter := c.reserveHead(int64(size + len(buffer))); retryAfter > 0 {
-		return nil, retryAfter
-	}
-	return append(make([]byte, 0, size), buffer...)[:size], 0
+	larger = memorybudget.GrowHead(buffer, &buffer[0] == &b[0], func(n int64) bool {
+		retryAfter = c.reserveHead(n)
+		return retryAfter == 0
+	})
+	return larger, retryAfter
 }
 
 // completeHead reserves the memory for the parsed head, in addition to its buffer if there is one. It returns the time after
@@ -255,8 +249,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.server.cfg.Memory
-	more := n - max(c.reserved, memorybudget.HeadAllowance)
-	if m == nil || more <= 0 {
+	missing := memorybudget.MissingForHead(n, c.reserved)
+	if m == nil || missing == 0 {
 		c.reserved = max(c.reserved, n)
 		return 0
 	}
@@ -264,8 +258,8 @@
 	if c.reservation == nil {
 		c.reservation, _ = m.Reserve(caller, 0)
 	}
-	if reason := c.reservation.Grow(more); reason != memorybudget.Granted {
-		return m.RetryAfter(c.server.cfg.Now(), caller, more, reason)
+	if reason := c.reservation.Grow(missing); reason != memorybudget.Granted {
+		return m.RetryAfter(c.server.cfg.Now(), caller, missing, reason)
 	}
 	c.reserved = n
 	return 0
