httpclient: keep no buffer of a finished read or write

Found by reading the change: a connection kept the slice of its last write until the next one, which for an upload is its whole body. An idle connection would have held it for up to 30 s after its memory was released.

--- a/pkg/httpclient/conn.go
+++ b/pkg/httpclient/conn.go
@@ -115,10 +115,12 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	c.out = transfer{buffer: b}
 	err := c.raw.Write(c.tryWriteFunc)
-	if c.out.err != nil {
-		err = c.out.err
+	done := c.out
+	c.out = transfer{} // an idle connection holds no body
+	if done.err != nil {
+		err = done.err
 	}
-	return c.out.n, err
+	return done.n, err
 }
 
 // tryWrite writes without blocking and reports whether the write is done. It holds the lock, so that no read comes between
@@ -230,10 +232,13 @@
 		c.cfg.OnRead(true)
 	}
 	c.in = transfer{buffer: b}
-	if err := c.raw.Read(c.tryReadFunc); err != nil {
+	err := c.raw.Read(c.tryReadFunc)
+	done := c.in
+	c.in = transfer{}
+	if err != nil {
 		return 0, err
 	}
-	return c.in.n, c.in.err
+	return done.n, done.err
 }
 
 func (c *Conn) surplusError() error {
@@ -246,7 +251,8 @@
 }
 
 // tryRead reads without blocking and reports whether the read is done. It holds the lock from the read to the check of
-// awaited: a request that began in between would take unsolicited bytes as its response.
+// awaited: a request that began in between would take unsolicited bytes as its response. Those that arrive after a request
+// has begun cannot be told from its response, because HTTP/1.1 has no request IDs.
 func (c *Conn) tryRead(fd uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/httpclient/response.go
+++ b/pkg/httpclient/response.go
@@ -13,7 +13,7 @@
 	memory    *memorybudget.Reservation // nil if memory is not bounded
 
 	begun        bool // a byte was received
-	before       int  // bytes of the interim heads
+	interim      int  // bytes of the interim heads
 	fields       int  // number of field lines of all complete heads
 	head         head // the one that is received, or the last one
 	headComplete bool
@@ -46,11 +46,11 @@
 // receiveHeads returns the size of all heads once the last one is complete.
 func (r *response) receiveHeads(received []byte, bufferBytes int) (size int, err error) {
 	for {
-		if err := r.head.parse(received[r.before:]); err != nil {
+		if err := r.head.parse(received[r.interim:]); err != nil {
 			return 0, err
 		}
 		if size = len(received); r.head.complete {
-			size = r.before + r.head.size
+			size = r.interim + r.head.size
 		}
 		if size > r.headLimit {
 			return 0, &Error{CauseHeadTooLarge, "head"}
@@ -62,7 +62,7 @@
 		if !r.head.isInterim() {
 			break
 		}
-		r.before, r.head = size, head{}
+		r.interim, r.head = size, head{}
 	}
 	if err := r.reserve(memorybudget.ParsedBytes(size, r.fields) + int64(bufferBytes)); err != nil {
 		return 0, err
