--- a/pkg/httpclient/conn.go
+++ b/pkg/httpclient/conn.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"github.com/burdockpitch/burdockpitch/internal/sockets"
 	"github.com/burdockpitch/burdockpitch/pkg/memorybudget"
@@ -129,11 +128,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.out.n < len(c.out.buffer) {
-		n, err := unix.Write(int(fd), c.out.buffer[c.out.n:])
+		n, err := syscall.Write(int(fd), c.out.buffer[c.out.n:])
 		switch {
-		case err == unix.EAGAIN:
+		case err == syscall.EAGAIN:
 			return false
-		case err == unix.EINTR:
+		case err == syscall.EINTR:
 		case err != nil:
 			c.writeFailed = true
 			c.out.err = os.NewSyscallError("write", err)
@@ -256,9 +255,9 @@
 func (c *Conn) tryRead(fd uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n, err := unix.Read(int(fd), c.in.buffer)
+	n, err := syscall.Read(int(fd), c.in.buffer)
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == syscall.EAGAIN || err == syscall.EINTR:
 		return false
 	case err != nil:
 		c.in.err = c.endLocked(os.NewSyscallError("read", err))
