--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -46,7 +46,7 @@
 		func() settings.Settings { return s },
 		func() Adapter { return adapter },
 		func() logr.Logger { return logging.New(logWriter, s.Log.Verbosity) },
-		newRegistry, newClientCapacity, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
+		newRegistry, newCapacityShares, newGatewayConfig, gateway.NewMetrics, gateway.New, discovery.NewMetrics, peer.NewMetrics,
 		newConfigStore, newNode, newPlatformReader, newControlPlane, newInstance,
 	}
 	for _, constructor := range constructors {
@@ -79,7 +79,7 @@
 	return reg, reg
 }
 
-func newGatewayConfig(s settings.Settings, a Adapter, c clientCapacity) gateway.Config {
+func newGatewayConfig(s settings.Settings, a Adapter, c capacityShares) gateway.Config {
 	return gateway.Config{
 		Policy: s.Policy(), Target: s.TargetConfig(), ProbePath: s.Probe.Path, Dialect: a.Dialect,
 		Limits: httpserver.Limits{
@@ -100,13 +100,13 @@
 	gateway      *gateway.Gateway
 	configStore  *discovery.ConfigStore
 	controlPlane *controlPlane
-	capacity     clientCapacity
+	capacity     capacityShares
 	stopping     atomic.Bool
 }
 
 func newInstance(
 	s settings.Settings, log logr.Logger, reg *prometheus.Registry, g *gateway.Gateway, configStore *discovery.ConfigStore, c *controlPlane,
-	capacity clientCapacity,
+	capacity capacityShares,
 ) *instance {
 	reg.MustRegister(g.NewUnusableCollector(), g.NewBudgetCollector())
 	return &instance{settings: s, log: log, registry: reg, gateway: g, configStore: configStore, controlPlane: c, capacity: capacity}
--- a/pkg/app/clients.go
+++ b/pkg/app/clients.go
@@ -33,8 +33,8 @@
 	minCallerConnections = 16
 )
 
-// clientCapacity is what clients of all listeners can make the instance hold together, and what servers can.
-type clientCapacity struct {
+// capacityShares are the parts of the process that clients of all listeners, and the servers that it calls, can take.
+type capacityShares struct {
 	// callers, relays and local bound the connections of callers, of instances that relay requests, and of the clients of
 	// each of the other HTTP listeners.
 	callers, relays, local int
@@ -44,13 +44,13 @@
 	responseHeads int64
 }
 
-// newClientCapacity divides what the process may have. Where the settings don't say how much that is, it is what the
+// newCapacityShares divides what the process may have. Where the settings don't say how much that is, it is what the
 // system allows.
-func newClientCapacity(s settings.Settings) (clientCapacity, error) {
+func newCapacityShares(s settings.Settings) (capacityShares, error) {
 	descriptors := int64(s.Limits.Descriptors)
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return clientCapacity{}, eris.Wrap(err, "read the limit on file descriptors")
+		return capacityShares{}, eris.Wrap(err, "read the limit on file descriptors")
 	}
 	if allowed := int64(min(limit.Cur, 1<<31)); descriptors == 0 || allowed < descriptors {
 		descriptors = allowed
@@ -59,7 +59,7 @@
 	if process == 0 {
 		var info unix.Sysinfo_t
 		if err := unix.Sysinfo(&info); err != nil {
-			return clientCapacity{}, eris.Wrap(err, "read the memory of the machine")
+			return capacityShares{}, eris.Wrap(err, "read the memory of the machine")
 		}
 		process = int64(info.Totalram) * int64(info.Unit)
 	}
@@ -67,14 +67,14 @@
 }
 
 // divideCapacity returns the capacity of a process with this number of descriptors and bytes of memory.
-func divideCapacity(descriptors, process int64, s settings.Settings) clientCapacity {
+func divideCapacity(descriptors, process int64, s settings.Settings) capacityShares {
 	total := int64(s.Limits.Connections)
 	if total == 0 {
 		total = min(descriptors/connectionDescriptorDivisor, process/connectionMemoryDivisor/httpserver.ConnectionBytes)
 	}
 	relays := max(total/relayDivisor, 1)
 	callers := max(total-relays-2*localConnections, minCallerConnections)
-	return clientCapacity{
+	return capacityShares{
 		callers: int(callers), relays: int(relays), local: localConnections, memory: int64(float64(process) * s.Memory.BodyShare),
 		responseHeads: process / responseHeadMemoryDivisor,
 	}
--- a/pkg/app/control_plane.go
+++ b/pkg/app/control_plane.go
@@ -63,7 +63,7 @@
 }
 
 func newConfigStore(
-	s settings.Settings, a Adapter, capacity clientCapacity, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
+	s settings.Settings, a Adapter, capacity capacityShares, g *gateway.Gateway, m *discovery.Metrics, log logr.Logger,
 ) *discovery.ConfigStore {
 	maxBody := min(s.MaxBody(), memorybudget.MaxBody(capacity.memory))
 	return discovery.NewConfigStore(a.ParseDocument, log, m, func(docs []*rules.Document) {
--- a/pkg/app/control_plane_test.go
+++ b/pkg/app/control_plane_test.go
@@ -41,7 +41,7 @@
 			s.PeerListen, s.Peers, s.Platform = "127.0.0.1:1", []string{"127.0.0.1:2"}, "http://127.0.0.1:3"
 			g := gateway.New(gateway.Config{}, gateway.NewMetrics(reg), log)
 			m := discovery.NewMetrics(reg)
-			configStore := newConfigStore(s, Adapter{}, clientCapacity{memory: 1 << 40}, g, m, log)
+			configStore := newConfigStore(s, Adapter{}, capacityShares{memory: 1 << 40}, g, m, log)
 			node := newNode(s, Adapter{}, configStore, g, peer.NewMetrics(reg), log)
 			c := newControlPlane(s, log, g, configStore, newDiscoveryReader(s, configStore, g, node, m, log), node)
 			c.started = time.Now().Add(-tt.age)
@@ -69,7 +69,7 @@
 	for range 300 {
 		reg := prometheus.NewRegistry()
 		g := gateway.New(gateway.Config{Policy: core.DefaultPolicy()}, gateway.NewMetrics(reg), log)
-		configStore := newConfigStore(s, Adapter{}, clientCapacity{memory: 1 << 40}, g, discovery.NewMetrics(reg), log)
+		configStore := newConfigStore(s, Adapter{}, capacityShares{memory: 1 << 40}, g, discovery.NewMetrics(reg), log)
 		node := newNode(s, Adapter{}, configStore, g, peer.NewMetrics(reg), log)
 		node.ObserveTargets(t.Context(), []membership.Process{{Address: "127.0.0.1:2", Start: "1", Leaving: true}})
 		done := make(chan struct{})
--- a/pkg/app/stop_test.go
+++ b/pkg/app/stop_test.go
@@ -42,7 +42,7 @@
 	s := settings.Default()
 	s.LameDuck, s.StopLimit = 0, settings.Duration(50*time.Millisecond)
 	reg := prometheus.NewRegistry()
-	g := gateway.New(newGatewayConfig(s, Adapter{}, clientCapacity{}), gateway.NewMetrics(reg), logr.Discard())
+	g := gateway.New(newGatewayConfig(s, Adapter{}, capacityShares{}), gateway.NewMetrics(reg), logr.Discard())
 	g.MarkSynced()
 	g.SetDocuments([]*rules.Document{doc})
 	g.SetTargets(discovery.InstanceList{Instances: []discovery.Instance{
--- a/pkg/discovery/reader.go
+++ b/pkg/discovery/reader.go
@@ -325,7 +325,7 @@
 	text, err := httpclient.ReadBody(resp, limit)
 	switch {
 	case errors.Is(err, httpclient.ErrBodyTooLarge):
-		return nil, "too-large", eris.Wrapf(err, "read %s, at most %d bytes", path, limit)
+		return nil, "too-large", eris.Wrapf(err, "read %s", path)
 	case err != nil:
 		return nil, "failed", eris.Wrapf(err, "read %s", path)
 	}
--- a/pkg/httpclient/body.go
+++ b/pkg/httpclient/body.go
@@ -12,7 +12,7 @@
 	maxTrailerBytes = 4 << 10
 )
 
-// body follows the framing of a body, so that its end is known. The zero value is a body without content.
+// body follows the framing of a body, so that its end is known. newBody returns the one after a head.
 type body struct {
 	// untilEnd is set for a body that ends with the connection.
 	untilEnd bool
@@ -42,7 +42,7 @@
 	chunkTrailer
 )
 
-// newBody returns the body after a head.
+// newBody returns the body after a head, before its first byte.
 func newBody(h *head, hasBody bool) body {
 	switch {
 	case !hasBody || h.hasLength && h.length == 0:
@@ -115,7 +115,7 @@
 	digit, isHex := hexDigit(c)
 	switch {
 	case d.extension:
-		if c < ' ' && c != '\t' || c == 0x7f {
+		if isControl(c) {
 			return malformed("extension of a chunk")
 		}
 	case d.padding && c != ' ' && c != '\t':
--- a/pkg/httpclient/client.go
+++ b/pkg/httpclient/client.go
@@ -62,13 +62,13 @@
 	return c.Conn.Write(b)
 }
 
-// ErrBodyTooLarge is returned by ReadBody for a body beyond the limit.
+// ErrBodyTooLarge is the cause of the error of ReadBody for a body beyond the limit.
 var ErrBodyTooLarge = eris.New("body is too large")
 
 // ReadBody reads a whole body of at most limit bytes.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.ContentLength > limit {
-		return nil, ErrBodyTooLarge
+		return nil, eris.Wrapf(ErrBodyTooLarge, "%d bytes, at most %d", resp.ContentLength, limit)
 	}
 	size := max(resp.ContentLength, firstBodyBytes)
 	var body bytes.Buffer
@@ -77,7 +77,7 @@
 		return nil, eris.Wrap(err, "read body")
 	}
 	if int64(body.Len()) > limit {
-		return nil, ErrBodyTooLarge
+		return nil, eris.Wrapf(ErrBodyTooLarge, "more than %d bytes", limit)
 	}
 	return body.Bytes(), nil
 }
--- a/pkg/httpclient/conn_test.go
+++ b/pkg/httpclient/conn_test.go
@@ -1,7 +1,6 @@
 package httpclient
 
 import (
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -68,5 +67,10 @@
 	n, err := io.ReadAtLeast(c, text, len(response))
 	require.NoError(t, err)
 	require.Equal(t, response, string(text[:n]))
-	require.Eventually(t, func() bool { return errors.Is(c.Begin(http.MethodGet, nil, nil), ErrUnusable) }, 10*time.Second, time.Millisecond)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = c.Read(text)
+	var broken *Error
+	require.ErrorAs(t, err, &broken)
+	require.Equal(t, CauseUnsolicited, broken.Cause)
+	require.ErrorIs(t, c.Begin(http.MethodGet, nil, nil), ErrUnusable)
 }
--- a/pkg/httpclient/head.go
+++ b/pkg/httpclient/head.go
@@ -9,11 +9,11 @@
 
 // Parts of a status line, "HTTP/1.1 200 OK". The reason phrase, and the space before it, may be missing.
 const (
-	versionPrefix    = "HTTP/1."
-	statusOffset     = len("HTTP/1.1 ")
-	statusEnd        = statusOffset + len("200")
-	statusMax        = 599
-	maxContentLength = 18 // digits, which fit into an int64
+	versionPrefix   = "HTTP/1."
+	statusOffset    = len("HTTP/1.1 ")
+	statusEnd       = statusOffset + len("200")
+	statusMax       = 599
+	maxLengthDigits = 18 // of a Content-Length, so that it fits into an int64
 )
 
 // lineBreak is how the lines of a head end. Some servers end all of them with a single LF.
@@ -134,7 +134,7 @@
 }
 
 func (h *head) parseLength(value []byte) error {
-	if len(value) == 0 || len(value) > maxContentLength {
+	if len(value) == 0 || len(value) > maxLengthDigits {
 		return malformed("content length")
 	}
 	var length int64
@@ -162,8 +162,8 @@
 // isInterim reports whether another head follows.
 func (h *head) isInterim() bool { return h.status < http.StatusOK }
 
-// splitField splits a field line. A line that begins with a blank would continue the one before it; this is obsolete
-// (RFC 9112, section 5.2), and what it hides from one recipient another one sees.
+// splitField splits a field line. It refuses a line that continues the one before it (RFC 9112, section 5.2), which some
+// recipients read as a field of its own.
 func splitField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !validName(name) {
@@ -185,16 +185,18 @@
 	return len(name) > 0
 }
 
-// validValue reports whether value has no control characters except tabs.
+// validValue reports whether value has no control characters. A tab counts as none.
 func validValue(value []byte) bool {
 	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
+		if isControl(c) {
 			return false
 		}
 	}
 	return true
 }
 
+func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
--- a/pkg/httpclient/response_test.go
+++ b/pkg/httpclient/response_test.go
@@ -141,7 +141,7 @@
 			cases[fmt.Sprintf("byte %d %s in a name", c, place)] = testCase{"GET", ok + line + "\r\n\r\nok", isMalformed}
 			cases[fmt.Sprintf("byte %d %s in a name of the trailer", c, place)] = testCase{"GET", chunked + "0\r\n" + line + "\r\n\r\n", isMalformed}
 		}
-		if c < ' ' && c != '\t' || c == 0x7f {
+		if isControl(byte(c)) {
 			cases[fmt.Sprintf("byte %d in a value", c)] = testCase{"GET", ok + fmt.Sprintf("A: b%cc\r\n\r\n", c), isMalformed}
 		}
 	}
